--- /dev/null
+++ b/src/bin/peatdock-benchlink.rs
@@ -0,0 +1,107 @@
+//! Hosts many instances of the decision module on the simulator's wire. Nothing is decided here.
+
+#![forbid(unsafe_code)]
+
+use peatdock::Balancer;
+use peatdock::api::{Action, Event, ListEntry, Time};
+use peatdock::wire::{self, BATCH_HEADER, BatchHeader, Record, Reply, TABLES, WireError};
+use std::collections::HashMap;
+use std::error::Error;
+use std::io::{self, BufReader, ErrorKind, Read, Write};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match serve(BufReader::with_capacity(1 << 16, io::stdin().lock()), io::stdout().lock()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("peatdock-benchlink: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve(mut input: impl Read, mut output: impl Write) -> Result<(), Box<dyn Error>> {
+    let mut host = Host::default();
+    let (mut body, mut frame) = (Vec::new(), Vec::new());
+    while let Some(header) = read_header(&mut input)? {
+        let header = BatchHeader::decode(&header)?;
+        body.clear();
+        let got = input.by_ref().take(header.length as u64).read_to_end(&mut body)?;
+        if got < header.length {
+            return Err(format!("batch {}: truncated frame", header.sequence).into());
+        }
+        for record in wire::records(header, &body) {
+            let record = record.map_err(|error| format!("batch {}: {error}", header.sequence))?;
+            host.apply(header.now, record);
+        }
+        frame.clear();
+        host.reply.finish(header.sequence, &mut frame);
+        output.write_all(&frame)?;
+        output.flush()?;
+    }
+    Ok(())
+}
+
+/// The next header, or `None` where the input ends between frames.
+fn read_header(input: &mut impl Read) -> Result<Option<[u8; BATCH_HEADER]>, Box<dyn Error>> {
+    let mut header = [0; BATCH_HEADER];
+    let mut filled = 0;
+    while filled < BATCH_HEADER {
+        match input.read(&mut header[filled..]) {
+            Ok(0) if filled == 0 => return Ok(None),
+            Ok(0) => return Err("truncated header".into()),
+            Ok(got) => filled += got,
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(error) => return Err(error.into()),
+        }
+    }
+    Ok(Some(header))
+}
+
+#[derive(Default)]
+struct Host {
+    instances: HashMap<u32, Balancer>,
+    tables: [Vec<ListEntry>; TABLES],
+    actions: Vec<Action>,
+    reply: Reply,
+}
+
+impl Host {
+    fn apply(&mut self, now: Time, record: Record<'_>) {
+        match record {
+            Record::PowerOn { instance, seed, settings } => {
+                let balancer = wire::settings(settings).and_then(|settings| {
+                    Balancer::new(settings, seed, now)
+                        .map_err(|error| WireError::new(format!("settings: {error}")))
+                });
+                match balancer {
+                    Ok(balancer) => drop(self.instances.insert(instance, balancer)),
+                    Err(error) => self.reply.fault(instance, &error.to_string()),
+                }
+            }
+            Record::Retire(instance) => drop(self.instances.remove(&instance)),
+            Record::Table(number, entries) => self.tables[number] = entries,
+            Record::Announce { instance, table, delta } => {
+                let entries = &self.tables[table];
+                let event = if delta { Event::ListChange(entries) } else { Event::List(entries) };
+                if let Some(balancer) = self.instances.get_mut(&instance) {
+                    balancer.handle(now, event, &mut self.actions);
+                }
+                self.flush(instance);
+            }
+            Record::Event(instance, event) => {
+                if let Some(balancer) = self.instances.get_mut(&instance) {
+                    balancer.handle(now, event, &mut self.actions);
+                }
+                self.flush(instance);
+            }
+            Record::Ignored => {}
+        }
+    }
+
+    fn flush(&mut self, instance: u32) {
+        for action in self.actions.drain(..) {
+            self.reply.push(instance, &action);
+        }
+    }
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,252 @@
+//! What a balancer remembers: plain records and averages. Nothing here decides anything; the constants that
+//! steer the averages are handed in by `policy.rs`.
+
+use crate::api::{Duration, ServerId, Time};
+
+/// What is known of a server.
+#[derive(Debug, Default)]
+pub(crate) struct Server {
+    pub id: ServerId,
+    pub zone: usize,
+    pub cell: u16,
+    pub ready: bool,
+    pub size: f64,
+    pub started: Option<Time>,
+    /// Place in the round robin.
+    pub order: u64,
+    /// Fraction of a turn that has come together.
+    pub turn: f64,
+    /// Fraction of a cold server's next call that has come together, and when that was counted last.
+    pub budget: f64,
+    pub budget_at: Time,
+    pub in_flight: u32,
+    /// It refuses calls as full, presumably until then.
+    pub full_until: Time,
+    /// Connections that it let us have when it last took no more, and when that was.
+    pub conn_limit: Option<(u32, Time)>,
+    /// Our connections to it, open or idle.
+    pub open: u32,
+    /// When an attempt at it ended last, and left its connection idle.
+    pub idle_from: Time,
+    /// When it answered last.
+    pub answered_at: Time,
+    /// How long its calls take, as a multiple of their class's mean.
+    pub slowness: f64,
+    pub breaker: Breaker,
+}
+
+/// A circuit breaker.
+#[derive(Debug, Default)]
+pub(crate) struct Breaker {
+    /// Failures and successes in a row.
+    pub failures: u32,
+    pub successes: u32,
+    /// How often it opened lately.
+    pub opens: u32,
+    pub tripped: bool,
+    pub open_until: Time,
+    /// A trial is out.
+    pub trial: bool,
+}
+
+/// Servers that a round robin goes through: those of a zone, or all.
+#[derive(Debug, Default)]
+pub(crate) struct Pool {
+    pub members: Vec<usize>,
+    pub cursor: usize,
+    pub size: f64,
+    pub tripped: usize,
+    pub in_flight: u32,
+    /// Part of the calls that failed, and when one ended last.
+    failing: f64,
+    failing_at: Time,
+    /// How long its calls take, as part of their aim, and when that was learned last.
+    pub lateness: Latency,
+    late_at: Time,
+}
+
+impl Pool {
+    /// Part of the calls that failed lately; what is known of it fades over a time.
+    pub fn failing(&self, now: Time, fade: Duration) -> f64 {
+        self.failing * (-(now.saturating_sub(self.failing_at) as f64) / fade as f64).exp()
+    }
+
+    pub fn learn_failing(&mut self, failed: bool, now: Time, gain: f64, fade: Duration) {
+        let old = self.failing(now, fade);
+        self.failing = old + gain * (f64::from(u8::from(failed)) - old);
+        self.failing_at = now;
+    }
+
+    pub fn learn_lateness(&mut self, lateness: f64, now: Time, gain: f64, calm: (f64, f64)) {
+        self.lateness.learn(lateness, gain, calm);
+        self.late_at = now;
+    }
+
+    /// Lateness that a call can expect; what is known of it fades towards what is calm.
+    pub fn expected(&self, calm: f64, now: Time, fade: Duration) -> f64 {
+        let age = now.saturating_sub(self.late_at) as f64 / fade as f64;
+        calm + (self.lateness.mean - calm) * (-age).exp()
+    }
+
+    pub fn healthy(&self) -> usize {
+        self.members.len().saturating_sub(self.tripped)
+    }
+
+    /// Calls in flight for each unit of size.
+    pub fn load(&self) -> f64 {
+        f64::from(self.in_flight) / self.size.max(f64::MIN_POSITIVE)
+    }
+
+    /// Counts all servers out; what is known of the zone stays.
+    pub fn clear(&mut self) {
+        self.members.clear();
+        (self.size, self.tripped, self.in_flight) = (0.0, 0, 0);
+    }
+
+    /// Counts a ready server in.
+    pub fn add(&mut self, at: usize, server: &Server) {
+        self.members.push(at);
+        self.size += server.size;
+        self.tripped += usize::from(server.breaker.tripped);
+        self.in_flight += server.in_flight;
+    }
+}
+
+/// A request that is not answered yet, or has an attempt out.
+#[derive(Debug, Default)]
+pub(crate) struct Request {
+    pub class: usize,
+    /// One over its aim.
+    pub per_aim: f64,
+    pub deadline: Time,
+    pub attempts: u32,
+    /// The last server it was sent to, and when.
+    pub sent: Option<(usize, Time)>,
+    /// The attempt out has been found late (1), and has counted as a failure or cannot any more (2).
+    pub marks: u32,
+    /// Calls that the server of the attempt out held, this one included, if it was asked.
+    pub asked: f64,
+    /// The attempt out is a breaker's trial.
+    pub trial: bool,
+    /// How long the connection of the attempt out had been idle, as a step of `IdleRisk`.
+    pub idle: usize,
+    /// The first server that may have run it, and when it was sent there.
+    pub may_have_run: Option<(usize, Time)>,
+    pub closed: bool,
+}
+
+/// A request whose proposed servers are being asked for their load.
+#[derive(Debug)]
+pub(crate) struct Asking {
+    pub request: Request,
+    /// In the order of the round robin, each with the calls it holds if it has told.
+    pub proposals: Vec<(usize, Option<f64>)>,
+}
+
+/// Mean and mean deviation of a latency.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Latency {
+    pub mean: f64,
+    pub dev: f64,
+    /// Follows the mean, faster downwards than upwards.
+    pub calm: f64,
+    pub calls: u32,
+}
+
+impl Latency {
+    /// So many mean deviations above the mean.
+    pub fn above(&self, devs: f64) -> Duration {
+        (self.mean + devs * self.dev).max(1e6) as Duration
+    }
+
+    pub fn learn(&mut self, elapsed: f64, gain: f64, (down, up): (f64, f64)) {
+        self.calls = self.calls.saturating_add(1);
+        let gain = gain.max(1.0 / f64::from(self.calls));
+        self.mean += gain * (elapsed - self.mean);
+        self.dev += gain * ((elapsed - self.mean).abs() - self.dev);
+        let towards = if self.mean < self.calm { down } else { up };
+        self.calm += towards.max(1.0 / f64::from(self.calls)) * (self.mean - self.calm);
+    }
+}
+
+/// A sum whose older parts fade over a window.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Recent {
+    pub sum: f64,
+    pub at: Time,
+    since: Time,
+}
+
+impl Recent {
+    pub fn since(now: Time) -> Self {
+        Self { sum: 0.0, at: now, since: now }
+    }
+
+    /// The sum for each second, right from the first second on.
+    pub fn per_second(&self, now: Time, window: Duration) -> f64 {
+        let seen = 1.0 - (-(now.saturating_sub(self.since) as f64) / window as f64).exp();
+        self.get(now, window) * 1e9 / (window as f64 * seen.max(0.05))
+    }
+
+    pub fn get(&self, now: Time, window: Duration) -> f64 {
+        self.sum * (-(now.saturating_sub(self.at) as f64) / window as f64).exp()
+    }
+
+    pub fn add(&mut self, now: Time, amount: f64, window: Duration) {
+        (self.sum, self.at) = (self.get(now, window) + amount, now);
+    }
+}
+
+/// How often attempts fail, by how long their connection had been idle: step 0 for new or busy ones, each
+/// further step for twice the idle time.
+#[derive(Debug, Default)]
+pub(crate) struct IdleRisk {
+    failing: [f64; 10],
+    at: [Time; 10],
+}
+
+impl IdleRisk {
+    /// The step of an idle time, where step 1 begins at `from`.
+    pub fn step(&self, idle: Duration, from: Duration) -> usize {
+        ((2 * idle / from.max(1)).checked_ilog2().unwrap_or(0) as usize).min(self.failing.len() - 1)
+    }
+
+    /// Part of the attempts that fail at a step; what is known of it fades over a time.
+    pub fn get(&self, step: usize, now: Time, fade: Duration) -> f64 {
+        self.failing[step] * (-(now.saturating_sub(self.at[step]) as f64) / fade as f64).exp()
+    }
+
+    /// The highest risk of an idle time up to a step.
+    pub fn up_to(&self, step: usize, now: Time, fade: Duration) -> f64 {
+        (1..=step).map(|step| self.get(step, now, fade)).fold(0.0, f64::max)
+    }
+
+    pub fn learn(&mut self, step: usize, failed: bool, now: Time, gain: f64, fade: Duration) {
+        let old = self.get(step, now, fade);
+        self.failing[step] = old + gain * (f64::from(u8::from(failed)) - old);
+        self.at[step] = now;
+    }
+}
+
+/// What load shedding goes by.
+#[derive(Debug, Default)]
+pub(crate) struct Shedding {
+    /// Requests held, each counted as one over its aim.
+    pub waiting: f64,
+    /// The same summed over time, and answers given.
+    pub held: Recent,
+    pub answers: Recent,
+    /// Work asked for, for each class within and beyond the tenant's quota.
+    pub demand: Vec<Recent>,
+    /// Calls of each tenant.
+    pub tenants: Vec<Recent>,
+}
+
+impl Shedding {
+    /// Changes what is held, and sums what was held until now.
+    pub fn hold(&mut self, now: Time, change: f64, window: Duration) {
+        let passed = now.saturating_sub(self.held.at) as f64 / window as f64;
+        self.held.add(now, self.waiting * window as f64 * (1.0 - (-passed).exp()), window);
+        self.waiting = (self.waiting + change).max(0.0);
+    }
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,486 @@
+//! The simulator's wire: bytes to events, actions to bytes. Nothing is decided here.
+
+use crate::api::{
+    Action, Class, Demand, Duration, Effect, End, Event, Group, Lifecycle, ListEntry, LoadReport, Outcome,
+    RequestId, ServerId, Settings, Tenant, Time, ZoneId,
+};
+use serde::Deserialize;
+use std::fmt;
+
+/// Bytes of a batch header.
+pub const BATCH_HEADER: usize = 20;
+/// Bytes of a reply header.
+pub const REPLY_HEADER: usize = 12;
+const EVENT_SIZE: usize = 48;
+const ACTION_SIZE: usize = 24;
+const ENTRY_SIZE: usize = 22;
+/// Numbered lists that may be held at a time.
+pub const TABLES: usize = 16;
+
+/// What is wrong with a frame.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WireError(String);
+
+impl WireError {
+    /// An error of this text.
+    pub fn new(text: impl Into<String>) -> Self {
+        Self(text.into())
+    }
+}
+
+impl fmt::Display for WireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for WireError {}
+
+/// The header of a batch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BatchHeader {
+    /// The clock.
+    pub now: Time,
+    /// Bytes after the header.
+    pub length: usize,
+    /// Number of records.
+    pub records: usize,
+    /// Number of the batch.
+    pub sequence: u32,
+}
+
+impl BatchHeader {
+    /// Reads a header and checks that its records fit its length.
+    pub fn decode(bytes: &[u8; BATCH_HEADER]) -> Result<Self, WireError> {
+        let header = Self {
+            now: u64_at(bytes, 0),
+            length: u32_at(bytes, 8) as usize,
+            records: u32_at(bytes, 12) as usize,
+            sequence: u32_at(bytes, 16),
+        };
+        if header.records * EVENT_SIZE > header.length {
+            return Err(WireError::new(format!(
+                "batch {}: {} records do not fit {} bytes",
+                header.sequence, header.records, header.length
+            )));
+        }
+        Ok(header)
+    }
+}
+
+/// One event record.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Record<'a> {
+    /// An instance starts, with the text of its settings.
+    PowerOn {
+        /// The instance.
+        instance: u32,
+        /// Seed of its random numbers.
+        seed: u64,
+        /// Its settings as JSON text.
+        settings: &'a [u8],
+    },
+    /// An instance is gone.
+    Retire(u32),
+    /// A numbered list of servers.
+    Table(usize, Vec<ListEntry>),
+    /// Discovery tells an instance of the numbered list.
+    Announce {
+        /// The instance.
+        instance: u32,
+        /// Number of the list.
+        table: usize,
+        /// Only the entries that changed.
+        delta: bool,
+    },
+    /// Anything else is an event of the module.
+    Event(u32, Event<'static>),
+    /// Nothing that the module acts on.
+    Ignored,
+}
+
+fn array_at<const N: usize>(bytes: &[u8], at: usize) -> [u8; N] {
+    let mut out = [0; N];
+    out.copy_from_slice(&bytes[at..at + N]);
+    out
+}
+
+fn u16_at(bytes: &[u8], at: usize) -> u16 {
+    u16::from_le_bytes(array_at(bytes, at))
+}
+
+fn u32_at(bytes: &[u8], at: usize) -> u32 {
+    u32::from_le_bytes(array_at(bytes, at))
+}
+
+fn u64_at(bytes: &[u8], at: usize) -> u64 {
+    u64::from_le_bytes(array_at(bytes, at))
+}
+
+fn f32_at(bytes: &[u8], at: usize) -> f32 {
+    f32::from_le_bytes(array_at(bytes, at))
+}
+
+/// The records of a batch, in order. `body` is what follows the header.
+pub fn records(header: BatchHeader, body: &[u8]) -> impl Iterator<Item = Result<Record<'_>, WireError>> {
+    let (records, tail) = body.split_at(header.records * EVENT_SIZE);
+    records.chunks_exact(EVENT_SIZE).map(move |record| decode_record(record, tail))
+}
+
+fn tail_part<'a>(record: &[u8], at: usize, unit: usize, tail: &'a [u8]) -> Result<&'a [u8], WireError> {
+    let offset = u32_at(record, at) as usize;
+    let length = u32_at(record, at + 4) as usize * unit;
+    tail.get(offset..offset + length).ok_or_else(|| {
+        WireError::new(format!("offset {offset} and length {length} lie outside a tail of {}", tail.len()))
+    })
+}
+
+fn decode_record<'a>(record: &[u8], tail: &'a [u8]) -> Result<Record<'a>, WireError> {
+    let instance = u32_at(record, 1);
+    let id = RequestId(u32_at(record, 5));
+    let event = match record[0] {
+        0 => {
+            let settings = tail_part(record, 13, 1, tail)?;
+            return Ok(Record::PowerOn { instance, seed: u64_at(record, 5), settings });
+        }
+        1 => match record[13] {
+            form @ 0..=2 => {
+                let table = table_number(u32_at(record, 9))?;
+                return Ok(Record::Announce { instance, table, delta: form == 0 });
+            }
+            3 => Event::ListFailed,
+            form => return Err(WireError::new(format!("unknown form {form} of ANNOUNCE"))),
+        },
+        2 => Event::Request(
+            id,
+            Demand {
+                class: u16_at(record, 21) as usize,
+                tenant: u32_at(record, 17) as usize,
+                time_left: u64_at(record, 23),
+                work: (record[39] & 1 != 0).then(|| u64_at(record, 31)),
+            },
+        ),
+        3 => Event::Started(id, record[9] as u32),
+        4 => Event::Ended(
+            id,
+            End {
+                attempt: record[18] as u32,
+                outcome: outcome(record[23])?,
+                elapsed: u64_at(record, 9),
+                closed: record[17] != 0,
+                load: load_report(record, 24)?,
+            },
+        ),
+        5 => Event::ClientGone(id),
+        6 => Event::Timer(u64_at(record, 5)),
+        7 => Event::Probed(ServerId(u32_at(record, 5)), outcome(record[9])?, load_report(record, 18)?),
+        8 => return Ok(Record::Ignored),
+        9 => return Ok(Record::Retire(instance)),
+        10 => {
+            let entries = tail_part(record, 5, ENTRY_SIZE, tail)?;
+            let entries = entries.chunks_exact(ENTRY_SIZE).map(entry).collect::<Result<_, _>>()?;
+            return Ok(Record::Table(table_number(u32_at(record, 1))?, entries));
+        }
+        code => return Err(WireError::new(format!("unknown event code {code}"))),
+    };
+    Ok(Record::Event(instance, event))
+}
+
+fn table_number(number: u32) -> Result<usize, WireError> {
+    let table = number as usize;
+    if table < TABLES { Ok(table) } else { Err(WireError::new(format!("list number {number} is over 15"))) }
+}
+
+fn outcome(code: u8) -> Result<Outcome, WireError> {
+    Ok(match code {
+        0 => Outcome::Ok,
+        1 => Outcome::Error,
+        2 => Outcome::Full,
+        3 => Outcome::Timeout,
+        4 => Outcome::ConnectFailed,
+        5 => Outcome::Reset,
+        6 => Outcome::Cancelled,
+        7 => Outcome::Moot,
+        _ => return Err(WireError::new(format!("unknown outcome {code}"))),
+    })
+}
+
+fn load_report(record: &[u8], at: usize) -> Result<Option<LoadReport>, WireError> {
+    let len = record[at] as usize;
+    if len > 4 {
+        return Err(WireError::new(format!("load report of {len} values")));
+    }
+    let mut report = LoadReport { len, ..LoadReport::default() };
+    for (i, figure) in report.figures.iter_mut().enumerate().take(len) {
+        *figure = f32_at(record, at + 1 + 4 * i);
+    }
+    Ok((len > 0).then_some(report))
+}
+
+fn entry(bytes: &[u8]) -> Result<ListEntry, WireError> {
+    let lifecycle = match bytes[9] {
+        0 => Lifecycle::Gone,
+        1 => Lifecycle::Ready,
+        2 => Lifecycle::Draining,
+        code => return Err(WireError::new(format!("unknown lifecycle {code}"))),
+    };
+    let started = u64_at(bytes, 14);
+    Ok(ListEntry {
+        server: ServerId(u32_at(bytes, 0)),
+        zone: ZoneId(bytes[4]),
+        cell: u16_at(bytes, 7),
+        lifecycle,
+        size: f32_at(bytes, 10),
+        started: (started != 0).then_some(started),
+    })
+}
+
+/// A reply under construction.
+#[derive(Debug, Default)]
+pub struct Reply {
+    records: Vec<u8>,
+    tail: Vec<u8>,
+}
+
+impl Reply {
+    /// Adds an action of an instance.
+    pub fn push(&mut self, instance: u32, action: &Action) {
+        match action {
+            Action::SetTimer { after, token } => self.record(0, instance, &[after, token]),
+            Action::Refuse { id, retry_after } => self.record(1, instance, &[&id.0, retry_after]),
+            Action::Send { id, server, until } => self.record(3, instance, &[&id.0, &server.0, until]),
+            Action::Log(text) => self.text(4, instance, text),
+            Action::Fail(id) => self.record(6, instance, &[&id.0]),
+            Action::Probe(server) => self.record(10, instance, &[&server.0]),
+            Action::Close(server) => self.record(2, instance, &[&server.0]),
+            Action::Watch => self.record(8, instance, &[&1u8]),
+            Action::Cancel { id, attempt } => {
+                self.record(11, instance, &[&id.0, &u8::try_from(*attempt).unwrap_or(u8::MAX)]);
+            }
+        }
+    }
+
+    /// Says that an instance cannot go on.
+    pub fn fault(&mut self, instance: u32, text: &str) {
+        self.text(9, instance, text);
+    }
+
+    fn text(&mut self, code: u8, instance: u32, text: &str) {
+        let offset = self.tail.len() as u32;
+        self.tail.extend_from_slice(text.as_bytes());
+        self.record(code, instance, &[&offset, &(text.len() as u32)]);
+    }
+
+    fn record(&mut self, code: u8, instance: u32, fields: &[&dyn Field]) {
+        let start = self.records.len();
+        self.records.push(code);
+        self.records.extend_from_slice(&instance.to_le_bytes());
+        for field in fields {
+            field.write(&mut self.records);
+        }
+        self.records.resize(start + ACTION_SIZE, 0);
+    }
+
+    /// Writes the whole frame to `out` and empties the reply.
+    pub fn finish(&mut self, sequence: u32, out: &mut Vec<u8>) {
+        let length = self.records.len() + self.tail.len();
+        let count = self.records.len() / ACTION_SIZE;
+        out.reserve(REPLY_HEADER + length);
+        for value in [length as u32, count as u32, sequence] {
+            out.extend_from_slice(&value.to_le_bytes());
+        }
+        out.append(&mut self.records);
+        out.append(&mut self.tail);
+    }
+}
+
+trait Field {
+    fn write(&self, out: &mut Vec<u8>);
+}
+
+macro_rules! fields {
+    ($($t:ty),*) => {$(
+        impl Field for $t {
+            fn write(&self, out: &mut Vec<u8>) {
+                out.extend_from_slice(&self.to_le_bytes());
+            }
+        }
+    )*};
+}
+fields!(u8, u32, u64);
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct RawSettings {
+    classes: Vec<RawClass>,
+    discovery: RawDiscovery,
+    family_info: Option<RawFamily>,
+    layer: u32,
+    limits: RawLimits,
+    over_share_worth: Option<f64>,
+    prices: Option<RawPrices>,
+    safety: RawSafety,
+    siblings: u32,
+    telemetry: Option<RawTelemetry>,
+    #[serde(default)]
+    tenants: Vec<RawTenant>,
+    value_by: RawValueBy,
+    zone: u8,
+    zones: Vec<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct RawClass {
+    aim_ns: Duration,
+    aim_stretch: Option<f64>,
+    deadline_ns: Duration,
+    effect: RawEffect,
+    group: Option<RawGroup>,
+    late_worth: Option<f64>,
+    window_ns: Option<Duration>,
+    value: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum RawEffect {
+    ReadLike,
+    IdempotencyKey,
+    NonIdempotent,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum RawGroup {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum RawDiscovery {
+    Push,
+    Ask,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum RawValueBy {
+    Request,
+    Work,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct RawFamily {
+    passes_deadline: Option<bool>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct RawLimits {
+    cancelling: bool,
+    conn_idle_ns: Option<Duration>,
+    max_retry_after_ns: Option<Duration>,
+    #[serde(default)]
+    may_probe: bool,
+    retry_after: bool,
+    try_limit: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct RawSafety {
+    ask_within_ns: Option<Duration>,
+    start_capacity: f64,
+    tip_multiple: f64,
+    ramp_time_ns: Duration,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct RawTelemetry {
+    #[serde(default)]
+    fields: Vec<String>,
+    via: Option<String>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct RawPrices {
+    #[serde(default)]
+    cross_zone: f64,
+    #[serde(default)]
+    probe: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct RawTenant {
+    quota_rps: f64,
+}
+
+/// Reads the settings that an instance starts with. The error names the key that is at fault.
+pub fn settings(text: &[u8]) -> Result<Settings, WireError> {
+    let raw: RawSettings =
+        serde_json::from_slice(text).map_err(|error| WireError::new(format!("settings: {error}")))?;
+    let classes = raw.classes.into_iter().map(class).collect::<Result<Vec<_>, _>>()?;
+    let ask_discovery = matches!(raw.discovery, RawDiscovery::Ask);
+    if ask_discovery && raw.safety.ask_within_ns.is_none() {
+        return Err(WireError::new("settings: missing field `AskWithinNs`"));
+    }
+    let prices = raw.prices.unwrap_or_default();
+    let (fields, via) =
+        raw.telemetry.map_or((Vec::new(), None), |telemetry| (telemetry.fields, telemetry.via));
+    Ok(Settings {
+        classes,
+        tenants: raw.tenants.into_iter().map(|t| Tenant { quota_rps: t.quota_rps }).collect(),
+        over_quota_worth: raw.over_share_worth.unwrap_or(1.0),
+        worth_by_work: matches!(raw.value_by, RawValueBy::Work),
+        zone: ZoneId(raw.zone),
+        zones: raw.zones.len(),
+        siblings: raw.siblings,
+        tier: raw.layer,
+        passes_deadline: raw.family_info.and_then(|f| f.passes_deadline).unwrap_or(true),
+        ask_discovery,
+        ask_within: raw.safety.ask_within_ns.unwrap_or(0),
+        may_cancel: raw.limits.cancelling,
+        retry_after: raw.limits.retry_after,
+        max_retry_after: raw.limits.max_retry_after_ns.unwrap_or(0),
+        max_attempts: raw.limits.try_limit,
+        conn_idle: raw.limits.conn_idle_ns.unwrap_or(Duration::MAX),
+        start_capacity: raw.safety.start_capacity,
+        tip_multiple: raw.safety.tip_multiple,
+        ramp_time: raw.safety.ramp_time_ns,
+        report_inflight: fields.iter().position(|field| field == "inflight"),
+        cross_price: prices.cross_zone,
+        probe_price: prices.probe,
+        load_by_probe: raw.limits.may_probe && via.as_deref() == Some("probe"),
+    })
+}
+
+fn class(raw: RawClass) -> Result<Class, WireError> {
+    let effect = match raw.effect {
+        RawEffect::ReadLike => Effect::Safe,
+        RawEffect::NonIdempotent => Effect::Unsafe,
+        RawEffect::IdempotencyKey => {
+            let missing = |key| WireError::new(format!("settings: missing field `{key}`"));
+            let group = match raw.group.ok_or_else(|| missing("Group"))? {
+                RawGroup::All => Group::All,
+                RawGroup::Zone => Group::Zone,
+                RawGroup::Cell => Group::Cell,
+            };
+            Effect::Keyed(group, raw.window_ns.ok_or_else(|| missing("WindowNs"))?)
+        }
+    };
+    Ok(Class {
+        aim: raw.aim_ns,
+        aim_stretch: raw.aim_stretch.unwrap_or(0.0),
+        deadline: raw.deadline_ns,
+        effect,
+        late_worth: raw.late_worth.unwrap_or(0.0),
+        worth: raw.value,
+    })
+}
--- /dev/null
+++ b/tests/wire.rs
@@ -0,0 +1,313 @@
+//! The wire by the documented byte examples, both directions, and the adapter on bad input.
+
+mod common;
+
+use peatdock::api::*;
+use peatdock::wire::{self, BATCH_HEADER, BatchHeader, Record, Reply};
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+fn hex(text: &str) -> Vec<u8> {
+    let digits: Vec<u8> = text.bytes().filter(u8::is_ascii_hexdigit).collect();
+    digits.chunks(2).map(|pair| u8::from_str_radix(str::from_utf8(pair).unwrap(), 16).unwrap()).collect()
+}
+
+fn padded(text: &str, size: usize) -> Vec<u8> {
+    let mut bytes = hex(text);
+    assert!(bytes.len() <= size);
+    bytes.resize(size, 0);
+    bytes
+}
+
+fn batch(records: &[&str], tail: &[u8]) -> Vec<u8> {
+    let mut frame = hex("90bf68f501000000");
+    let length = records.len() * 48 + tail.len();
+    for value in [length as u32, records.len() as u32, 12] {
+        frame.extend(value.to_le_bytes());
+    }
+    records.iter().for_each(|record| frame.extend(padded(record, 48)));
+    frame.extend(tail);
+    frame
+}
+
+fn decode(frame: &[u8]) -> Vec<Record<'_>> {
+    let header = BatchHeader::decode(frame[..BATCH_HEADER].try_into().unwrap()).unwrap();
+    wire::records(header, &frame[BATCH_HEADER..]).collect::<Result<_, _>>().unwrap()
+}
+
+#[test]
+fn documented_events_decode() {
+    let records = [
+        "02 03000000 c4913a5d 640ad2557c3bf091 00000000 0000 001c4e0e00000000 001bb70000000000 01",
+        "06 03000000 4d00000000000000",
+        "05 05000000 192b6f0e",
+        "03 03000000 c4913a5d 00 074a1203 d0248d0000000000",
+        "04 03000000 c4913a5d a0491a0100000000 01 00 074a1203 00 00",
+        "09 03000000",
+        "07 03000000 f211902c 00 c05c150000000000 00",
+        "08 03000000 02000000 00000000 04000000",
+    ];
+    let demand = Demand { class: 0, tenant: 0, time_left: 240_000_000, work: Some(12_000_000) };
+    let end = End { attempt: 0, outcome: Outcome::Ok, elapsed: 18_500_000, closed: true, load: None };
+    let id = RequestId(0x5d3a_91c4);
+    assert_eq!(
+        decode(&batch(&records, &[])),
+        [
+            Record::Event(3, Event::Request(id, demand)),
+            Record::Event(3, Event::Timer(0x4d)),
+            Record::Event(5, Event::ClientGone(RequestId(0x0e6f_2b19))),
+            Record::Event(3, Event::Started(id, 0)),
+            Record::Event(3, Event::Ended(id, end)),
+            Record::Retire(3),
+            Record::Event(3, Event::Probed(ServerId(0x2c90_11f2), Outcome::Ok, None)),
+            Record::Ignored,
+        ]
+    );
+}
+
+#[test]
+fn documented_lists_decode() {
+    let tail = hex(
+        "074a1203 00 0000 0000 01 0000803f 0000000000000000 f211902c 01 0000 0000 01 0000c03f 009d966b01000000",
+    );
+    let frame = batch(&["0a 00000000 00000000 02000000", "01 03000000 29000000 00000000 02"], &tail);
+    let records = decode(&frame);
+    let entry = |server, zone, size, started| ListEntry {
+        server: ServerId(server),
+        zone: ZoneId(zone),
+        cell: 0,
+        lifecycle: Lifecycle::Ready,
+        size,
+        started,
+    };
+    let entries = vec![entry(0x0312_4a07, 0, 1.0, None), entry(0x2c90_11f2, 1, 1.5, Some(6_100_000_000))];
+    assert_eq!(records[0], Record::Table(0, entries));
+    assert_eq!(records[1], Record::Announce { instance: 3, table: 0, delta: false });
+}
+
+#[test]
+fn load_reports_decode() {
+    let frame = batch(&["04 03000000 c4913a5d a0491a0100000000 00 01 074a1203 02 02 0000803f 00002041"], &[]);
+    let Record::Event(3, Event::Ended(_, end)) = &decode(&frame)[0] else { panic!() };
+    assert_eq!(end.load, Some(LoadReport { figures: [1.0, 10.0, 0.0, 0.0], len: 2 }));
+    assert_eq!((end.attempt, end.outcome, end.closed), (1, Outcome::Full, false));
+}
+
+#[test]
+fn documented_actions_encode() {
+    let mut reply = Reply::default();
+    let id = RequestId(0x5d3a_91c4);
+    reply.push(3, &Action::Send { id, server: ServerId(0x0312_4a07), until: 8492250000 });
+    reply.push(3, &Action::SetTimer { after: 500_000_000, token: 0x4d });
+    reply.push(5, &Action::Log("two servers known".into()));
+    reply.push(3, &Action::Refuse { id: RequestId(0x0e6f_2b19), retry_after: 250_000_000 });
+    reply.push(3, &Action::Fail(RequestId(0x0e6f_2b19)));
+    reply.push(3, &Action::Watch);
+    reply.push(3, &Action::Cancel { id, attempt: 0 });
+    reply.push(3, &Action::Probe(ServerId(0x2c90_11f2)));
+    reply.push(3, &Action::Close(ServerId(0x2c90_11f2)));
+    reply.fault(3, "index out of range");
+    let mut frame = Vec::new();
+    reply.finish(12, &mut frame);
+    let records = [
+        "03 03000000 c4913a5d 074a1203 90732dfa01000000",
+        "00 03000000 0065cd1d00000000 4d00000000000000",
+        "04 05000000 00000000 11000000",
+        "01 03000000 192b6f0e 80b2e60e00000000",
+        "06 03000000 192b6f0e",
+        "08 03000000 01",
+        "0b 03000000 c4913a5d 00",
+        "0a 03000000 f211902c",
+        "02 03000000 f211902c",
+        "09 03000000 11000000 12000000",
+    ];
+    let mut expected = hex("13010000 0a000000 0c000000");
+    records.iter().for_each(|record| expected.extend(padded(record, 24)));
+    expected.extend(b"two servers knownindex out of range");
+    assert_eq!(frame, expected);
+}
+
+#[test]
+fn settings_read_what_decisions_need_and_ignore_the_rest() {
+    let settings = wire::settings(SETTINGS.as_bytes()).unwrap();
+    assert_eq!(settings.classes[0].effect, Effect::Safe);
+    assert_eq!(settings.classes[1].effect, Effect::Keyed(Group::Zone, 5_000_000_000));
+    assert_eq!((settings.siblings, settings.zones, settings.max_attempts), (4, 2, 4));
+    assert_eq!(settings.report_inflight, Some(1));
+    assert!(settings.ask_discovery && settings.passes_deadline);
+    assert_eq!(settings.conn_idle, u64::MAX, "idle connections stay where nothing is said");
+    let text = SETTINGS.replace("\"TryLimit\"", "\"ConnIdleNs\": 5000000000, \"TryLimit\"");
+    assert_eq!(wire::settings(text.as_bytes()).unwrap().conn_idle, 5_000_000_000);
+}
+
+#[test]
+fn settings_that_lack_a_key_name_it() {
+    for key in ["Siblings", "TryLimit", "StartCapacity", "AimNs", "AskWithinNs", "WindowNs"] {
+        let text = SETTINGS.replace(&format!("\"{key}\""), "\"Other\"");
+        let error = wire::settings(text.as_bytes()).unwrap_err().to_string();
+        assert!(error.contains(key), "{key}: {error}");
+    }
+}
+
+const SETTINGS: &str = r#"{"Classes": [
+  {"AimNs": 750000000, "DeadlineNs": 2000000000, "Effect": "read_like", "Name": "a", "Value": 5.0},
+  {"AimNs": 750000000, "DeadlineNs": 2000000000, "Effect": "idempotency_key", "Group": "zone",
+   "WindowNs": 5000000000, "LateWorth": 0.2, "Name": "b", "Value": 1.0}],
+  "Discovery": "ask", "FamilyInfo": {"PassesDeadline": true}, "Layer": 0, "Unheard": [1, 2],
+  "Limits": {"Cancelling": true, "RetryAfter": false, "TryLimit": 4},
+  "Safety": {"AskWithinNs": 10000000000, "RampTimeNs": 8300000000, "StartCapacity": 0.39, "TipMultiple": 3.0},
+  "Siblings": 4, "Telemetry": {"Fields": ["qps", "inflight"]}, "ValueBy": "request", "Zone": 1,
+  "Zones": ["x", "y"]}"#;
+
+fn run_adapter(input: &[u8]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_peatdock-benchlink"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    child.stdin.take().unwrap().write_all(input).unwrap();
+    child.wait_with_output().unwrap()
+}
+
+#[test]
+fn adapter_answers_batches_and_ends_with_its_input() {
+    let empty = hex("90bf68f501000000 00000000 00000000 01000000");
+    let output = run_adapter(&[empty.clone(), empty].concat());
+    assert!(output.status.success());
+    assert_eq!(output.stdout, hex("000000000000000001000000 000000000000000001000000"));
+}
+
+#[test]
+fn adapter_resolves_reused_list_numbers_in_order() {
+    // Two instances, one list number: each holds what the number meant when it was announced.
+    let mut tail = SETTINGS.as_bytes().to_vec();
+    let at = tail.len() as u32;
+    for server in ["01000000", "02000000"] {
+        tail.extend(hex(&format!("{server} 01 0000 0000 01 0000803f 0000000000000000")));
+    }
+    let le = |value: u32| value.to_le_bytes().map(|byte| format!("{byte:02x}")).concat();
+    let power = |instance| format!("00 {} 0100000000000000 00000000 {}", le(instance), le(at));
+    let table = |offset| format!("0a 00000000 {} 01000000", le(at + offset));
+    let announce = |instance| format!("01 {} 01000000 00000000 02", le(instance));
+    let demand =
+        |instance| format!("02 {} 09000000 0000000000000000 00000000 0000 001c4e0e00000000", le(instance));
+    let records = [power(1), table(0), announce(1), power(2), table(22), announce(2), demand(1), demand(2)];
+    let output = run_adapter(&batch(&records.each_ref().map(String::as_str), &tail));
+    let sends: Vec<_> = output.stdout[12..].chunks(24).filter(|record| record[0] == 3).collect();
+    let targets: Vec<_> = sends.iter().map(|record| (record[1], record[9])).collect();
+    assert_eq!(targets, [(1, 1), (2, 2)]);
+}
+
+#[test]
+fn adapter_reports_bad_settings_as_a_fault_of_the_instance() {
+    let output = run_adapter(&batch(&["00 03000000 0100000000000000 00000000 02000000"], b"{}"));
+    assert!(output.status.success());
+    assert_eq!(output.stdout[12], 9);
+    assert!(String::from_utf8_lossy(&output.stdout).contains("missing field `Classes`"));
+}
+
+fn settings_fault(text: &str) -> String {
+    let length = format!("{:02x}{:02x}0000", text.len() % 256, text.len() / 256);
+    let record = format!("00 03000000 0100000000000000 00000000 {length}");
+    let output = run_adapter(&batch(&[&record], text.as_bytes()));
+    assert!(output.status.success(), "one instance's settings are no fault of the others");
+    assert_eq!(output.stdout[12], 9, "the wire's fault action");
+    String::from_utf8_lossy(&output.stdout[36..]).into_owned()
+}
+
+#[test]
+fn settings_that_make_no_sense_are_faults_that_name_the_field() {
+    let cases = [
+        (("{", "["), "settings: "),
+        (("\"Siblings\": 4", "\"Siblings\": \"four\""), "expected u32"),
+        (("\"Zone\": 1", "\"Zone\": 2"), "`zone` is 2 of 2 zones"),
+        (("\"TryLimit\": 4", "\"TryLimit\": 0"), "`max_attempts` is 0"),
+        (("\"StartCapacity\": 0.39", "\"StartCapacity\": 1.5"), "`start_capacity` is 1.5"),
+        (("\"Value\": 5.0", "\"Value\": -5.0"), "`classes[0].worth` is -5"),
+        (("\"Value\": 5.0", "\"Value\": 1e999"), "number out of range"),
+        (("\"Effect\": \"read_like\"", "\"Effect\": \"maybe\""), "maybe"),
+        (("\"AimNs\": 750000000", "\"AimNs\": 0"), "`classes[0].aim` is 0"),
+    ];
+    for ((from, to), expected) in cases {
+        let fault = settings_fault(&SETTINGS.replacen(from, to, 1));
+        assert!(fault.contains(expected) && fault.lines().count() == 1, "{expected}: {fault}");
+    }
+}
+
+#[test]
+fn library_refuses_the_same_settings() {
+    let check = |change: fn(&mut Settings)| {
+        let mut settings = common::settings();
+        change(&mut settings);
+        peatdock::Balancer::new(settings, 1, 0).map(|_| ()).unwrap_err().to_string()
+    };
+    assert_eq!(check(|s| s.classes.clear()), "`classes` is empty");
+    assert_eq!(check(|s| s.zone = ZoneId(3)), "`zone` is 3 of 3 zones");
+    assert_eq!(check(|s| s.start_capacity = f64::NAN), "`start_capacity` is NaN, not between 0 and 1");
+    assert_eq!(check(|s| s.over_quota_worth = f64::INFINITY), "`over_quota_worth` is inf");
+    assert_eq!(check(|s| s.classes[2].late_worth = -1.0), "`classes[2].late_worth` is -1");
+    assert_eq!(check(|s| s.tenants = vec![Tenant { quota_rps: f64::NAN }]), "`tenants[0].quota_rps` is NaN");
+}
+
+#[test]
+fn legal_oddities_do_no_harm() {
+    let mut tail = SETTINGS.as_bytes().to_vec();
+    let at = tail.len() as u32;
+    tail.extend(hex("01000000 01 0000 0000 01 0000c07f 0000000000000000")); // a size that is no number
+    let le = |value: u32| value.to_le_bytes().map(|byte| format!("{byte:02x}")).concat();
+    let power = format!("00 03000000 0100000000000000 00000000 {}", le(at));
+    let table = format!("0a 00000000 {} 01000000", le(at));
+    let records = [
+        &power,
+        "0a 01000000 00000000 00000000", // an empty list
+        "01 03000000 01000000 01000000 01",
+        &table,
+        "01 03000000 02000000 00000000 00",
+        "06 03000000 4d00000000000000", // a timer long forgotten
+        "05 03000000 192b6f0e",         // a client nobody knows
+        "04 03000000 c4913a5d a0491a0100000000 00 00 074a1203 00 00", // an outcome nobody awaits
+        "07 03000000 f211902c 00 c05c150000000000 00", // a probe nobody sent
+        "02 03000000 09000000 0000000000000000 00000000 6300 001c4e0e00000000", // a class out of range
+        "02 03000000 0a000000 0000000000000000 63000000 0000 001c4e0e00000000", // a tenant out of range
+        "06 09000000 4d00000000000000", // an instance nobody started
+    ];
+    let output = run_adapter(&batch(&records, &tail));
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    let codes: Vec<(u8, u8)> = output.stdout[12..].chunks(24).map(|r| (r[0], r[5])).collect();
+    assert!(codes.contains(&(1, 9)), "the class out of range is refused: {codes:?}");
+    assert!(codes.contains(&(3, 10)), "the tenant out of range is served: {codes:?}");
+}
+
+#[test]
+fn adapter_ends_on_malformed_input_with_one_plain_line() {
+    let good = batch(&["09 03000000"], &[]);
+    let mut impossible = good.clone();
+    impossible[12] = 9;
+    let cases = [
+        (good[..7].to_vec(), "truncated header"),
+        (good[..40].to_vec(), "truncated frame"),
+        (impossible, "do not fit"),
+        (batch(&["63 03000000"], &[]), "unknown event code 99"),
+        (batch(&["0a 00000000 05000000 02000000"], &[]), "outside a tail"),
+        (batch(&["0a 10000000"], &[]), "over 15"),
+        (batch(&["01 03000000 00000000 10000000 02"], &[]), "over 15"),
+        (batch(&["0a 00000000 00000000 ffffffff"], &[]), "outside a tail"),
+        (
+            batch(&["0a 00000000 00000000 01000000"], &[&[0; 9][..], &[7], &[0; 12]].concat()),
+            "unknown lifecycle 7",
+        ),
+        (batch(&["04 03000000 c4913a5d a0491a0100000000 00 00 074a1203 00 05"], &[]), "load report of 5"),
+        (batch(&["07 03000000 f211902c 09"], &[]), "unknown outcome 9"),
+        (batch(&["01 03000000 00000000 00000000 07"], &[]), "unknown form 7"),
+        (batch(&["04 03000000 c4913a5d a0491a0100000000 00 00 074a1203 09"], &[]), "unknown outcome 9"),
+    ];
+    for (input, text) in cases {
+        let output = run_adapter(&input);
+        let error = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success() && error.contains(text), "{text}: {error}");
+        assert_eq!(error.lines().count(), 1, "{error}");
+        // Cut inside its header, a batch has no number yet.
+        assert!(input.len() < BATCH_HEADER || error.contains("batch "), "{text}: {error}");
+    }
+}
