--- a/src/bin/peatdock-benchlink.rs
+++ b/src/bin/woadstall-wirehost.rs
@@ -2,19 +2,19 @@
 
 #![forbid(unsafe_code)]
 
-use peatdock::Balancer;
-use peatdock::api::{Action, Event, ListEntry, Time};
-use peatdock::wire::{self, BATCH_HEADER, BatchHeader, Record, Reply, TABLES, WireError};
 use std::collections::HashMap;
 use std::error::Error;
 use std::io::{self, BufReader, ErrorKind, Read, Write};
 use std::process::ExitCode;
+use woadstall::Balancer;
+use woadstall::api::{Action, Event, ListEntry, Time};
+use woadstall::wire::{self, BATCH_HEADER, BatchHeader, Record, Reply, TABLES, WireError};
 
 fn main() -> ExitCode {
     match serve(BufReader::with_capacity(1 << 16, io::stdin().lock()), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("peatdock-benchlink: {error}");
+            eprintln!("woadstall-wirehost: {error}");
             ExitCode::FAILURE
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A balancer under test, and what every test says to it.
 #![allow(dead_code)]
 
-use peatdock::Balancer;
-use peatdock::api::*;
+use woadstall::Balancer;
+use woadstall::api::*;
 
 pub const MS: u64 = 1_000_000;
 pub const SECOND: u64 = 1000 * MS;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use peatdock::api::*;
+use woadstall::api::*;
 
 /// A full server refuses at once, so it held none of our calls and got all turns of the others at their limit.
 #[test]
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use peatdock::api::*;
 use std::collections::BTreeMap;
+use woadstall::api::*;
 
 fn counts(servers: impl IntoIterator<Item = u32>) -> BTreeMap<u32, u32> {
     let mut counts = BTreeMap::new();
@@ -211,7 +211,7 @@
 
 #[test]
 fn discovery_is_asked_once_and_again_after_a_jittered_wait() {
-    let mut rig = Rig { balancer: peatdock::Balancer::new(asked(), 5, 0).unwrap(), now: 0, next_id: 0 };
+    let mut rig = Rig { balancer: woadstall::Balancer::new(asked(), 5, 0).unwrap(), now: 0, next_id: 0 };
     let first = rig.tell(Event::List(&zones(1, 2)));
     let [Action::SetTimer { token, .. }] = first[..] else { panic!("{first:?}") };
     assert_eq!(rig.tell(Event::Timer(token)), [Action::Watch]);
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -2,10 +2,10 @@
 
 mod common;
 use common::*;
-use peatdock::Balancer;
-use peatdock::api::*;
 use proptest::prelude::*;
 use std::collections::BTreeMap;
+use woadstall::Balancer;
+use woadstall::api::*;
 
 #[derive(Clone, Debug)]
 enum Step {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -2,10 +2,10 @@
 
 mod common;
 
-use peatdock::api::*;
-use peatdock::wire::{self, BATCH_HEADER, BatchHeader, Record, Reply};
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
+use woadstall::api::*;
+use woadstall::wire::{self, BATCH_HEADER, BatchHeader, Record, Reply};
 
 fn hex(text: &str) -> Vec<u8> {
     let digits: Vec<u8> = text.bytes().filter(u8::is_ascii_hexdigit).collect();
@@ -160,7 +160,7 @@
   "Zones": ["x", "y"]}"#;
 
 fn run_adapter(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_peatdock-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_woadstall-wirehost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -240,7 +240,7 @@
     let check = |change: fn(&mut Settings)| {
         let mut settings = common::settings();
         change(&mut settings);
-        peatdock::Balancer::new(settings, 1, 0).map(|_| ()).unwrap_err().to_string()
+        woadstall::Balancer::new(settings, 1, 0).map(|_| ()).unwrap_err().to_string()
     };
     assert_eq!(check(|s| s.classes.clear()), "`classes` is empty");
     assert_eq!(check(|s| s.zone = ZoneId(3)), "`zone` is 3 of 3 zones");
