--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,25 @@
+//! The balancer on real sockets: reads the configuration, starts the parts, ends on a signal.
+
+#![forbid(unsafe_code)]
+
+mod net;
+
+use std::process::ExitCode;
+use tokio::runtime::Builder;
+
+fn main() -> ExitCode {
+    let outcome = net::config::Config::load().and_then(|config| {
+        let runtime = Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(|error| format!("cannot start the runtime: {error}"))?;
+        runtime.block_on(net::run(config))
+    });
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            net::log(format_args!("{error}"));
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,142 @@
+//! What a balancer is told at its start, from the environment and a JSON file.
+
+use super::discovery::Listing;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
+use std::net::SocketAddr;
+use std::time::Duration;
+use woadstall::api::Settings;
+use woadstall::wire;
+
+/// Descriptors that are neither callers' nor upstreams': standard streams, listener, discovery, the runtime's.
+const RESERVED: usize = 24;
+/// Fewer descriptors than this cannot serve anybody.
+const LEAST_SOCKETS: usize = 64;
+
+/// The whole configuration, checked.
+pub struct Config {
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub limits: Limits,
+    pub known: Listing,
+    pub settings: Settings,
+    pub names: Names,
+}
+
+/// How the descriptors are shared out.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Connections of callers.
+    pub callers: usize,
+    /// Connections to upstreams, idle ones included.
+    pub upstreams: usize,
+}
+
+/// What the settings name and the decision module knows by position alone, and the figures of the sockets.
+#[derive(Debug)]
+pub struct Names {
+    pub classes: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub report_fields: Vec<String>,
+    pub connect_timeout: Duration,
+}
+
+#[derive(Deserialize)]
+struct Raw {
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: String,
+    limits: RawLimits,
+    #[serde(default)]
+    known: Listing,
+    settings: Box<RawValue>,
+}
+
+#[derive(Deserialize)]
+struct RawLimits {
+    sockets: usize,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct RawNames {
+    classes: Vec<Named>,
+    #[serde(default)]
+    tenants: Vec<Named>,
+    zones: Vec<String>,
+    limits: NameLimits,
+    telemetry: Option<Telemetry>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Named {
+    name: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct NameLimits {
+    connect_timeout_ns: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Telemetry {
+    #[serde(default)]
+    fields: Vec<String>,
+}
+
+impl Config {
+    /// Reads the file that `LB_CONFIG` names; the error is one line that names the field at fault.
+    pub fn load() -> Result<Self, String> {
+        let path = variable("LB_CONFIG").ok_or("`LB_CONFIG` is not set")?;
+        let text = std::fs::read_to_string(&path).map_err(|error| format!("`LB_CONFIG` {path}: {error}"))?;
+        Self::parse(&text, variable("LB_LISTEN"), variable("LB_DISCOVERY"))
+    }
+
+    fn parse(text: &str, listen: Option<String>, discovery: Option<String>) -> Result<Self, String> {
+        let raw: Raw = json("configuration", text)?;
+        let settings = raw.settings.get();
+        let names: RawNames = json("settings", settings)?;
+        let settings = wire::settings(settings.as_bytes()).map_err(|error| error.to_string())?;
+        settings.check().map_err(|error| format!("settings: {error}"))?;
+        let sockets = raw.limits.sockets;
+        if sockets < LEAST_SOCKETS {
+            return Err(format!("`limits.sockets` is {sockets}, fewer than {LEAST_SOCKETS}"));
+        }
+        let share = (sockets - RESERVED) / 2;
+        Ok(Self {
+            listen: address("listen", listen.or(raw.listen))?,
+            discovery: address("discovery", discovery.or(raw.discovery))?,
+            seed: u64::from_str_radix(&raw.seed, 16)
+                .map_err(|_| format!("`seed` is not a hexadecimal number: {:?}", raw.seed))?,
+            limits: Limits { callers: share, upstreams: share },
+            known: raw.known,
+            settings,
+            names: Names {
+                classes: names.classes.into_iter().map(|class| class.name).collect(),
+                tenants: names.tenants.into_iter().map(|tenant| tenant.name).collect(),
+                zones: names.zones,
+                report_fields: names.telemetry.map_or(Vec::new(), |telemetry| telemetry.fields),
+                connect_timeout: Duration::from_nanos(names.limits.connect_timeout_ns),
+            },
+        })
+    }
+}
+
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|value| !value.is_empty())
+}
+
+fn json<T: DeserializeOwned>(what: &str, text: &str) -> Result<T, String> {
+    serde_json::from_str(text).map_err(|error| format!("{what}: {error}"))
+}
+
+fn address(field: &str, text: Option<String>) -> Result<SocketAddr, String> {
+    let text = text.ok_or_else(|| format!("`{field}` is missing"))?;
+    text.parse().map_err(|_| format!("`{field}` is not an address with a port: {text:?}"))
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,49 @@
+//! The balancer's sockets. Nothing here decides: the driver asks the decision module.
+
+pub mod config;
+mod discovery;
+mod driver;
+mod server;
+mod upstream;
+
+use config::Config;
+use std::fmt;
+use std::io::Write;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+
+/// Writes one line to standard error. Unlike `eprintln`, it does not panic where that is closed.
+pub fn log(text: fmt::Arguments<'_>) {
+    writeln!(std::io::stderr().lock(), "woadstall: {text}").ok();
+}
+
+/// Serves until a signal to stop, and then until all that was taken is answered.
+pub async fn run(config: Config) -> Result<(), String> {
+    let failed = |what: &str, error: std::io::Error| format!("{what}: {error}");
+    let mut term = signal(SignalKind::terminate()).map_err(|e| failed("SIGTERM", e))?;
+    let mut int = signal(SignalKind::interrupt()).map_err(|e| failed("SIGINT", e))?;
+    let listener = TcpListener::bind(config.listen)
+        .await
+        .map_err(|error| failed(&format!("`listen` {}", config.listen), error))?;
+
+    let config = Arc::new(config);
+    let (events, inbox) = mpsc::unbounded_channel();
+    let (ready, is_ready) = watch::channel(false);
+    let (subscribe, subscribed) = mpsc::unbounded_channel();
+    let (stop, stopping) = watch::channel(false);
+
+    let driver = driver::Driver::new(config.clone(), events.clone(), subscribe, ready)?;
+    tokio::spawn(driver.run(inbox));
+    tokio::spawn(discovery::follow(config.clone(), events.clone(), subscribed));
+    let server = server::Server::new(config, events, is_ready);
+    let serving = tokio::spawn(server.run(listener, stopping));
+
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    stop.send_replace(true);
+    serving.await.map_err(|error| format!("the server stopped: {error}"))
+}
--- /dev/null
+++ b/src/net/server.rs
@@ -0,0 +1,288 @@
+//! The callers' side: takes connections, reads and checks requests, writes answers.
+
+use super::config::Config;
+use super::driver::{Answer, Call, Input};
+use super::upstream::{MOST_BODY, collect, is_local};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, DATE, EXPECT, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::{Instant, sleep, timeout};
+use woadstall::api::{Effect, RequestId};
+
+/// How long connections are still taken after a signal to stop: callers hear of it late.
+const GO_ON: Duration = Duration::from_millis(500);
+/// How long a caller may take over a request's head, or idle; and over its body.
+const HEAD_PATIENCE: Duration = Duration::from_secs(60);
+const BODY_PATIENCE: Duration = Duration::from_secs(10);
+/// Wait after a connection could not be taken for lack of descriptors: the next try would fail alike.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
+/// Added to the longest deadline, so long may answers take after the last connection was taken.
+const LAST_ANSWERS: Duration = Duration::from_millis(60);
+
+type Reply = Response<Full<Bytes>>;
+
+/// What all connections share.
+pub struct Server {
+    config: Arc<Config>,
+    driver: UnboundedSender<Input>,
+    ready: watch::Receiver<bool>,
+    next_id: AtomicU32,
+    callers: AtomicUsize,
+    left: Notify,
+}
+
+/// One caller's place among the connections.
+struct Place(Arc<Server>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.callers.fetch_sub(1, Ordering::Relaxed);
+        self.0.left.notify_one();
+    }
+}
+
+/// Tells the driver that a caller has gone, unless it got its answer.
+struct Owed<'a>(Option<RequestId>, &'a UnboundedSender<Input>);
+
+impl Drop for Owed<'_> {
+    fn drop(&mut self) {
+        if let Some(id) = self.0 {
+            self.1.send(Input::CallerGone(id)).ok();
+        }
+    }
+}
+
+impl Server {
+    /// A server that hands its requests to the driver.
+    pub fn new(config: Arc<Config>, driver: UnboundedSender<Input>, ready: watch::Receiver<bool>) -> Self {
+        let (next_id, callers) = (AtomicU32::new(0), AtomicUsize::new(0));
+        Self { config, driver, ready, next_id, callers, left: Notify::new() }
+    }
+
+    /// Serves until told to stop, then for a while longer, and returns when all is answered.
+    pub async fn run(self, listener: TcpListener, mut stopping: watch::Receiver<bool>) {
+        let server = Arc::new(self);
+        let (close, closing) = watch::channel(false);
+        let stopped = async {
+            stopping.wait_for(|stop| *stop).await.ok();
+            sleep(GO_ON).await;
+        };
+        tokio::select! {
+            () = server.accept(&listener, &closing) => {}
+            () = stopped => {}
+        }
+        // What has come up meanwhile counts as taken.
+        while let Ok(Ok((tcp, _))) = timeout(Duration::ZERO, listener.accept()).await {
+            server.take(tcp, &closing);
+        }
+        drop(listener);
+        close.send_replace(true);
+        let longest = server.config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+        let all_left = async {
+            while server.callers.load(Ordering::Relaxed) > 0 {
+                server.left.notified().await;
+            }
+        };
+        timeout(Duration::from_nanos(longest) + LAST_ANSWERS, all_left).await.ok();
+    }
+
+    async fn accept(self: &Arc<Self>, listener: &TcpListener, closing: &watch::Receiver<bool>) {
+        let mut failures = 0_u32;
+        loop {
+            match listener.accept().await {
+                Ok((tcp, _)) => {
+                    failures = 0;
+                    self.take(tcp, closing);
+                }
+                Err(error) => {
+                    if failures == 0 {
+                        super::log(format_args!("cannot take a connection: {error}"));
+                    }
+                    failures += 1;
+                    if is_local(&error) {
+                        sleep(ACCEPT_PAUSE).await;
+                    }
+                }
+            }
+        }
+    }
+
+    fn take(self: &Arc<Self>, tcp: TcpStream, closing: &watch::Receiver<bool>) {
+        self.callers.fetch_add(1, Ordering::Relaxed);
+        tokio::spawn(Self::serve(Place(self.clone()), tcp, closing.clone()));
+    }
+
+    async fn serve(place: Place, tcp: TcpStream, mut closing: watch::Receiver<bool>) {
+        tcp.set_nodelay(true).ok();
+        let server = &place.0;
+        let service = service_fn(|request| async move { Ok::<_, Infallible>(server.reply(request).await) });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_PATIENCE)
+            .serve_connection(TokioIo::new(tcp), service);
+        let mut connection = std::pin::pin!(connection);
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            _ = closing.wait_for(|close| *close) => connection.as_mut().graceful_shutdown(),
+        }
+        connection.await.ok();
+    }
+
+    async fn reply(&self, request: Request<Incoming>) -> Reply {
+        if request.uri().path() == "/healthz" {
+            return match *self.ready.borrow() {
+                true => status(StatusCode::OK),
+                false => status(StatusCode::SERVICE_UNAVAILABLE),
+            };
+        }
+        match self.call(request).await {
+            Ok(reply) => reply,
+            Err((code, text)) => {
+                let mut reply = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+                *reply.status_mut() = code;
+                reply
+            }
+        }
+    }
+
+    async fn call(&self, request: Request<Incoming>) -> Result<Reply, (StatusCode, &'static str)> {
+        let asked = self.check(&request)?;
+        let size = request.body().size_hint();
+        if size.lower() > MOST_BODY as u64 {
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n"));
+        }
+        let (mut head, body) = request.into_parts();
+        let body = match timeout(BODY_PATIENCE, collect(body)).await {
+            Ok(Some(body)) => body,
+            Ok(None) => return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB or broken\n")),
+            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n")),
+        };
+        let deadline = Instant::now() + asked.budget;
+        end_to_end(&mut head.headers);
+        let id = RequestId(self.next_id.fetch_add(1, Ordering::Relaxed));
+        let mut owed = Owed(Some(id), &self.driver);
+        let (answer, answered) = oneshot::channel();
+        let request = Request::from_parts(head, body);
+        let Asked { class, tenant, work, .. } = asked;
+        self.driver
+            .send(Input::Called(Box::new(Call { id, request, class, tenant, work, deadline, answer })))
+            .ok();
+        let answer = answered.await.unwrap_or(Answer::Failed);
+        owed.0 = None;
+        Ok(match answer {
+            Answer::Served(response) => {
+                let mut reply = response.map(Full::new);
+                end_to_end(reply.headers_mut());
+                reply
+            }
+            Answer::Refused(stay_away) => {
+                let mut reply = status(StatusCode::SERVICE_UNAVAILABLE);
+                if stay_away > Duration::ZERO
+                    && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", stay_away.as_secs_f64()))
+                {
+                    reply.headers_mut().insert(RETRY_AFTER, value);
+                }
+                reply
+            }
+            Answer::Failed => status(StatusCode::BAD_GATEWAY),
+        })
+    }
+
+    /// What a request asks for, or why it cannot be taken.
+    fn check(&self, request: &Request<Incoming>) -> Result<Asked, (StatusCode, &'static str)> {
+        let bad = |text| (StatusCode::BAD_REQUEST, text);
+        let (headers, names) = (request.headers(), &self.config.names);
+        let in_path = request.uri().path().trim_start_matches('/').split('/').next().unwrap_or("");
+        let class = names.classes.iter().position(|class| class == in_path);
+        let class = class.ok_or((StatusCode::NOT_FOUND, "no such path\n"))?;
+        if text(headers, "x-call-class") != Some(in_path) {
+            return Err(bad("X-Call-Class is missing or not that of the path\n"));
+        }
+        let keyed = text(headers, "idempotency-key").is_some_and(|key| !key.is_empty());
+        let method = match self.config.settings.classes[class].effect {
+            Effect::Safe => Method::GET,
+            Effect::Keyed(..) if !keyed => return Err(bad("Idempotency-Key is missing\n")),
+            Effect::Keyed(..) | Effect::Unsafe => Method::POST,
+        };
+        if request.method() != method {
+            return Err((StatusCode::METHOD_NOT_ALLOWED, "not the method of this class\n"));
+        }
+        if text(headers, "x-call-id").is_none_or(str::is_empty) {
+            return Err(bad("X-Call-Id is missing or malformed\n"));
+        }
+        let tenant = match names.tenants.is_empty() {
+            true => Some(0),
+            false => {
+                text(headers, "x-caller").and_then(|caller| names.tenants.iter().position(|t| t == caller))
+            }
+        };
+        let budget = text(headers, "x-budget").and_then(|budget| budget.parse().ok());
+        let cost = match headers.contains_key("x-call-cost") {
+            false => Some(None),
+            true => text(headers, "x-call-cost")
+                .and_then(|cost| cost.parse::<f64>().ok())
+                .filter(|cost| cost.is_finite() && *cost >= 0.0)
+                .map(|micros| Some((micros * 1e3) as u64)),
+        };
+        Ok(Asked {
+            class,
+            tenant: tenant.ok_or(bad("X-Caller is missing or not known\n"))?,
+            budget: budget
+                .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
+                .filter(|budget| *budget <= MOST_BUDGET)
+                .ok_or(bad("X-Budget is missing or malformed\n"))?,
+            work: cost.ok_or(bad("X-Call-Cost is malformed\n"))?,
+        })
+    }
+}
+
+/// No caller waits for longer.
+const MOST_BUDGET: Duration = Duration::from_secs(3600);
+
+struct Asked {
+    class: usize,
+    tenant: usize,
+    budget: Duration,
+    work: Option<u64>,
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn status(code: StatusCode) -> Reply {
+    let mut reply = Response::new(Full::default());
+    *reply.status_mut() = code;
+    reply
+}
+
+/// Leaves the headers that are meant for the other end, not for this connection.
+fn end_to_end(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    let hop = [CONNECTION, CONTENT_LENGTH, DATE, EXPECT, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
+    let others = ["keep-alive", "proxy-connection", "x-load-report"].map(HeaderName::from_static);
+    for name in hop.into_iter().chain(others).chain(named) {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/src/net/upstream.rs
@@ -0,0 +1,303 @@
+//! Connections to upstreams, and attempts on them: one attempt at a time on each.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::io::{self, ErrorKind, IoSlice};
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{Duration, Instant, timeout};
+use woadstall::api::{Outcome, ServerId};
+
+/// Largest body either way.
+pub const MOST_BODY: usize = 64 << 10;
+/// An idle connection is dropped by this much, or by half its time, before its upstream may close it.
+const IDLE_MARGIN: Duration = Duration::from_millis(500);
+
+/// How an attempt ended, with the answer if it is whole and the connection if it can be used again.
+pub struct Finished {
+    pub outcome: Outcome,
+    pub response: Option<Response<Bytes>>,
+    pub connection: Option<Connection>,
+}
+
+impl From<Outcome> for Finished {
+    fn from(outcome: Outcome) -> Self {
+        Self { outcome, response: None, connection: None }
+    }
+}
+
+/// Sends a request on a connection, or on a new one, and waits for its whole answer.
+pub async fn exchange(
+    request: Request<Bytes>,
+    idle: Option<Connection>,
+    address: SocketAddr,
+    connect_timeout: Duration,
+    open: Arc<AtomicUsize>,
+) -> Finished {
+    let mut connection = match idle {
+        Some(connection) => connection,
+        None => match timeout(connect_timeout, Connection::open(address, open)).await {
+            Ok(Ok(connection)) => connection,
+            // Our own lack of descriptors or ports says nothing of the upstream.
+            Ok(Err(error)) if is_local(&error) => return Outcome::Moot.into(),
+            Ok(Err(_)) | Err(_) => return Outcome::ConnectFailed.into(),
+        },
+    };
+    let progress = connection.progress.clone();
+    let (head, body) = request.into_parts();
+    progress.body_taken.store(body.is_empty(), Ordering::Relaxed);
+    progress.written.store(false, Ordering::Relaxed);
+    let body = Outgoing { data: Some(body).filter(|body| !body.is_empty()), progress: progress.clone() };
+    let broken = || match progress.written.load(Ordering::Relaxed) {
+        true => Outcome::Reset,
+        false => Outcome::ConnectFailed,
+    };
+    let Ok(response) = connection.sender.send_request(Request::from_parts(head, body)).await else {
+        return broken().into();
+    };
+    let (head, body) = response.into_parts();
+    let body = match Limited::new(body, MOST_BODY).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<hyper::Error>() => return broken().into(),
+        Err(_) => return Outcome::Error.into(), // larger than any answer may be
+    };
+    let rejected = head.headers.get("x-rejected").is_some_and(|value| value == "1");
+    let outcome = match head.status {
+        StatusCode::OK => Outcome::Ok,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => Outcome::Full,
+        _ => Outcome::Error,
+    };
+    // Ready again unless the upstream closes it, which it has said by now.
+    let connection = connection.sender.ready().await.is_ok().then_some(connection);
+    Finished { outcome, response: Some(Response::from_parts(head, body)), connection }
+}
+
+/// Whether a connection failed for lack of our own descriptors, ports or memory.
+pub fn is_local(error: &io::Error) -> bool {
+    const ENFILE: i32 = 23;
+    const EMFILE: i32 = 24;
+    const ENOBUFS: i32 = 105;
+    matches!(error.raw_os_error(), Some(ENFILE | EMFILE | ENOBUFS))
+        || matches!(error.kind(), ErrorKind::AddrNotAvailable | ErrorKind::OutOfMemory)
+}
+
+/// A connection to an upstream. Dropping it closes it.
+pub struct Connection {
+    sender: SendRequest<Outgoing>,
+    tcp: Arc<TcpStream>,
+    progress: Arc<Progress>,
+    task: AbortHandle,
+    open: Arc<AtomicUsize>,
+}
+
+impl Connection {
+    async fn open(address: SocketAddr, open: Arc<AtomicUsize>) -> io::Result<Self> {
+        let tcp = TcpStream::connect(address).await?;
+        tcp.set_nodelay(true)?;
+        let (tcp, progress) = (Arc::new(tcp), Arc::new(Progress::default()));
+        let socket = Socket { tcp: tcp.clone(), progress: progress.clone() };
+        let (sender, connection) = handshake(TokioIo::new(socket)).await.map_err(io::Error::other)?;
+        let task = tokio::spawn(connection).abort_handle();
+        open.fetch_add(1, Ordering::Relaxed);
+        Ok(Self { sender, tcp, progress, task, open })
+    }
+
+    /// Whether nothing has come since the last answer. What an idle connection brings is its end, and the
+    /// runtime may not have heard of that yet: a request written to it would be lost.
+    fn is_quiet(&self) -> bool {
+        let peeked = SockRef::from(&*self.tcp).peek(&mut [MaybeUninit::uninit()]);
+        self.sender.is_ready() && peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+        self.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// How far a request has got on its way out.
+#[derive(Default)]
+struct Progress {
+    /// The last of its body is in hyper's hands.
+    body_taken: AtomicBool,
+    /// Its last byte is written: the upstream may run it from here on.
+    written: AtomicBool,
+}
+
+/// The body of a request, which notes when it was taken.
+struct Outgoing {
+    data: Option<Bytes>,
+    progress: Arc<Progress>,
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let data = self.data.take();
+        self.progress.body_taken.store(true, Ordering::Relaxed);
+        Poll::Ready(data.map(|data| Ok(Frame::data(data))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.data.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.data.as_ref().map_or(0, Bytes::len) as u64)
+    }
+}
+
+/// A socket that notes when the last byte of a request is written, and whose other handle can be peeked at.
+struct Socket {
+    tcp: Arc<TcpStream>,
+    progress: Arc<Progress>,
+}
+
+impl Socket {
+    fn poll_io(
+        &self,
+        mut poll_ready: impl FnMut(&TcpStream) -> Poll<io::Result<()>>,
+        mut act: impl FnMut(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(poll_ready(&self.tcp))?;
+            match act(&self.tcp) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                done => return Poll::Ready(done),
+            }
+        }
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let room = buffer.initialize_unfilled();
+        let got = ready!(self.poll_io(|tcp| tcp.poll_read_ready(cx), |tcp| tcp.try_read(room)))?;
+        buffer.advance(got);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[IoSlice::new(bytes)])
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let done = ready!(self.poll_io(|tcp| tcp.poll_write_ready(cx), |tcp| tcp.try_write_vectored(parts)))?;
+        // All that hyper had is written, and it had all.
+        let offered: usize = parts.iter().map(|part| part.len()).sum();
+        if done == offered && self.progress.body_taken.load(Ordering::Relaxed) {
+            self.progress.written.store(true, Ordering::Relaxed);
+        }
+        Poll::Ready(Ok(done))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.tcp).shutdown(std::net::Shutdown::Write))
+    }
+}
+
+/// Idle connections, the latest used last.
+pub struct Idle {
+    keep: Duration,
+    most: usize,
+    open: Arc<AtomicUsize>,
+    idle: HashMap<ServerId, Vec<(Instant, Connection)>>,
+}
+
+impl Idle {
+    /// Connections are kept for less than `limit`, and no more than `most` are open, idle or not.
+    pub fn new(limit: Duration, most: usize) -> Self {
+        let keep = limit - IDLE_MARGIN.min(limit / 2);
+        Self { keep, most, open: Arc::default(), idle: HashMap::new() }
+    }
+
+    /// Counts all connections that are open.
+    pub fn open(&self) -> Arc<AtomicUsize> {
+        self.open.clone()
+    }
+
+    /// The latest used connection to an upstream that is sound.
+    pub fn take(&mut self, server: ServerId) -> Option<Connection> {
+        let idle = self.idle.get_mut(&server)?;
+        while let Some((since, connection)) = idle.pop() {
+            if since.elapsed() < self.keep && connection.is_quiet() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection for the next attempt.
+    pub fn put(&mut self, server: ServerId, connection: Connection) {
+        self.idle.entry(server).or_default().push((Instant::now(), connection));
+    }
+
+    /// Closes the idle connections to an upstream.
+    pub fn close(&mut self, server: ServerId) {
+        self.idle.remove(&server);
+    }
+
+    /// Closes what has been idle for too long, or has ended.
+    pub fn sweep(&mut self) {
+        self.idle.retain(|_, idle| {
+            idle.retain(|(since, connection)| since.elapsed() < self.keep && connection.is_quiet());
+            !idle.is_empty()
+        });
+    }
+
+    /// Whether one more connection may be opened, after closing the one idle for longest if need be.
+    pub fn make_room(&mut self) -> bool {
+        let full = |idle: &Self| idle.open.load(Ordering::Relaxed) >= idle.most;
+        if full(self) {
+            let oldest = self.idle.iter().filter_map(|(server, idle)| Some((idle.first()?.0, *server))).min();
+            if let Some((_, server)) = oldest {
+                self.idle.get_mut(&server).map(|idle| idle.remove(0));
+            }
+        }
+        !full(self)
+    }
+}
+
+/// Reads a body of at most the allowed size; `None` if it is larger or breaks.
+pub async fn collect(body: Incoming) -> Option<Bytes> {
+    Limited::new(body, MOST_BODY).collect().await.ok().map(|body| body.to_bytes())
+}
