Bound the callers' connections, carry out probes, rate-limit the log

Seen: the configured limit on sockets was only kept towards upstreams (config::Limits.callers was never read), probes were logged and not sent, and a discovery that does not wait would be asked in a loop. Now the caller idle for longest makes room, and a surplus caller is refused at once, since what waits in the backlog counts as taken; EMFILE closes idle connections on both sides. Probes go to /load. A request in absolute form or of HTTP/1.0 goes on in the form for an origin.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -9,10 +9,11 @@
 use woadstall::api::Settings;
 use woadstall::wire;
 
-/// Descriptors that are neither callers' nor upstreams': standard streams, listener, discovery, the runtime's.
-const RESERVED: usize = 24;
+/// Descriptors that are neither callers' nor upstreams': standard streams, listener, discovery, the runtime's,
+/// and callers taken only to be refused.
+const RESERVED: usize = 56;
 /// Fewer descriptors than this cannot serve anybody.
-const LEAST_SOCKETS: usize = 64;
+const LEAST_SOCKETS: usize = 96;
 
 /// The whole configuration, checked.
 pub struct Config {
@@ -108,6 +109,7 @@
         if sockets < LEAST_SOCKETS {
             return Err(format!("`limits.sockets` is {sockets}, fewer than {LEAST_SOCKETS}"));
         }
+        // Every caller that waits has an attempt out.
         let share = (sockets - RESERVED) / 2;
         Ok(Self {
             listen: address("listen", listen.or(raw.listen))?,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -24,6 +24,9 @@
 const OVERDUE: Duration = Duration::from_secs(2);
 /// First wait after a failed call, doubling up to a cap.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+/// Wait before the next call where nothing was new: an agent that does not wait would be asked in a loop.
+/// Short enough for the watch to go on.
+const PAUSE: Duration = Duration::from_millis(50);
 /// A list is never this large: guards the memory.
 const MOST_BYTES: usize = 8 << 20;
 
@@ -94,10 +97,14 @@
                 if failures > 0 {
                     super::log(format_args!("discovery answers again after {failures} failures"));
                 }
+                let unchanged = listing.rev == rev;
                 (rev, whole, failures) = (listing.rev, false, 0);
                 if events.send(Input::Listed(listing)).is_err() {
                     return;
                 }
+                if unchanged {
+                    sleep(PAUSE).await;
+                }
             }
             Err(error) => {
                 watch.sender = None;
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -5,7 +5,7 @@
 use super::upstream::{Finished, Idle, exchange};
 use bytes::Bytes;
 use hyper::header::{HOST, HeaderValue};
-use hyper::{Request, Response};
+use hyper::{Request, Response, Uri, Version};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -13,7 +13,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch};
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use woadstall::Balancer;
 use woadstall::api::{
     Action, Demand, End, Event, Lifecycle, ListEntry, LoadReport, Outcome, RequestId, ServerId, Time, ZoneId,
@@ -23,6 +23,8 @@
 const NET_AFTER: Time = 25_000_000;
 /// How often idle connections are looked through.
 const SWEEP_EVERY: Time = 500_000_000;
+/// How long a probe may take.
+const PROBE_PATIENCE: Duration = Duration::from_millis(250);
 /// Inputs taken in a row before timers get their turn.
 const BURST: usize = 32;
 
@@ -34,6 +36,10 @@
     CallerGone(RequestId),
     /// An attempt ended.
     Ended(RequestId, u32, Finished),
+    /// A probe of an upstream ended.
+    Probed(ServerId, Finished),
+    /// There are no descriptors left to take callers with.
+    DescriptorsShort,
     /// Discovery has answered.
     Listed(Listing),
     /// A watch on discovery failed.
@@ -197,6 +203,8 @@
             Input::Called(call) => self.on_called(*call),
             Input::CallerGone(id) => self.on_caller_gone(id),
             Input::Ended(id, number, finished) => self.on_ended(id, number, finished),
+            Input::Probed(server, finished) => self.on_probed(server, finished),
+            Input::DescriptorsShort => self.idle.close_all(),
             Input::Listed(listing) => self.on_listed(listing),
             Input::ListFailed => self.tell(Event::ListFailed),
         }
@@ -353,7 +361,8 @@
             self.idle.put(out.server, connection);
         }
         let fields = &self.config.names.report_fields;
-        let load = finished.response.as_ref().and_then(|response| load_report(response, fields));
+        let report = finished.response.as_ref().and_then(|response| response.headers().get("x-load-report"));
+        let load = report.and_then(|report| load_report(report.as_bytes(), fields));
         let closed = open.answer.is_none() || finished.outcome == Outcome::Ok;
         let elapsed = self.clock.now().saturating_sub(out.sent);
         let end = End { attempt, outcome: finished.outcome, elapsed, closed, load };
@@ -364,6 +373,36 @@
         self.forget_if_done(id);
     }
 
+    // ---- Probes, where the settings allow them ----
+
+    fn probe(&mut self, server: ServerId) {
+        let Some(address) = self.servers.get(&server).and_then(|upstream| upstream.address) else { return };
+        let idle = self.idle.take(server);
+        if idle.is_none() && !self.idle.make_room() {
+            return; // the module does not wait for a probe's end
+        }
+        let mut request = Request::new(Bytes::new());
+        *request.uri_mut() = Uri::from_static("/load");
+        let request = forwarded(&request, address, PROBE_PATIENCE.as_nanos() as Time);
+        let connect_timeout = self.config.names.connect_timeout;
+        let (inputs, exchange) =
+            (self.inputs.clone(), exchange(request, idle, address, connect_timeout, self.idle.open()));
+        tokio::spawn(async move {
+            let finished = timeout(PROBE_PATIENCE, exchange).await.unwrap_or(Outcome::Timeout.into());
+            inputs.send(Input::Probed(server, finished)).ok();
+        });
+    }
+
+    fn on_probed(&mut self, server: ServerId, finished: Finished) {
+        if let Some(connection) = finished.connection {
+            self.idle.put(server, connection);
+        }
+        let load = finished
+            .response
+            .and_then(|response| load_report(response.body(), &self.config.names.report_fields));
+        self.tell(Event::Probed(server, finished.outcome, load));
+    }
+
     // ---- The module ----
 
     /// Tells the module of an event, does what it says, and tells it of what came of that at once.
@@ -395,7 +434,7 @@
                     out.cancel = None;
                 }
             }
-            Action::Probe(server) => super::log(format_args!("no probe of server {} yet", server.0)),
+            Action::Probe(server) => self.probe(server),
             Action::Close(server) => self.idle.close(server),
             Action::SetTimer { after, token } => self.set_timer(after, Timer::Module(token)),
             Action::Watch => {
@@ -406,9 +445,13 @@
     }
 }
 
-/// The request as an upstream gets it: as it came, but for the budget.
+/// The request as an upstream gets it: as it came, but for the budget, and in the form for an origin.
 fn forwarded(request: &Request<Bytes>, address: SocketAddr, left: Time) -> Request<Bytes> {
     let mut request = request.clone();
+    *request.version_mut() = Version::HTTP_11;
+    if let Some(path) = request.uri().path_and_query().filter(|_| request.uri().authority().is_some()) {
+        *request.uri_mut() = path.clone().into();
+    }
     let headers = request.headers_mut();
     let budget = format!("{:.6}", left as f64 / 1e9);
     headers.insert("x-budget", HeaderValue::from_str(&budget).unwrap_or(HeaderValue::from_static("0")));
@@ -419,10 +462,9 @@
     request
 }
 
-/// The load figures that an answer carries, in the order of the settings.
-fn load_report(response: &Response<Bytes>, fields: &[String]) -> Option<LoadReport> {
-    let text = response.headers().get("x-load-report")?.to_str().ok()?;
-    let values: HashMap<String, f32> = serde_json::from_str(text).ok()?;
+/// The load figures in a report, in the order of the settings.
+fn load_report(text: &[u8], fields: &[String]) -> Option<LoadReport> {
+    let values: HashMap<String, f32> = serde_json::from_slice(text).ok()?;
     let mut report = LoadReport::default();
     for (figure, field) in report.figures.iter_mut().zip(fields) {
         *figure = *values.get(field)?;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,26 +8,44 @@
 
 use config::Config;
 use std::fmt;
-use std::io::Write;
-use std::sync::Arc;
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
-/// Writes one line to standard error. Unlike `eprintln`, it does not panic where that is closed.
+/// Lines written in a second at most: in trouble, what they tell of happens many times a second.
+const LOG_LINES: u32 = 20;
+
+/// Writes one line to standard error, unless too many were written lately. Unlike `eprintln`, it does not
+/// panic where that is closed.
 pub fn log(text: fmt::Arguments<'_>) {
-    writeln!(std::io::stderr().lock(), "woadstall: {text}").ok();
+    static LATELY: Mutex<Option<(Instant, u32)>> = Mutex::new(None);
+    let mut lately = LATELY.lock().unwrap_or_else(PoisonError::into_inner);
+    let (since, lines) = lately
+        .filter(|(since, _)| since.elapsed() < Duration::from_secs(1))
+        .unwrap_or_else(|| (Instant::now(), 0));
+    *lately = Some((since, lines.saturating_add(1)));
+    match lines {
+        ..LOG_LINES => writeln!(io::stderr().lock(), "woadstall: {text}").ok(),
+        LOG_LINES => writeln!(io::stderr().lock(), "woadstall: more lines than may be written").ok(),
+        _ => None,
+    };
 }
 
 /// Serves until a signal to stop, and then until all that was taken is answered.
 pub async fn run(config: Config) -> Result<(), String> {
-    let failed = |what: &str, error: std::io::Error| format!("{what}: {error}");
+    let failed = |what: &str, error: io::Error| format!("{what}: {error}");
     let mut term = signal(SignalKind::terminate()).map_err(|e| failed("SIGTERM", e))?;
     let mut int = signal(SignalKind::interrupt()).map_err(|e| failed("SIGINT", e))?;
     let listener = TcpListener::bind(config.listen)
         .await
         .map_err(|error| failed(&format!("`listen` {}", config.listen), error))?;
 
+    let address = listener.local_addr().map_err(|error| failed("`listen`", error))?;
+    log(format_args!("listening on {address}"));
+
     let config = Arc::new(config);
     let (events, inbox) = mpsc::unbounded_channel();
     let (ready, is_ready) = watch::channel(false);
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -12,11 +12,12 @@
 };
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::collections::HashMap;
 use std::convert::Infallible;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
@@ -31,6 +32,12 @@
 const BODY_PATIENCE: Duration = Duration::from_secs(10);
 /// Wait after a connection could not be taken for lack of descriptors: the next try would fail alike.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
+/// Connections taken beyond those that are served, to refuse their requests: left in the kernel's backlog,
+/// they would count as taken and get no answer.
+const SURPLUS: usize = 32;
+/// How long a surplus caller may take over its request's head, and how long it is to stay away.
+const SURPLUS_PATIENCE: Duration = Duration::from_secs(1);
+const SURPLUS_BACK: Duration = Duration::from_millis(500);
 /// Added to the longest deadline, so long may answers take after the last connection was taken.
 const LAST_ANSWERS: Duration = Duration::from_millis(60);
 
@@ -42,20 +49,68 @@
     driver: UnboundedSender<Input>,
     ready: watch::Receiver<bool>,
     next_id: AtomicU32,
-    callers: AtomicUsize,
+    next_caller: AtomicU64,
+    callers: Mutex<HashMap<u64, Arc<Caller>>>,
+    /// A caller's connection has ended.
     left: Notify,
 }
 
-/// One caller's place among the connections.
-struct Place(Arc<Server>);
+/// A caller's connection.
+struct Caller {
+    /// Beyond the connections that may be served: its requests are refused at once.
+    surplus: bool,
+    /// Since when it waits for a request; `None` while it has one.
+    idle_since: Mutex<Option<Instant>>,
+    /// It is to be closed between requests.
+    close: Notify,
+}
+
+/// A caller's place among the connections.
+struct Place {
+    server: Arc<Server>,
+    number: u64,
+    caller: Arc<Caller>,
+}
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.0.callers.fetch_sub(1, Ordering::Relaxed);
-        self.0.left.notify_one();
+        lock(&self.server.callers).remove(&self.number);
+        self.server.left.notify_one();
     }
 }
 
+impl Place {
+    async fn serve(self, tcp: TcpStream, mut closing: watch::Receiver<bool>) {
+        tcp.set_nodelay(true).ok();
+        let service = service_fn(|request| async {
+            *lock(&self.caller.idle_since) = None;
+            let reply = match self.caller.surplus {
+                true => refusal(SURPLUS_BACK),
+                false => self.server.reply(request).await,
+            };
+            *lock(&self.caller.idle_since) = Some(Instant::now());
+            Ok::<_, Infallible>(reply)
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(if self.caller.surplus { SURPLUS_PATIENCE } else { HEAD_PATIENCE })
+            .keep_alive(!self.caller.surplus)
+            .serve_connection(TokioIo::new(tcp), service);
+        let mut connection = std::pin::pin!(connection);
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            _ = closing.wait_for(|close| *close) => {}
+            () = self.caller.close.notified() => {}
+        }
+        connection.as_mut().graceful_shutdown();
+        connection.await.ok();
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Tells the driver that a caller has gone, unless it got its answer.
 struct Owed<'a>(Option<RequestId>, &'a UnboundedSender<Input>);
 
@@ -70,8 +125,8 @@
 impl Server {
     /// A server that hands its requests to the driver.
     pub fn new(config: Arc<Config>, driver: UnboundedSender<Input>, ready: watch::Receiver<bool>) -> Self {
-        let (next_id, callers) = (AtomicU32::new(0), AtomicUsize::new(0));
-        Self { config, driver, ready, next_id, callers, left: Notify::new() }
+        let (next_id, callers) = (AtomicU32::new(0), Mutex::default());
+        Self { config, driver, ready, next_id, next_caller: AtomicU64::new(0), callers, left: Notify::new() }
     }
 
     /// Serves until told to stop, then for a while longer, and returns when all is answered.
@@ -94,7 +149,7 @@
         close.send_replace(true);
         let longest = server.config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let all_left = async {
-            while server.callers.load(Ordering::Relaxed) > 0 {
+            while server.count() > 0 {
                 server.left.notified().await;
             }
         };
@@ -102,19 +157,19 @@
     }
 
     async fn accept(self: &Arc<Self>, listener: &TcpListener, closing: &watch::Receiver<bool>) {
-        let mut failures = 0_u32;
+        let most = self.config.limits.callers;
         loop {
+            // The surplus is refused at once, so there is soon room again.
+            while self.count() >= most + SURPLUS {
+                self.left.notified().await;
+            }
             match listener.accept().await {
-                Ok((tcp, _)) => {
-                    failures = 0;
-                    self.take(tcp, closing);
-                }
+                Ok((tcp, _)) => self.take(tcp, closing),
                 Err(error) => {
-                    if failures == 0 {
-                        super::log(format_args!("cannot take a connection: {error}"));
-                    }
-                    failures += 1;
+                    super::log(format_args!("cannot take a connection: {error}"));
                     if is_local(&error) {
+                        self.close_idle();
+                        self.driver.send(Input::DescriptorsShort).ok();
                         sleep(ACCEPT_PAUSE).await;
                     }
                 }
@@ -122,25 +177,29 @@
         }
     }
 
-    fn take(self: &Arc<Self>, tcp: TcpStream, closing: &watch::Receiver<bool>) {
-        self.callers.fetch_add(1, Ordering::Relaxed);
-        tokio::spawn(Self::serve(Place(self.clone()), tcp, closing.clone()));
+    fn count(&self) -> usize {
+        lock(&self.callers).len()
     }
 
-    async fn serve(place: Place, tcp: TcpStream, mut closing: watch::Receiver<bool>) {
-        tcp.set_nodelay(true).ok();
-        let server = &place.0;
-        let service = service_fn(|request| async move { Ok::<_, Infallible>(server.reply(request).await) });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_PATIENCE)
-            .serve_connection(TokioIo::new(tcp), service);
-        let mut connection = std::pin::pin!(connection);
-        tokio::select! {
-            _ = connection.as_mut() => return,
-            _ = closing.wait_for(|close| *close) => connection.as_mut().graceful_shutdown(),
-        }
-        connection.await.ok();
+    /// Has the connection closed that has been idle for longest. Its caller may be writing to it just now;
+    /// it knows then that its request was not taken.
+    fn close_idle(&self) -> bool {
+        let callers = lock(&self.callers);
+        let idle =
+            callers.values().filter_map(|caller| Some((lock(&caller.idle_since).as_ref().copied()?, caller)));
+        let Some((_, caller)) = idle.min_by_key(|(since, _)| *since) else { return false };
+        *lock(&caller.idle_since) = None;
+        caller.close.notify_one();
+        true
+    }
+
+    fn take(self: &Arc<Self>, tcp: TcpStream, closing: &watch::Receiver<bool>) {
+        let surplus = self.count() >= self.config.limits.callers && !self.close_idle();
+        let idle_since = Mutex::new(Some(Instant::now()).filter(|_| !surplus));
+        let caller = Arc::new(Caller { surplus, idle_since, close: Notify::new() });
+        let number = self.next_caller.fetch_add(1, Ordering::Relaxed);
+        lock(&self.callers).insert(number, caller.clone());
+        tokio::spawn(Place { server: self.clone(), number, caller }.serve(tcp, closing.clone()));
     }
 
     async fn reply(&self, request: Request<Incoming>) -> Reply {
@@ -187,18 +246,11 @@
         Ok(match answer {
             Answer::Served(response) => {
                 let mut reply = response.map(Full::new);
+                *reply.version_mut() = Version::HTTP_11;
                 end_to_end(reply.headers_mut());
                 reply
             }
-            Answer::Refused(stay_away) => {
-                let mut reply = status(StatusCode::SERVICE_UNAVAILABLE);
-                if stay_away > Duration::ZERO
-                    && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", stay_away.as_secs_f64()))
-                {
-                    reply.headers_mut().insert(RETRY_AFTER, value);
-                }
-                reply
-            }
+            Answer::Refused(stay_away) => refusal(stay_away),
             Answer::Failed => status(StatusCode::BAD_GATEWAY),
         })
     }
@@ -207,7 +259,7 @@
     fn check(&self, request: &Request<Incoming>) -> Result<Asked, (StatusCode, &'static str)> {
         let bad = |text| (StatusCode::BAD_REQUEST, text);
         let (headers, names) = (request.headers(), &self.config.names);
-        let in_path = request.uri().path().trim_start_matches('/').split('/').next().unwrap_or("");
+        let in_path = request.uri().path().split('/').nth(1).unwrap_or("");
         let class = names.classes.iter().position(|class| class == in_path);
         let class = class.ok_or((StatusCode::NOT_FOUND, "no such path\n"))?;
         if text(headers, "x-call-class") != Some(in_path) {
@@ -271,6 +323,17 @@
     reply
 }
 
+/// A refusal, with advice on how long to stay away unless that is zero.
+fn refusal(stay_away: Duration) -> Reply {
+    let mut reply = status(StatusCode::SERVICE_UNAVAILABLE);
+    if stay_away > Duration::ZERO
+        && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", stay_away.as_secs_f64()))
+    {
+        reply.headers_mut().insert(RETRY_AFTER, value);
+    }
+    reply
+}
+
 /// Leaves the headers that are meant for the other end, not for this connection.
 fn end_to_end(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -276,6 +276,11 @@
         self.idle.remove(&server);
     }
 
+    /// Closes all idle connections.
+    pub fn close_all(&mut self) {
+        self.idle.clear();
+    }
+
     /// Closes what has been idle for too long, or has ended.
     pub fn sweep(&mut self) {
         self.idle.retain(|_, idle| {
