Test the program over loopback sockets; name the field at fault in a configuration

Eighteen tests start the built program with small stand-ins on port 0 and wait on events. They found one fault: a field of the wrong type was reported by line and column only (serde_json gives no path), both in the configuration and in wire::settings. serde_path_to_error names it; the test failed before and passes now.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -3,7 +3,7 @@
 use super::discovery::Listing;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
-use serde_json::value::RawValue;
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
 use woadstall::api::Settings;
@@ -53,7 +53,7 @@
     limits: RawLimits,
     #[serde(default)]
     known: Listing,
-    settings: Box<RawValue>,
+    settings: Value,
 }
 
 #[derive(Deserialize)]
@@ -101,8 +101,8 @@
 
     fn parse(text: &str, listen: Option<String>, discovery: Option<String>) -> Result<Self, String> {
         let raw: Raw = json("configuration", text)?;
-        let settings = raw.settings.get();
-        let names: RawNames = json("settings", settings)?;
+        let settings = raw.settings.to_string();
+        let names: RawNames = json("settings", &settings)?;
         let settings = wire::settings(settings.as_bytes()).map_err(|error| error.to_string())?;
         settings.check().map_err(|error| format!("settings: {error}"))?;
         let sockets = raw.limits.sockets;
@@ -135,7 +135,10 @@
 }
 
 fn json<T: DeserializeOwned>(what: &str, text: &str) -> Result<T, String> {
-    serde_json::from_str(text).map_err(|error| format!("{what}: {error}"))
+    let mut text = serde_json::Deserializer::from_str(text);
+    let value = serde_path_to_error::deserialize(&mut text).map_err(|error| format!("{what}: {error}"))?;
+    text.end().map_err(|error| format!("{what}: {error}"))?;
+    Ok(value)
 }
 
 fn address(field: &str, text: Option<String>) -> Result<SocketAddr, String> {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -424,8 +424,10 @@
 
 /// Reads the settings that an instance starts with. The error names the key that is at fault.
 pub fn settings(text: &[u8]) -> Result<Settings, WireError> {
-    let raw: RawSettings =
-        serde_json::from_slice(text).map_err(|error| WireError::new(format!("settings: {error}")))?;
+    let error = |error: &dyn fmt::Display| WireError::new(format!("settings: {error}"));
+    let mut text = serde_json::Deserializer::from_slice(text);
+    let raw: RawSettings = serde_path_to_error::deserialize(&mut text).map_err(|e| error(&e))?;
+    text.end().map_err(|e| error(&e))?;
     let classes = raw.classes.into_iter().map(class).collect::<Result<Vec<_>, _>>()?;
     let ask_discovery = matches!(raw.discovery, RawDiscovery::Ask);
     if ask_discovery && raw.safety.ask_within_ns.is_none() {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A balancer under test, and what every test says to it.
 #![allow(dead_code)]
 
+pub mod process;
+
 use woadstall::Balancer;
 use woadstall::api::*;
 
--- /dev/null
+++ b/tests/common/process.rs
@@ -0,0 +1,348 @@
+//! The built program over loopback sockets, with small stand-ins for upstreams, discovery and callers.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::Duration;
+
+/// Far more than anything takes here; reached only where something hangs.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+/// A caller's time where the test does not wait for its end.
+pub const LONG: &str = "60";
+
+/// A request or an answer as it was on the socket.
+#[derive(Clone, Debug)]
+pub struct Message {
+    pub first_line: String,
+    pub headers: HashMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    /// Reads the next message; `None` where the peer closes or breaks the connection first.
+    pub fn read(input: &mut impl BufRead) -> Option<Self> {
+        let mut line = || {
+            let mut line = String::new();
+            input.read_line(&mut line).ok().filter(|&got| got > 0)?;
+            Some(line.trim_end().to_owned())
+        };
+        let first_line = line()?;
+        let mut headers = HashMap::new();
+        loop {
+            let header = line()?;
+            match header.split_once(':') {
+                Some((name, value)) => headers.insert(name.to_lowercase(), value.trim().to_owned()),
+                None => break,
+            };
+        }
+        let length = headers.get("content-length").map_or(0, |length| length.parse().unwrap());
+        let mut body = vec![0; length];
+        input.read_exact(&mut body).ok()?;
+        Some(Self { first_line, headers, body })
+    }
+
+    pub fn status(&self) -> u16 {
+        self.first_line.split(' ').nth(1).unwrap().parse().unwrap()
+    }
+}
+
+/// What a stand-in for an upstream does with a request.
+#[derive(Clone)]
+pub enum Act {
+    /// Writes this and keeps the connection.
+    Answer(String),
+    /// Writes this and closes the connection.
+    AnswerAndClose(String),
+    /// Says nothing until the peer closes.
+    Silence,
+}
+
+pub fn ok(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+pub fn full() -> String {
+    "HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n".into()
+}
+
+/// What happens at an upstream.
+#[derive(Debug)]
+pub enum Seen {
+    Connected,
+    Request(Message),
+    /// A connection has ended.
+    Closed,
+}
+
+/// A stand-in for an upstream; it tells what it sees in order.
+pub struct Upstream {
+    pub address: SocketAddr,
+    pub seen: Receiver<Seen>,
+}
+
+impl Upstream {
+    pub fn start(act: impl Fn(&Message) -> Act + Send + Sync + 'static) -> Self {
+        let (tell, seen) = channel();
+        let address = listen(move |stream| upstream_connection(stream, &act, &tell));
+        Self { address, seen }
+    }
+
+    /// The next request, whatever else is seen before.
+    pub fn request(&self) -> Message {
+        loop {
+            if let Seen::Request(message) = self.seen.recv_timeout(PATIENCE).expect("a request") {
+                return message;
+            }
+        }
+    }
+
+    /// Waits until a connection has ended.
+    pub fn closed(&self) {
+        while !matches!(self.seen.recv_timeout(PATIENCE).expect("the end of a connection"), Seen::Closed) {}
+    }
+
+    /// The requests seen since the last look.
+    pub fn requests(&self) -> usize {
+        self.seen.try_iter().filter(|seen| matches!(seen, Seen::Request(_))).count()
+    }
+}
+
+fn upstream_connection(stream: TcpStream, act: &impl Fn(&Message) -> Act, tell: &Sender<Seen>) {
+    tell.send(Seen::Connected).ok();
+    let mut output = stream.try_clone().unwrap();
+    let mut input = BufReader::new(stream);
+    while let Some(message) = Message::read(&mut input) {
+        let act = act(&message);
+        tell.send(Seen::Request(message)).ok();
+        match act {
+            Act::Answer(text) => output.write_all(text.as_bytes()).unwrap_or(()),
+            Act::AnswerAndClose(text) => {
+                output.write_all(text.as_bytes()).unwrap_or(());
+                break;
+            }
+            Act::Silence => {}
+        }
+    }
+    drop((input, output));
+    tell.send(Seen::Closed).ok();
+}
+
+/// Serves each connection to a free port on a thread of its own, until the test ends.
+fn listen(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let serve = Arc::new(serve);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let serve = serve.clone();
+            std::thread::spawn(move || serve(stream));
+        }
+    });
+    address
+}
+
+/// An address at which nothing listens.
+pub fn refusing() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// A stand-in for discovery.
+pub struct Discovery {
+    pub address: SocketAddr,
+    state: Arc<(Mutex<(u64, String)>, Condvar)>,
+    asked: Receiver<u64>,
+}
+
+impl Discovery {
+    pub fn start() -> Self {
+        let state = Arc::new((Mutex::new((1, String::new())), Condvar::new()));
+        let (shared, (tell, asked)) = (state.clone(), channel());
+        let address = listen(move |stream| {
+            let mut output = stream.try_clone().unwrap();
+            let mut input = BufReader::new(stream);
+            while let Some(message) = Message::read(&mut input) {
+                let after = message.first_line.split("after=").nth(1).unwrap();
+                let after: u64 = after.split('&').next().unwrap().parse().unwrap();
+                tell.send(after).ok();
+                let (lock, changed) = &*shared;
+                let state = changed.wait_while(lock.lock().unwrap(), |(rev, _)| *rev <= after).unwrap();
+                let body = format!(r#"{{"rev":{},"all":true,"targets":[{}]}}"#, state.0, state.1);
+                drop(state);
+                if output.write_all(ok(&body).as_bytes()).is_err() {
+                    return;
+                }
+            }
+        });
+        Self { address, state, asked }
+    }
+
+    /// Tells of a new list, and waits until the balancer has taken it and watches for the next.
+    pub fn publish(&self, targets: &[String]) {
+        let (lock, changed) = &*self.state;
+        let mut state = lock.lock().unwrap();
+        *state = (state.0 + 1, targets.join(","));
+        let rev = state.0;
+        drop(state);
+        changed.notify_all();
+        while self.asked.recv_timeout(PATIENCE).expect("the next watch") < rev {}
+    }
+}
+
+/// An entry of a list: a warm upstream in the balancer's zone.
+pub fn target(uid: &str, address: SocketAddr, state: &str) -> String {
+    format!(
+        r#"{{"uid":"{uid}","endpoint":"{address}","az":"a","model":"m","pod_group":0,"state":"{state}","capacity_hint":1.0,"boot_ms":0}}"#
+    )
+}
+
+pub fn in_service(upstreams: &[&Upstream]) -> Vec<String> {
+    let entry =
+        |(at, upstream): (usize, &&Upstream)| target(&format!("s-{at}"), upstream.address, "in_service");
+    upstreams.iter().enumerate().map(entry).collect()
+}
+
+/// A configuration with a class that is safe (`look`), keyed (`pay`) and unsafe (`post`).
+pub fn config(discovery: SocketAddr, known: &[String]) -> serde_json::Value {
+    let class = |name: &str, effect: &str| {
+        serde_json::json!({"Name": name, "Effect": effect, "Group": "all", "WindowNs": 60_000_000_000_u64,
+            "AimNs": 30_000_000_000_u64, "DeadlineNs": 60_000_000_000_u64, "LateWorth": 0.5, "Value": 1.0,
+            "Stream": false})
+    };
+    let known: serde_json::Value =
+        serde_json::from_str(&format!(r#"{{"rev":1,"all":true,"targets":[{}]}}"#, known.join(","))).unwrap();
+    serde_json::json!({
+        "name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": known,
+        "settings": {
+            "Classes": [class("look", "read_like"), class("pay", "idempotency_key"), class("post", "non_idempotent")],
+            "Discovery": "push", "Layer": 1, "Layers": ["one", "two"], "Siblings": 1, "Ordinal": 0,
+            "Limits": {"Cancelling": true, "ConnIdleNs": 60_000_000_000_u64, "ConnectTimeoutNs": 10_000_000_000_u64,
+                "RetryAfter": true, "MaxRetryAfterNs": 1_000_000_000_u64, "TryLimit": 6, "MayDuplicate": true},
+            "Safety": {"AnswerSlackNs": 16_000_000, "DrainGraceNs": 1_000_000_000_u64, "StartCapacity": 0.3,
+                "TipMultiple": 2.5, "RampTimeNs": 8_400_000_000_u64},
+            "Tenants": [{"Name": "acme", "QuotaRps": 1000.0, "Share": 1.0}],
+            "ValueBy": "request", "Zone": 0, "Zones": ["a"],
+        },
+    })
+}
+
+/// The program, running.
+pub struct Program {
+    child: Child,
+    pub address: SocketAddr,
+    log: BufReader<ChildStderr>,
+}
+
+impl Program {
+    pub fn start(config: &serde_json::Value) -> Self {
+        let (mut child, mut log) = spawn(&config.to_string());
+        let mut line = String::new();
+        log.read_line(&mut line).unwrap();
+        let address = line.trim().rsplit(' ').next().unwrap().parse();
+        let address = address.unwrap_or_else(|_| {
+            child.kill().ok();
+            panic!("no address in {line:?}")
+        });
+        Self { child, address, log }
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        let sent = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    /// Waits for the end; the rest of the log comes with it.
+    pub fn end(mut self) -> (ExitStatus, String) {
+        let mut log = String::new();
+        self.log.read_to_string(&mut log).unwrap();
+        (self.child.wait().unwrap(), log)
+    }
+
+    pub fn connect(&self) -> Caller {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Caller { input: BufReader::new(stream) }
+    }
+
+    /// One request on a connection of its own.
+    pub fn call(&self, class: &str) -> Message {
+        self.connect().call(class, LONG, "body").expect("an answer")
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
+
+/// Runs the program with this text as its configuration until it ends by itself.
+pub fn run_to_end(config: &str) -> (ExitStatus, String) {
+    let (mut child, mut log) = spawn(config);
+    let mut text = String::new();
+    log.read_to_string(&mut text).unwrap();
+    (child.wait().unwrap(), text)
+}
+
+fn spawn(config: &str) -> (Child, BufReader<ChildStderr>) {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"))
+        .join(format!("config-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, config).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_woadstall"))
+        .env_remove("LB_LISTEN")
+        .env_remove("LB_DISCOVERY")
+        .env("LB_CONFIG", &path)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let log = BufReader::new(child.stderr.take().unwrap());
+    (child, log)
+}
+
+/// A caller's connection.
+pub struct Caller {
+    input: BufReader<TcpStream>,
+}
+
+impl Caller {
+    pub fn write(&mut self, text: &str) {
+        self.input.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    pub fn send(&mut self, class: &str, budget: &str, body: &str) {
+        self.write(&request(class, budget, body));
+    }
+
+    /// The next answer; `None` where the connection ends without one.
+    pub fn answer(&mut self) -> Option<Message> {
+        Message::read(&mut self.input)
+    }
+
+    pub fn call(&mut self, class: &str, budget: &str, body: &str) -> Option<Message> {
+        self.send(class, budget, body);
+        self.answer()
+    }
+}
+
+/// A request as a caller writes it.
+pub fn request(class: &str, budget: &str, body: &str) -> String {
+    let (method, extra, body) = match class {
+        "look" => ("GET", "", ""),
+        "pay" => ("POST", "Idempotency-Key: 5c0f6e1a\r\n", body),
+        _ => ("POST", "", body),
+    };
+    format!(
+        "{method} /{class}?x=1 HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: 9b1f03aa5c7e2d41\r\nX-Call-Class: {class}\r\n\
+         X-Caller: acme\r\nX-Budget: {budget}\r\n{extra}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
--- /dev/null
+++ b/tests/sockets.rs
@@ -0,0 +1,305 @@
+//! The program over loopback sockets: each test is a failure that a balancer must not have.
+
+mod common;
+
+use common::process::*;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+fn served_by(upstream: &Upstream) -> Program {
+    Program::start(&config(refusing(), &in_service(&[upstream])))
+}
+
+/// The first request ends with `first`, all later ones are served.
+fn once(first: Act) -> impl Fn(&Message) -> Act + Send + Sync {
+    let count = AtomicUsize::new(0);
+    move |_| match count.fetch_add(1, Ordering::Relaxed) {
+        0 => first.clone(),
+        _ => Act::Answer(ok("second")),
+    }
+}
+
+#[test]
+fn forwards_a_request_and_its_answer_unchanged() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("the answer")));
+    let program = served_by(&upstream);
+    let answer = program.connect().call("pay", "12.5", "the body").unwrap();
+    assert_eq!((answer.status(), &answer.body[..]), (200, &b"the answer"[..]));
+    let got = upstream.request();
+    assert_eq!(got.first_line, "POST /pay?x=1 HTTP/1.1");
+    assert_eq!(got.body, b"the body");
+    assert_eq!(got.headers["x-call-id"], "9b1f03aa5c7e2d41");
+    assert_eq!(got.headers["idempotency-key"], "5c0f6e1a");
+    let budget: f64 = got.headers["x-budget"].parse().unwrap();
+    assert!(budget > 0.0 && budget < 12.5, "the upstream is told {budget}");
+}
+
+#[test]
+fn uses_a_connection_again() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let program = served_by(&upstream);
+    let mut caller = program.connect();
+    for _ in 0..20 {
+        assert_eq!(caller.call("post", LONG, "b").unwrap().status(), 200);
+    }
+    let connections = upstream.seen.try_iter().filter(|seen| matches!(seen, Seen::Connected)).count();
+    assert_eq!(connections, 1);
+}
+
+#[test]
+fn does_not_write_to_a_connection_that_its_upstream_closed() {
+    let upstream = Upstream::start(|_| Act::AnswerAndClose(ok("")));
+    let program = served_by(&upstream);
+    let mut caller = program.connect();
+    for _ in 0..50 {
+        assert_eq!(caller.call("post", LONG, "b").unwrap().status(), 200);
+        upstream.closed();
+    }
+}
+
+#[test]
+fn never_sends_unsafe_work_again_that_may_have_run() {
+    let partial = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nonly a part";
+    let error = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
+    let vague = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+    for first in ["", partial, error, vague] {
+        let upstream = Upstream::start(once(Act::AnswerAndClose(first.into())));
+        let program = served_by(&upstream);
+        let answer = program.call("post");
+        assert!(![200, 429, 503].contains(&answer.status()), "{first:?} became {}", answer.first_line);
+        assert_eq!(upstream.requests(), 1, "{first:?}");
+    }
+}
+
+#[test]
+fn sends_keyed_work_again_after_an_answer_that_broke_off() {
+    let partial = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nonly a part";
+    for first in ["", partial] {
+        let upstream = Upstream::start(once(Act::AnswerAndClose(first.into())));
+        let answer = served_by(&upstream).call("pay");
+        assert_eq!((answer.status(), &answer.body[..]), (200, &b"second"[..]), "{first:?}");
+    }
+}
+
+#[test]
+fn sends_unsafe_work_again_that_never_ran() {
+    let upstream = Upstream::start(once(Act::Answer(full())));
+    assert_eq!(served_by(&upstream).call("post").status(), 200, "turned away, then served");
+
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let list = [target("s-dead", refusing(), "in_service"), target("s-0", upstream.address, "in_service")];
+    let program = Program::start(&config(refusing(), &list));
+    for _ in 0..4 {
+        assert_eq!(program.call("post").status(), 200, "refused by one upstream, served by the other");
+    }
+}
+
+#[test]
+fn refuses_with_advice_when_all_upstreams_turn_work_away() {
+    let upstream = Upstream::start(|_| Act::Answer(full()));
+    let answer = served_by(&upstream).call("post");
+    assert_eq!(answer.status(), 503);
+    let back: f64 = answer.headers["retry-after"].parse().unwrap();
+    assert!(back > 0.0 && back <= 1.0);
+}
+
+#[test]
+fn answers_in_time_where_an_upstream_is_silent() {
+    let upstream = Upstream::start(|_| Act::Silence);
+    let program = served_by(&upstream);
+    let asked = Instant::now();
+    let answer = program.connect().call("post", "0.300", "b").expect("an answer, not an end");
+    assert_eq!(answer.status(), 502);
+    assert!(asked.elapsed() >= Duration::from_millis(300), "it waits as long as the caller");
+    upstream.request();
+    upstream.closed(); // or the upstream would work on for nobody
+}
+
+#[test]
+fn withdraws_the_attempt_of_a_caller_that_left() {
+    let upstream = Upstream::start(|_| Act::Silence);
+    let program = served_by(&upstream);
+    let mut caller = program.connect();
+    caller.send("post", LONG, "b");
+    upstream.request();
+    drop(caller);
+    upstream.closed();
+}
+
+#[test]
+fn answers_bad_requests_itself() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let program = served_by(&upstream);
+    let good = request("pay", "1.0", "body");
+    let cases = [
+        (good.replace("X-Budget: 1.0\r\n", ""), 400),
+        (good.replace("1.0", "soon"), 400),
+        (good.replace("1.0", "-1"), 400),
+        (good.replace("1.0", "NaN"), 400),
+        (good.replace("1.0", "1e300"), 400),
+        (good.replace("acme", "nobody"), 400),
+        (good.replace("X-Caller: acme\r\n", ""), 400),
+        (good.replace("X-Call-Id: 9b1f03aa5c7e2d41", "X-Call-Id: "), 400),
+        (good.replace("X-Call-Class: pay", "X-Call-Class: post"), 400),
+        (good.replace("Idempotency-Key: 5c0f6e1a\r\n", ""), 400),
+        (good.replace("X-Caller", "X-Call-Cost: much\r\nX-Caller"), 400),
+        (good.replace("/pay", "/other").replace("Class: pay", "Class: other"), 404),
+        (good.replace("/pay", "/"), 404),
+        (good.replace("POST", "GET"), 405),
+        (good.replace("Content-Length: 4", "Content-Length: 65537"), 413),
+        (good.replace("Content-Length: 4", "Content-Length: four"), 400),
+        ("nonsense\r\n\r\n".into(), 400),
+    ];
+    for (text, status) in cases {
+        let mut caller = program.connect();
+        caller.write(&text);
+        let answer = caller.answer().unwrap_or_else(|| panic!("no answer to {text:?}"));
+        assert_eq!(answer.status(), status, "{text:?}");
+    }
+    assert_eq!(upstream.requests(), 0);
+    assert_eq!(program.call("pay").status(), 200, "it serves on");
+}
+
+#[test]
+fn takes_a_body_of_the_largest_size() {
+    let upstream = Upstream::start(|message| Act::Answer(ok(&"a".repeat(message.body.len()))));
+    let program = served_by(&upstream);
+    let answer = program.connect().call("post", LONG, &"b".repeat(64 << 10)).unwrap();
+    assert_eq!((answer.status(), answer.body.len()), (200, 64 << 10));
+}
+
+#[test]
+fn does_not_pass_on_an_answer_that_is_too_large() {
+    let upstream = Upstream::start(|_| Act::Answer(ok(&"a".repeat((64 << 10) + 1))));
+    assert_eq!(served_by(&upstream).call("post").status(), 502);
+}
+
+#[test]
+fn is_ready_once_there_is_an_upstream() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let discovery = Discovery::start();
+    let program = Program::start(&config(discovery.address, &[]));
+    let ready = || {
+        let mut caller = program.connect();
+        caller.write("GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n");
+        caller.answer().unwrap().status()
+    };
+    assert_eq!(ready(), 503);
+    discovery.publish(&in_service(&[&upstream]));
+    assert_eq!(ready(), 200);
+    assert_eq!(program.call("post").status(), 200);
+}
+
+#[test]
+fn sends_nothing_new_to_an_upstream_that_drains_or_is_gone() {
+    let (old, new) = (Upstream::start(|_| Act::Answer(ok(""))), Upstream::start(|_| Act::Answer(ok(""))));
+    for listed in [vec![target("s-0", old.address, "terminating")], vec![]] {
+        let discovery = Discovery::start();
+        let program = Program::start(&config(discovery.address, &in_service(&[&old])));
+        assert_eq!(program.call("post").status(), 200);
+        old.request();
+        let mut list = vec![target("s-1", new.address, "in_service")];
+        list.extend(listed);
+        discovery.publish(&list);
+        for _ in 0..10 {
+            assert_eq!(program.call("post").status(), 200);
+        }
+        assert_eq!((old.requests(), new.requests()), (0, 10));
+    }
+}
+
+#[test]
+fn follows_an_upstream_to_its_new_address() {
+    let (old, new) = (Upstream::start(|_| Act::Answer(ok(""))), Upstream::start(|_| Act::Answer(ok(""))));
+    let discovery = Discovery::start();
+    let program = Program::start(&config(discovery.address, &in_service(&[&old])));
+    assert_eq!(program.call("post").status(), 200);
+    discovery.publish(&in_service(&[&new]));
+    old.closed();
+    assert_eq!(program.call("post").status(), 200);
+    new.request();
+}
+
+#[test]
+fn gives_up_an_idle_caller_for_a_new_one_and_refuses_when_all_are_busy() {
+    let upstream = Upstream::start(|message| match message.first_line.starts_with("GET") {
+        true => Act::Answer(ok("")),
+        false => Act::Silence,
+    });
+    let mut config = config(refusing(), &in_service(&[&upstream]));
+    config["limits"]["sockets"] = 96.into(); // room for twenty callers
+    let program = Program::start(&config);
+    let mut callers: Vec<Caller> = (0..60).map(|_| program.connect()).collect();
+    for caller in &mut callers[40..] {
+        assert_eq!(caller.call("look", LONG, "").expect("served").status(), 200);
+    }
+    for caller in &mut callers[..40] {
+        assert!(caller.answer().is_none(), "the connections idle for longest are closed");
+    }
+    for caller in &mut callers[40..] {
+        caller.send("post", LONG, "b");
+        upstream.request();
+    }
+    for _ in 0..40 {
+        let answer = program.call("look");
+        assert_eq!(answer.status(), 503, "told at once, not left in the backlog");
+        assert!(answer.headers.contains_key("retry-after"));
+    }
+    callers.clear();
+    for _ in 0..20 {
+        upstream.closed();
+    }
+    assert_eq!(program.call("look").status(), 200);
+}
+
+#[test]
+fn stops_only_after_all_is_answered() {
+    let held = std::sync::Arc::new(std::sync::Barrier::new(2));
+    let gate = held.clone();
+    let upstream = Upstream::start(move |message| {
+        if message.first_line.starts_with("POST") {
+            gate.wait();
+        }
+        Act::Answer(ok(""))
+    });
+    let program = served_by(&upstream);
+    let (mut busy, mut open) = (program.connect(), program.connect());
+    assert_eq!(open.call("look", LONG, "").unwrap().status(), 200);
+    busy.send("post", LONG, "b");
+    while !upstream.request().first_line.starts_with("GET") {} // the order of seeing is that of asking
+    program.terminate();
+    assert_eq!(program.call("look").status(), 200, "new connections are still taken");
+    assert_eq!(open.call("look", LONG, "").unwrap().status(), 200, "open ones are still served");
+    assert!(open.answer().is_none(), "then idle ones are closed");
+    held.wait();
+    assert_eq!(busy.answer().expect("the answer held").status(), 200);
+    let (status, log) = program.end();
+    assert!(status.success(), "{log}");
+}
+
+#[test]
+fn names_the_field_that_is_wrong_in_its_configuration() {
+    let good = config(refusing(), &[]);
+    let break_at = |path: &str, value: serde_json::Value| {
+        let mut config = good.clone();
+        *config.pointer_mut(path).unwrap() = value;
+        config.to_string()
+    };
+    let cases = [
+        (break_at("/listen", "here".into()), "listen"),
+        (break_at("/discovery", "there".into()), "discovery"),
+        (break_at("/seed", "dice".into()), "seed"),
+        (break_at("/limits/sockets", 3.into()), "sockets"),
+        (break_at("/settings/Zones", 3.into()), "Zones"),
+        (break_at("/settings/Zone", 7.into()), "zone"),
+        (break_at("/settings/Classes", serde_json::json!([])), "classes"),
+        (break_at("/settings/Limits/TryLimit", "six".into()), "TryLimit"),
+        (good.to_string().replace("\"settings\"", "\"wishes\""), "settings"),
+        ("{".into(), "configuration"),
+    ];
+    for (text, field) in cases {
+        let (status, log) = run_to_end(&text);
+        assert!(!status.success(), "{field}");
+        assert!(log.contains(field) && log.lines().count() == 1, "{field}: {log:?}");
+    }
+}
