--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -1,8 +1,9 @@
 //! The built program over loopback sockets, with small stand-ins for upstreams, discovery and callers.
 
+use socket2::{Domain, Socket, Type};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -127,7 +128,8 @@
             Act::Silence => {}
         }
     }
-    drop((input, output));
+    // Not by dropping it: a test that starts its program just now holds a copy until that runs.
+    output.shutdown(Shutdown::Both).ok();
     tell.send(Seen::Closed).ok();
 }
 
@@ -145,9 +147,13 @@
     address
 }
 
-/// An address at which nothing listens.
+/// An address at which nothing listens, and nothing will: the port stays taken.
 pub fn refusing() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    std::mem::forget(socket);
+    address
 }
 
 /// A stand-in for discovery.
