Always tell a refused client when to come back

Seen: with RetryAfter false in the settings, as at this site, the module gave no advice, so a refusal said only 'try again'. The header does no harm where clients ignore it, so the flag is gone and MaxRetryAfterNs alone bounds the advice. The number of random draws stays the same, so other decisions do. The socket test now has RetryAfter false and failed before.

--- a/src/api.rs
+++ b/src/api.rs
@@ -93,9 +93,7 @@
     pub ask_within: Duration,
     /// Attempts that may be cancelled.
     pub may_cancel: bool,
-    /// Refusals carry advice on when to come back.
-    pub retry_after: bool,
-    /// The longest advice that clients follow.
+    /// The longest advice on when to come back that clients follow.
     pub max_retry_after: Duration,
     /// Most attempts for one request.
     pub max_attempts: u32,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -373,7 +373,7 @@
 
     fn refuse_or_fail(&mut self, id: RequestId, request: &Request) {
         let safe = self.settings.classes[request.class].effect == Effect::Safe;
-        let most = if self.settings.retry_after { self.settings.max_retry_after } else { 0 };
+        let most = self.settings.max_retry_after;
         let retry_after = most / 2 + self.rng.u64(..=most / 2);
         let harmless = safe || request.may_have_run.is_none();
         self.actions.push(if harmless { Action::Refuse { id, retry_after } } else { Action::Fail(id) });
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -386,7 +386,6 @@
     max_retry_after_ns: Option<Duration>,
     #[serde(default)]
     may_probe: bool,
-    retry_after: bool,
     try_limit: u32,
 }
 
@@ -449,7 +448,6 @@
         ask_discovery,
         ask_within: raw.safety.ask_within_ns.unwrap_or(0),
         may_cancel: raw.limits.cancelling,
-        retry_after: raw.limits.retry_after,
         max_retry_after: raw.limits.max_retry_after_ns.unwrap_or(0),
         max_attempts: raw.limits.try_limit,
         conn_idle: raw.limits.conn_idle_ns.unwrap_or(Duration::MAX),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -42,7 +42,6 @@
         ask_discovery: false,
         ask_within: 10 * SECOND,
         may_cancel: true,
-        retry_after: false,
         max_retry_after: 0,
         max_attempts: 4,
         conn_idle: 60 * SECOND,
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -228,7 +228,7 @@
             "Classes": [class("look", "read_like"), class("pay", "idempotency_key"), class("post", "non_idempotent")],
             "Discovery": "push", "Layer": 1, "Layers": ["one", "two"], "Siblings": 1, "Ordinal": 0,
             "Limits": {"Cancelling": true, "ConnIdleNs": 60_000_000_000_u64, "ConnectTimeoutNs": 10_000_000_000_u64,
-                "RetryAfter": true, "MaxRetryAfterNs": 1_000_000_000_u64, "TryLimit": 6, "MayDuplicate": true},
+                "RetryAfter": false, "MaxRetryAfterNs": 1_000_000_000_u64, "TryLimit": 6, "MayDuplicate": true},
             "Safety": {"AnswerSlackNs": 16_000_000, "DrainGraceNs": 1_000_000_000_u64, "StartCapacity": 0.3,
                 "TipMultiple": 2.5, "RampTimeNs": 8_400_000_000_u64},
             "Tenants": [{"Name": "acme", "QuotaRps": 1000.0, "Share": 1.0}],
