--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -218,11 +218,11 @@
 
     fn ring(&mut self) {
         let now = self.clock.now();
-        while let Some(&Reverse((at, timer))) = self.timers.peek().filter(|Reverse((at, _))| *at <= now) {
+        while let Some(&Reverse((_, timer))) = self.timers.peek().filter(|Reverse((at, _))| *at <= now) {
             self.timers.pop();
             match timer {
                 Timer::Module(token) => self.tell(Event::Timer(token)),
-                Timer::Net(id) => self.on_net(id, now - at),
+                Timer::Net(id) => self.on_net(id),
                 Timer::Sweep => {
                     self.idle.sweep();
                     self.set_timer(SWEEP_EVERY, Timer::Sweep);
@@ -232,9 +232,9 @@
     }
 
     /// Guards the callers: what the module has left open past its time is answered all the same.
-    fn on_net(&mut self, id: RequestId, late: Time) {
+    fn on_net(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|open| open.answer.is_some()) {
-            super::log(format_args!("request {} was left open past its time (net {late} ns late)", id.0));
+            super::log(format_args!("request {} was left open past its time", id.0));
             self.answer(id, Answer::Failed);
             self.tell(Event::ClientGone(id));
         }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,9 +2,9 @@
 
 use super::config::Config;
 use super::driver::{Answer, Call, Input};
-use super::upstream::{MOST_BODY, collect, is_local};
+use super::upstream::{MOST_BODY, is_local};
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, DATE, EXPECT, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER,
@@ -27,6 +27,8 @@
 
 /// How long connections are still taken after a signal to stop: callers hear of it late.
 const GO_ON: Duration = Duration::from_millis(500);
+/// Pause among new connections after which no more are waited for then.
+const LAST_LOOK: Duration = Duration::from_millis(10);
 /// How long a caller may take over a request's head, or idle; and over its body.
 const HEAD_PATIENCE: Duration = Duration::from_secs(60);
 const BODY_PATIENCE: Duration = Duration::from_secs(10);
@@ -36,7 +38,7 @@
 /// they would count as taken and get no answer.
 const SURPLUS: usize = 32;
 /// How long a surplus caller may take over its request's head, and how long it is to stay away.
-const SURPLUS_PATIENCE: Duration = Duration::from_secs(1);
+const SURPLUS_PATIENCE: Duration = Duration::from_secs(5);
 const SURPLUS_BACK: Duration = Duration::from_millis(500);
 /// Added to the longest deadline, so long may answers take after the last connection was taken.
 const LAST_ANSWERS: Duration = Duration::from_millis(60);
@@ -98,6 +100,7 @@
             .serve_connection(TokioIo::new(tcp), service);
         let mut connection = std::pin::pin!(connection);
         tokio::select! {
+            biased; // a request that has come is read before its connection is closed between requests
             _ = connection.as_mut() => return,
             _ = closing.wait_for(|close| *close) => {}
             () = self.caller.close.notified() => {}
@@ -141,10 +144,13 @@
             () = server.accept(&listener, &closing) => {}
             () = stopped => {}
         }
-        // What has come up meanwhile counts as taken.
-        while let Ok(Ok((tcp, _))) = timeout(Duration::ZERO, listener.accept()).await {
-            server.take(tcp, &closing);
-        }
+        // What waits in the backlog counts as taken, and closing the listener would reset it.
+        let rest = async {
+            while let Ok(Ok((tcp, _))) = timeout(LAST_LOOK, listener.accept()).await {
+                server.take(tcp, &closing);
+            }
+        };
+        timeout(10 * LAST_LOOK, rest).await.ok();
         drop(listener);
         close.send_replace(true);
         let longest = server.config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
@@ -226,9 +232,9 @@
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n"));
         }
         let (mut head, body) = request.into_parts();
-        let body = match timeout(BODY_PATIENCE, collect(body)).await {
-            Ok(Some(body)) => body,
-            Ok(None) => return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB or broken\n")),
+        let body = match timeout(BODY_PATIENCE, Limited::new(body, MOST_BODY).collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) => return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB or broken\n")),
             Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n")),
         };
         let deadline = Instant::now() + asked.budget;
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Frame, SizeHint};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -302,11 +302,6 @@
     }
 }
 
-/// Reads a body of at most the allowed size; `None` if it is larger or breaks.
-pub async fn collect(body: Incoming) -> Option<Bytes> {
-    Limited::new(body, MOST_BODY).collect().await.ok().map(|body| body.to_bytes())
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
