--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -94,9 +94,12 @@
 impl Config {
     /// Reads the file that `LB_CONFIG` names; the error is one line that names the field at fault.
     pub fn load() -> Result<Self, String> {
-        let path = variable("LB_CONFIG").ok_or("`LB_CONFIG` is not set")?;
-        let text = std::fs::read_to_string(&path).map_err(|error| format!("`LB_CONFIG` {path}: {error}"))?;
-        Self::parse(&text, variable("LB_LISTEN"), variable("LB_DISCOVERY"))
+        Self::parse(&file()?, variable("LB_LISTEN"), variable("LB_DISCOVERY"))
+    }
+
+    /// Reads the file once more. What it says of discovery is newer than the environment.
+    pub fn load_again() -> Result<Self, String> {
+        Self::parse(&file()?, variable("LB_LISTEN"), None)
     }
 
     fn parse(text: &str, listen: Option<String>, discovery: Option<String>) -> Result<Self, String> {
@@ -130,6 +133,11 @@
     }
 }
 
+fn file() -> Result<String, String> {
+    let path = variable("LB_CONFIG").ok_or("`LB_CONFIG` is not set")?;
+    std::fs::read_to_string(&path).map_err(|error| format!("`LB_CONFIG` {path}: {error}"))
+}
+
 fn variable(name: &str) -> Option<String> {
     std::env::var(name).ok().filter(|value| !value.is_empty())
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 /// How long a watch may wait. An agent on the own machine answers at no cost, and where it falls silent, a
@@ -71,26 +72,48 @@
     1.0
 }
 
-/// Tells the driver of every change, for ever. Where discovery must be asked, a watch begins when the
-/// decision module wants one, and a failure ends it until it wants one again.
+/// Tells the driver of every change, for ever. Another address ends what was asked of the one before, and its
+/// whole list is asked for at once: versions of two services cannot be compared.
 pub async fn follow(
     config: Arc<Config>,
     events: UnboundedSender<Input>,
     mut subscribed: UnboundedReceiver<()>,
+    mut addresses: watch::Receiver<SocketAddr>,
+) {
+    let mut known = Some(config.known.rev);
+    loop {
+        let address = *addresses.borrow_and_update();
+        tokio::select! {
+            biased;
+            changed = addresses.changed() => if changed.is_err() { return },
+            () = follow_one(address, known, config.settings.ask_discovery, &events, &mut subscribed) => return,
+        }
+        known = None;
+    }
+}
+
+/// Follows one discovery service until nobody wants to hear of it, from a version or from the whole list on.
+/// Where it must be asked, a watch begins when the decision module wants one, and a failure ends it until it
+/// wants one again.
+async fn follow_one(
+    address: SocketAddr,
+    known: Option<u64>,
+    asked: bool,
+    events: &UnboundedSender<Input>,
+    subscribed: &mut UnboundedReceiver<()>,
 ) {
-    let asked = config.settings.ask_discovery;
     let wait = if asked { WAIT_ASKED } else { WAIT_PUSHED };
-    let mut watch = Watch { address: config.discovery, sender: None };
-    let (mut rev, mut whole, mut failures) = (config.known.rev, false, 0_u32);
-    if asked && subscribed.recv().await.is_none() {
+    let mut watch = Watch { address, sender: None };
+    let (mut rev, mut whole, mut failures) = (known.unwrap_or(0), known.is_none(), 0_u32);
+    if asked && !whole && subscribed.recv().await.is_none() {
         return;
     }
     loop {
-        let path = match whole {
-            true => "/v1/servers".to_owned(),
-            false => format!("/v1/servers?after={rev}&wait_ms={}", wait.as_millis()),
+        let (path, patience) = match whole {
+            true => ("/v1/servers".to_owned(), OVERDUE),
+            false => (format!("/v1/servers?after={rev}&wait_ms={}", wait.as_millis()), wait + OVERDUE),
         };
-        match watch.call(&path, wait + OVERDUE).await {
+        match watch.call(&path, patience).await {
             // A version that goes back means another discovery: only the whole list tells what it has.
             Ok(listing) if listing.rev < rev && !listing.all => whole = true,
             Ok(listing) => {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 use config::Config;
 use std::fmt;
 use std::io::{self, Write};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
@@ -34,11 +35,24 @@
     };
 }
 
+/// Takes over a new configuration: where discovery is. All else needs a new start. One that is not sound
+/// changes nothing.
+fn reload(discovery: &watch::Sender<SocketAddr>) {
+    match Config::load_again() {
+        Ok(config) => {
+            log(format_args!("configuration read again, discovery at {}", config.discovery));
+            discovery.send_replace(config.discovery);
+        }
+        Err(error) => log(format_args!("configuration kept, as the new one is not sound: {error}")),
+    }
+}
+
 /// Serves until a signal to stop, and then until all that was taken is answered.
 pub async fn run(config: Config) -> Result<(), String> {
     let failed = |what: &str, error: io::Error| format!("{what}: {error}");
     let mut term = signal(SignalKind::terminate()).map_err(|e| failed("SIGTERM", e))?;
     let mut int = signal(SignalKind::interrupt()).map_err(|e| failed("SIGINT", e))?;
+    let mut hup = signal(SignalKind::hangup()).map_err(|e| failed("SIGHUP", e))?;
     let listener = TcpListener::bind(config.listen)
         .await
         .map_err(|error| failed(&format!("`listen` {}", config.listen), error))?;
@@ -51,16 +65,20 @@
     let (ready, is_ready) = watch::channel(false);
     let (subscribe, subscribed) = mpsc::unbounded_channel();
     let (stop, stopping) = watch::channel(false);
+    let (discovery, discovery_at) = watch::channel(config.discovery);
 
     let driver = driver::Driver::new(config.clone(), events.clone(), subscribe, ready)?;
     tokio::spawn(driver.run(inbox));
-    tokio::spawn(discovery::follow(config.clone(), events.clone(), subscribed));
+    tokio::spawn(discovery::follow(config.clone(), events.clone(), subscribed, discovery_at));
     let server = server::Server::new(config, events, is_ready);
     let serving = tokio::spawn(server.run(listener, stopping));
 
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = hup.recv() => reload(&discovery),
+        }
     }
     stop.send_replace(true);
     serving.await.map_err(|error| format!("the server stopped: {error}"))
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -180,8 +181,9 @@
                     output.write_all(first.as_bytes()).unwrap();
                     return;
                 }
-                let after = message.first_line.split("after=").nth(1).unwrap();
-                let after: u64 = after.split('&').next().unwrap().parse().unwrap();
+                // A call for the whole list names no version.
+                let after = message.first_line.split("after=").nth(1);
+                let after: u64 = after.map_or(0, |after| after.split('&').next().unwrap().parse().unwrap());
                 tell.send(after).ok();
                 let (lock, changed) = &*shared;
                 let state = changed.wait_while(lock.lock().unwrap(), |(rev, _)| *rev <= after).unwrap();
@@ -197,12 +199,22 @@
 
     /// Tells of a new list, and waits until the balancer has taken it and watches for the next.
     pub fn publish(&self, targets: &[String]) {
+        self.set(targets);
+        self.watched();
+    }
+
+    /// Has a new list from now on.
+    pub fn set(&self, targets: &[String]) {
         let (lock, changed) = &*self.state;
         let mut state = lock.lock().unwrap();
         *state = (state.0 + 1, targets.join(","));
-        let rev = state.0;
         drop(state);
         changed.notify_all();
+    }
+
+    /// Waits until the balancer has taken the present list and watches for the next.
+    pub fn watched(&self) {
+        let rev = self.state.0.lock().unwrap().0;
         while self.asked.recv_timeout(PATIENCE).expect("the next watch") < rev {}
     }
 }
@@ -249,13 +261,19 @@
 /// The program, running.
 pub struct Program {
     child: Child,
+    config: PathBuf,
     pub address: SocketAddr,
     log: BufReader<ChildStderr>,
 }
 
 impl Program {
     pub fn start(config: &serde_json::Value) -> Self {
-        let (mut child, mut log) = spawn(&config.to_string());
+        Self::start_with(config, &[])
+    }
+
+    /// Starts it with more in its environment.
+    pub fn start_with(config: &serde_json::Value, environment: &[(&str, String)]) -> Self {
+        let (mut child, mut log, config) = spawn(&config.to_string(), environment);
         let mut line = String::new();
         log.read_line(&mut line).unwrap();
         let address = line.trim().rsplit(' ').next().unwrap().parse();
@@ -263,15 +281,36 @@
             child.kill().ok();
             panic!("no address in {line:?}")
         });
-        Self { child, address, log }
+        Self { child, config, address, log }
     }
 
     /// Sends SIGTERM.
     pub fn terminate(&self) {
-        let sent = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+        self.signal("-TERM");
+    }
+
+    /// Puts this text in place of the configuration and sends SIGHUP.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.config, config).unwrap();
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, signal: &str) {
+        let sent = Command::new("kill").args([signal, &self.child.id().to_string()]).status().unwrap();
         assert!(sent.success());
     }
 
+    /// Waits for a line of the log that holds this text.
+    pub fn logged(&mut self, text: &str) -> String {
+        loop {
+            let mut line = String::new();
+            assert!(self.log.read_line(&mut line).unwrap() > 0, "the program has ended, not logged {text:?}");
+            if line.contains(text) {
+                return line;
+            }
+        }
+    }
+
     /// Waits for the end; the rest of the log comes with it.
     pub fn end(mut self) -> (ExitStatus, String) {
         let mut log = String::new();
@@ -304,13 +343,13 @@
 
 /// Runs the program with this text as its configuration until it ends by itself.
 pub fn run_to_end(config: &str) -> (ExitStatus, String) {
-    let (mut child, mut log) = spawn(config);
+    let (mut child, mut log, _) = spawn(config, &[]);
     let mut text = String::new();
     log.read_to_string(&mut text).unwrap();
     (child.wait().unwrap(), text)
 }
 
-fn spawn(config: &str) -> (Child, BufReader<ChildStderr>) {
+fn spawn(config: &str, environment: &[(&str, String)]) -> (Child, BufReader<ChildStderr>, PathBuf) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"))
@@ -320,11 +359,12 @@
         .env_remove("LB_LISTEN")
         .env_remove("LB_DISCOVERY")
         .env("LB_CONFIG", &path)
+        .envs(environment.iter().cloned())
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
     let log = BufReader::new(child.stderr.take().unwrap());
-    (child, log)
+    (child, log, path)
 }
 
 /// A caller's connection.
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -207,6 +207,31 @@
     }
 }
 
+/// Guards against a signal that ends the program, and against a list that two services share by chance: the
+/// new one's versions say nothing of the old one's.
+#[test]
+fn follows_another_discovery_after_a_hangup() {
+    let (old, new) =
+        (Upstream::start(|_| Act::Answer(ok("old"))), Upstream::start(|_| Act::Answer(ok("new"))));
+    let (first, second) = (Discovery::start(), Discovery::start());
+    let mut config = config(second.address, &in_service(&[&old]));
+    let mut program = Program::start_with(&config, &[("LB_DISCOVERY", first.address.to_string())]);
+    first.publish(&[target("s-old", old.address, "in_service")]);
+    assert_eq!(program.call("post").body, b"old");
+    program.reload("{");
+    assert!(program.logged("configuration kept").contains("not sound"));
+    first.publish(&[target("s-old", old.address, "in_service")]);
+    assert_eq!(program.call("post").body, b"old", "the former configuration stays");
+
+    config["discovery"] = second.address.to_string().into();
+    second.set(&[target("s-new", new.address, "in_service")]);
+    program.reload(&config.to_string());
+    second.watched();
+    for _ in 0..4 {
+        assert_eq!(program.call("post").body, b"new");
+    }
+}
+
 #[test]
 fn sends_nothing_new_to_an_upstream_that_drains_or_is_gone() {
     let (old, new) = (Upstream::start(|_| Act::Answer(ok(""))), Upstream::start(|_| Act::Answer(ok(""))));
