--- a/src/policy.rs
+++ b/src/policy.rs
@@ -29,8 +29,8 @@
 const SURPLUS_GAIN: (f64, f64) = (0.5, 0.05);
 /// Weight of a call in the lateness of its zone: some ten calls, so that small callers follow.
 const LATE_GAIN: f64 = 0.1;
-/// Servers that must be healthy for the own zone to be used, as in Ribbon.
-const MIN_HEALTHY: usize = 2;
+/// Servers that must be healthy for the own zone to be used. One will do: small zones would always be left.
+const MIN_HEALTHY: usize = 1;
 /// Chance that a server no worse than the rest trips: sets how many failures in a row it takes ...
 const FALSE_TRIP: f64 = 0.01;
 /// ... within these bounds: one failure is no row, and a broken tier must still show its worst.
