--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -12,6 +12,8 @@
 /// Descriptors that are neither callers' nor upstreams': standard streams, listener, discovery, the runtime's,
 /// and callers taken only to be refused.
 const RESERVED: usize = 56;
+/// Less memory than this, in MB, cannot serve anybody.
+const LEAST_MEMORY: usize = 8;
 /// Fewer descriptors than this cannot serve anybody.
 const LEAST_SOCKETS: usize = 96;
 
@@ -33,6 +35,8 @@
     pub callers: usize,
     /// Connections to upstreams, idle ones included.
     pub upstreams: usize,
+    /// Bytes of memory.
+    pub memory: usize,
 }
 
 /// What the settings name and the decision module knows by position alone, and the figures of the sockets.
@@ -58,6 +62,7 @@
 
 #[derive(Deserialize)]
 struct RawLimits {
+    memory_mb: usize,
     sockets: usize,
 }
 
@@ -112,6 +117,10 @@
         if sockets < LEAST_SOCKETS {
             return Err(format!("`limits.sockets` is {sockets}, fewer than {LEAST_SOCKETS}"));
         }
+        let memory = raw.limits.memory_mb;
+        if memory < LEAST_MEMORY {
+            return Err(format!("`limits.memory_mb` is {memory}, less than {LEAST_MEMORY}"));
+        }
         // Every caller that waits has an attempt out.
         let share = (sockets - RESERVED) / 2;
         Ok(Self {
@@ -119,7 +128,7 @@
             discovery: address("discovery", discovery.or(raw.discovery))?,
             seed: u64::from_str_radix(&raw.seed, 16)
                 .map_err(|_| format!("`seed` is not a hexadecimal number: {:?}", raw.seed))?,
-            limits: Limits { callers: share, upstreams: share },
+            limits: Limits { callers: share, upstreams: share, memory: memory.saturating_mul(1 << 20) },
             known: raw.known,
             settings,
             names: Names {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod config;
 mod discovery;
 mod driver;
+mod gate;
 mod server;
 mod upstream;
 
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,6 +2,7 @@
 
 use super::config::Config;
 use super::driver::{Answer, Call, Input};
+use super::gate::{Gate, MOST_HEAD, Seen, lock};
 use super::upstream::{MOST_BODY, is_local};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -13,33 +14,37 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Version};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use std::collections::HashMap;
+use hyper_util::rt::TokioIo;
+use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 use woadstall::api::{Effect, RequestId};
 
 /// How long connections are still taken after a signal to stop: callers hear of it late.
 const GO_ON: Duration = Duration::from_millis(500);
 /// Pause among new connections after which no more are waited for then.
 const LAST_LOOK: Duration = Duration::from_millis(10);
-/// How long a caller may take over a request's head, or idle; and over its body.
-const HEAD_PATIENCE: Duration = Duration::from_secs(60);
-const BODY_PATIENCE: Duration = Duration::from_secs(10);
+/// How long a caller may take over a request, the first one from its connecting on; and how often that is
+/// looked at. Together they stay under the 3 s after which one that sends nothing whole is owed an end.
+const PATIENCE: Duration = Duration::from_millis(2500);
+const LOOK_EVERY: Duration = Duration::from_millis(200);
 /// Wait after a connection could not be taken for lack of descriptors: the next try would fail alike.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 /// Connections taken beyond those that are served, to refuse their requests: left in the kernel's backlog,
 /// they would count as taken and get no answer.
 const SURPLUS: usize = 32;
-/// How long a surplus caller may take over its request's head, and how long it is to stay away.
-const SURPLUS_PATIENCE: Duration = Duration::from_secs(5);
-const SURPLUS_BACK: Duration = Duration::from_millis(500);
+/// How long a surplus caller is to stay away, and one whose body found no room.
+const COME_BACK: Duration = Duration::from_millis(500);
+/// hyper's buffer for what a caller sends: beyond a head, it only makes bodies come in larger pieces.
+const READ_BUFFER: usize = 2 * MOST_HEAD;
+/// Part of the memory that the bodies of open requests may fill, as one over this.
+const BODIES: usize = 4;
 /// Added to the longest deadline, so long may answers take after the last connection was taken.
 const LAST_ANSWERS: Duration = Duration::from_millis(60);
 
@@ -53,6 +58,10 @@
     next_id: AtomicU32,
     next_caller: AtomicU64,
     callers: Mutex<HashMap<u64, Arc<Caller>>>,
+    /// The callers' own ids of the requests that are open.
+    open: Mutex<HashSet<String>>,
+    /// Bytes of the bodies of open requests.
+    bodies: AtomicUsize,
     /// A caller's connection has ended.
     left: Notify,
 }
@@ -61,10 +70,13 @@
 struct Caller {
     /// Beyond the connections that may be served: its requests are refused at once.
     surplus: bool,
-    /// Since when it waits for a request; `None` while it has one.
-    idle_since: Mutex<Option<Instant>>,
+    seen: Arc<Mutex<Seen>>,
+    /// It is on its way out.
+    leaving: AtomicBool,
     /// It is to be closed between requests.
     close: Notify,
+    /// It is to be closed as it is.
+    cut: Notify,
 }
 
 /// A caller's place among the connections.
@@ -82,38 +94,39 @@
 }
 
 impl Place {
-    async fn serve(self, tcp: TcpStream, mut closing: watch::Receiver<bool>) {
-        tcp.set_nodelay(true).ok();
+    async fn serve(self, gate: Gate, mut closing: watch::Receiver<bool>) {
         let service = service_fn(|request| async {
-            *lock(&self.caller.idle_since) = None;
-            let reply = match self.caller.surplus {
-                true => refusal(SURPLUS_BACK),
-                false => self.server.reply(request).await,
+            let mut reply = match self.caller.surplus {
+                true => refusal(COME_BACK),
+                false => self.server.reply(request, &self.caller.seen).await,
             };
-            *lock(&self.caller.idle_since) = Some(Instant::now());
+            let mut seen = lock(&self.caller.seen);
+            if seen.is_last() || seen.both_lengths() {
+                reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            seen.answered();
             Ok::<_, Infallible>(reply)
         });
         let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(if self.caller.surplus { SURPLUS_PATIENCE } else { HEAD_PATIENCE })
+            .max_buf_size(READ_BUFFER)
             .keep_alive(!self.caller.surplus)
-            .serve_connection(TokioIo::new(tcp), service);
+            .serve_connection(TokioIo::new(gate), service);
         let mut connection = std::pin::pin!(connection);
         tokio::select! {
             biased; // a request that has come is read before its connection is closed between requests
             _ = connection.as_mut() => return,
+            () = self.caller.cut.notified() => return,
             _ = closing.wait_for(|close| *close) => {}
             () = self.caller.close.notified() => {}
         }
         connection.as_mut().graceful_shutdown();
-        connection.await.ok();
+        tokio::select! {
+            _ = connection => {}
+            () = self.caller.cut.notified() => {}
+        }
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Tells the driver that a caller has gone, unless it got its answer.
 struct Owed<'a>(Option<RequestId>, &'a UnboundedSender<Input>);
 
@@ -128,13 +141,23 @@
 impl Server {
     /// A server that hands its requests to the driver.
     pub fn new(config: Arc<Config>, driver: UnboundedSender<Input>, ready: watch::Receiver<bool>) -> Self {
-        let (next_id, callers) = (AtomicU32::new(0), Mutex::default());
-        Self { config, driver, ready, next_id, next_caller: AtomicU64::new(0), callers, left: Notify::new() }
+        Self {
+            config,
+            driver,
+            ready,
+            next_id: AtomicU32::new(0),
+            next_caller: AtomicU64::new(0),
+            callers: Mutex::default(),
+            open: Mutex::default(),
+            bodies: AtomicUsize::new(0),
+            left: Notify::new(),
+        }
     }
 
     /// Serves until told to stop, then for a while longer, and returns when all is answered.
     pub async fn run(self, listener: TcpListener, mut stopping: watch::Receiver<bool>) {
         let server = Arc::new(self);
+        let looking = tokio::spawn(server.clone().cut_overdue());
         let (close, closing) = watch::channel(false);
         let stopped = async {
             stopping.wait_for(|stop| *stop).await.ok();
@@ -160,13 +183,25 @@
             }
         };
         timeout(Duration::from_nanos(longest) + LAST_ANSWERS, all_left).await.ok();
+        looking.abort();
+    }
+
+    /// Cuts off the callers that take too long over a request. Guards the places of the others.
+    async fn cut_overdue(self: Arc<Self>) {
+        loop {
+            sleep(LOOK_EVERY).await;
+            let callers = lock(&self.callers);
+            let overdue = callers.values().filter(|caller| lock(&caller.seen).overdue(PATIENCE));
+            overdue.for_each(|caller| caller.cut.notify_one());
+        }
     }
 
     async fn accept(self: &Arc<Self>, listener: &TcpListener, closing: &watch::Receiver<bool>) {
         let most = self.config.limits.callers;
         loop {
-            // The surplus is refused at once, so there is soon room again.
+            // The surplus is refused at once and the silent are sent away, so there is soon room again.
             while self.count() >= most + SURPLUS {
+                self.close_idle();
                 self.left.notified().await;
             }
             match listener.accept().await {
@@ -187,35 +222,38 @@
         lock(&self.callers).len()
     }
 
-    /// Has the connection closed that has been idle for longest. Its caller may be writing to it just now;
-    /// it knows then that its request was not taken.
+    /// Has an idle connection closed: the oldest that has never asked, so that a silent crowd pushes out nobody
+    /// but itself, or else the one idle for longest. Its caller may be writing to it just now; it knows then
+    /// that its request was not taken.
     fn close_idle(&self) -> bool {
         let callers = lock(&self.callers);
-        let idle =
-            callers.values().filter_map(|caller| Some((lock(&caller.idle_since).as_ref().copied()?, caller)));
+        let staying = callers.values().filter(|caller| !caller.leaving.load(Ordering::Relaxed));
+        let idle = staying.filter_map(|caller| Some((lock(&caller.seen).idle()?, caller)));
         let Some((_, caller)) = idle.min_by_key(|(since, _)| *since) else { return false };
-        *lock(&caller.idle_since) = None;
+        caller.leaving.store(true, Ordering::Relaxed);
         caller.close.notify_one();
         true
     }
 
     fn take(self: &Arc<Self>, tcp: TcpStream, closing: &watch::Receiver<bool>) {
+        tcp.set_nodelay(true).ok();
         let surplus = self.count() >= self.config.limits.callers && !self.close_idle();
-        let idle_since = Mutex::new(Some(Instant::now()).filter(|_| !surplus));
-        let caller = Arc::new(Caller { surplus, idle_since, close: Notify::new() });
+        let (gate, seen) = Gate::new(tcp);
+        let (close, cut) = (Notify::new(), Notify::new());
+        let caller = Arc::new(Caller { surplus, seen, leaving: AtomicBool::new(false), close, cut });
         let number = self.next_caller.fetch_add(1, Ordering::Relaxed);
         lock(&self.callers).insert(number, caller.clone());
-        tokio::spawn(Place { server: self.clone(), number, caller }.serve(tcp, closing.clone()));
+        tokio::spawn(Place { server: self.clone(), number, caller }.serve(gate, closing.clone()));
     }
 
-    async fn reply(&self, request: Request<Incoming>) -> Reply {
+    async fn reply(&self, request: Request<Incoming>, seen: &Mutex<Seen>) -> Reply {
         if request.uri().path() == "/healthz" {
             return match *self.ready.borrow() {
                 true => status(StatusCode::OK),
                 false => status(StatusCode::SERVICE_UNAVAILABLE),
             };
         }
-        match self.call(request).await {
+        match self.call(request, seen).await {
             Ok(reply) => reply,
             Err((code, text)) => {
                 let mut reply = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
@@ -225,19 +263,33 @@
         }
     }
 
-    async fn call(&self, request: Request<Incoming>) -> Result<Reply, (StatusCode, &'static str)> {
+    async fn call(
+        &self,
+        request: Request<Incoming>,
+        seen: &Mutex<Seen>,
+    ) -> Result<Reply, (StatusCode, &'static str)> {
+        if lock(seen).both_lengths() {
+            return Err((StatusCode::BAD_REQUEST, "Content-Length beside Transfer-Encoding\n"));
+        }
         let asked = self.check(&request)?;
         let size = request.body().size_hint();
         if size.lower() > MOST_BODY as u64 {
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n"));
         }
+        let room = size.exact().map_or(MOST_BODY, |size| size as usize);
+        let Some(_room) = Room::take(&self.bodies, room, self.config.limits.memory / BODIES) else {
+            return Ok(refusal(COME_BACK));
+        };
+        let Some(_named) = Named::take(&self.open, asked.call_id) else {
+            return Err((StatusCode::CONFLICT, "a request with this X-Call-Id is open\n"));
+        };
         let (mut head, body) = request.into_parts();
-        let body = match timeout(BODY_PATIENCE, Limited::new(body, MOST_BODY).collect()).await {
+        let body = match timeout(PATIENCE, Limited::new(body, MOST_BODY).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(_)) => return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB or broken\n")),
             Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n")),
         };
-        let deadline = Instant::now() + asked.budget;
+        let deadline = lock(seen).whole() + asked.budget;
         end_to_end(&mut head.headers);
         let id = RequestId(self.next_id.fetch_add(1, Ordering::Relaxed));
         let mut owed = Owed(Some(id), &self.driver);
@@ -280,9 +332,13 @@
         if request.method() != method {
             return Err((StatusCode::METHOD_NOT_ALLOWED, "not the method of this class\n"));
         }
-        if text(headers, "x-call-id").is_none_or(str::is_empty) {
-            return Err(bad("X-Call-Id is missing or malformed\n"));
+        // What is there twice may be read one way here and another way by the upstream.
+        for name in ["x-call-id", "x-call-class", "x-caller", "x-budget", "x-call-cost", "idempotency-key"] {
+            if headers.get_all(name).iter().nth(1).is_some() {
+                return Err(bad("a header is there twice\n"));
+            }
         }
+        let call_id = text(headers, "x-call-id").filter(|id| !id.is_empty());
         let tenant = match names.tenants.is_empty() {
             true => Some(0),
             false => {
@@ -298,6 +354,7 @@
                 .map(|micros| Some((micros * 1e3) as u64)),
         };
         Ok(Asked {
+            call_id: call_id.ok_or(bad("X-Call-Id is missing or malformed\n"))?.to_owned(),
             class,
             tenant: tenant.ok_or(bad("X-Caller is missing or not known\n"))?,
             budget: budget
@@ -309,10 +366,45 @@
     }
 }
 
+/// Room in the memory for a body.
+struct Room<'a>(&'a AtomicUsize, usize);
+
+impl<'a> Room<'a> {
+    /// Takes so many bytes of what may be held in all, if they are left.
+    fn take(held: &'a AtomicUsize, bytes: usize, most: usize) -> Option<Self> {
+        let before = held.fetch_add(bytes, Ordering::Relaxed);
+        let room = Self(held, bytes);
+        (before + bytes <= most).then_some(room)
+    }
+}
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(self.1, Ordering::Relaxed);
+    }
+}
+
+/// The name of an open request. Guards against a second one under it: upstreams and callers could not tell
+/// their answers apart.
+struct Named<'a>(&'a Mutex<HashSet<String>>, String);
+
+impl<'a> Named<'a> {
+    fn take(open: &'a Mutex<HashSet<String>>, name: String) -> Option<Self> {
+        lock(open).insert(name.clone()).then(|| Self(open, name))
+    }
+}
+
+impl Drop for Named<'_> {
+    fn drop(&mut self) {
+        lock(self.0).remove(&self.1);
+    }
+}
+
 /// No caller waits for longer.
 const MOST_BUDGET: Duration = Duration::from_secs(3600);
 
 struct Asked {
+    call_id: String,
     class: usize,
     tenant: usize,
     budget: Duration,
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -393,15 +393,20 @@
     }
 }
 
-/// A request as a caller writes it.
+/// A request as a caller writes it, with an id of its own.
 pub fn request(class: &str, budget: &str, body: &str) -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    named_request(&format!("9b1f03aa{:08x}", NEXT.fetch_add(1, Ordering::Relaxed)), class, budget, body)
+}
+
+pub fn named_request(id: &str, class: &str, budget: &str, body: &str) -> String {
     let (method, extra, body) = match class {
         "look" => ("GET", "", ""),
         "pay" => ("POST", "Idempotency-Key: 5c0f6e1a\r\n", body),
         _ => ("POST", "", body),
     };
     format!(
-        "{method} /{class}?x=1 HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: 9b1f03aa5c7e2d41\r\nX-Call-Class: {class}\r\n\
+        "{method} /{class}?x=1 HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: {id}\r\nX-Call-Class: {class}\r\n\
          X-Caller: acme\r\nX-Budget: {budget}\r\n{extra}Content-Length: {}\r\n\r\n{body}",
         body.len()
     )
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -24,7 +24,9 @@
 fn forwards_a_request_and_its_answer_unchanged() {
     let upstream = Upstream::start(|_| Act::Answer(ok("the answer")));
     let program = served_by(&upstream);
-    let answer = program.connect().call("pay", "12.5", "the body").unwrap();
+    let mut caller = program.connect();
+    caller.write(&named_request("9b1f03aa5c7e2d41", "pay", "12.5", "the body"));
+    let answer = caller.answer().unwrap();
     assert_eq!((answer.status(), &answer.body[..]), (200, &b"the answer"[..]));
     let got = upstream.request();
     assert_eq!(got.first_line, "POST /pay?x=1 HTTP/1.1");
@@ -131,7 +133,7 @@
 fn answers_bad_requests_itself() {
     let upstream = Upstream::start(|_| Act::Answer(ok("")));
     let program = served_by(&upstream);
-    let good = request("pay", "1.0", "body");
+    let good = named_request("9b1f03aa5c7e2d41", "pay", "1.0", "body");
     let cases = [
         (good.replace("X-Budget: 1.0\r\n", ""), 400),
         (good.replace("1.0", "soon"), 400),
@@ -161,6 +163,115 @@
     assert_eq!(program.call("pay").status(), 200, "it serves on");
 }
 
+/// Guards against a request hidden in the body of another: one side goes by the length, the other by the chunks.
+#[test]
+fn refuses_a_request_with_both_lengths() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let program = served_by(&upstream);
+    let hidden = format!("0\r\n\r\n{}", request("post", LONG, "hidden"));
+    let plain = request("pay", LONG, "");
+    let (length, chunked) =
+        (format!("Content-Length: {}\r\n", hidden.len()), "Transfer-Encoding: chunked\r\n");
+    for both in [format!("{length}{chunked}"), format!("{chunked}{length}")] {
+        let mut caller = program.connect();
+        caller.write(&(plain.replace("Content-Length: 0\r\n", &both) + &hidden));
+        assert_eq!(caller.answer().expect("an answer").status(), 400, "{both}");
+        assert!(caller.answer().is_none(), "the connection is of no further use");
+    }
+    assert_eq!(upstream.requests(), 0);
+    let mut caller = program.connect();
+    caller.write(&plain.replace("Content-Length: 0\r\n\r\n", &format!("{chunked}\r\n3\r\nabc\r\n0\r\n\r\n")));
+    assert_eq!(caller.answer().unwrap().status(), 200, "chunks alone are sound");
+    assert_eq!(upstream.request().body, b"abc");
+}
+
+/// Guards the places and the memory: a request is owed within a few seconds, and a head has an end.
+#[test]
+fn sends_callers_away_that_never_finish_a_request() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let program = served_by(&upstream);
+    let good = request("pay", LONG, "body");
+    let head = good.split("X-Budget").next().unwrap();
+    let cases = ["", head, &good[..good.len() - 2], &good.replace("Content-Length: 4", "Content-Length: 5")];
+    for begun in cases {
+        let mut caller = program.connect();
+        caller.write(begun);
+        // An error or the end comes; the program would else wait for the rest, and the test with it.
+        assert!(caller.answer().is_none_or(|answer| answer.status() == 408), "{begun:?}");
+    }
+    let mut caller = program.connect();
+    caller.write(&format!("{head}X-Pad: {}", "p".repeat(20 << 10)));
+    assert!(caller.answer().is_none_or(|answer| answer.status() == 431), "a head over 8 KiB");
+    assert_eq!(upstream.requests(), 0);
+    let mut caller = program.connect();
+    assert_eq!(caller.call("pay", LONG, "b").unwrap().status(), 200);
+    std::thread::sleep(Duration::from_secs(4));
+    assert_eq!(caller.call("pay", LONG, "b").unwrap().status(), 200, "one that has asked may rest");
+}
+
+/// Guards usual clients against crowds: those that have never asked go first.
+#[test]
+fn a_silent_crowd_pushes_out_nobody_else() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let mut config = config(refusing(), &in_service(&[&upstream]));
+    config["limits"]["sockets"] = 100.into();
+    let program = Program::start(&config);
+    let mut caller = program.connect();
+    assert_eq!(caller.call("pay", LONG, "b").unwrap().status(), 200);
+    let crowd: Vec<Caller> = (0..150).map(|_| program.connect()).collect();
+    assert_eq!(program.call("post").status(), 200, "a new caller finds a place");
+    assert_eq!(caller.call("pay", LONG, "b").unwrap().status(), 200);
+    drop(crowd);
+}
+
+/// Guards against answers that cannot be told apart.
+#[test]
+fn refuses_a_second_request_of_the_same_name() {
+    let upstream = Upstream::start(|_| Act::Silence);
+    let program = served_by(&upstream);
+    let same = named_request("9b1f03aa5c7e2d41", "post", LONG, "b");
+    let asking = || {
+        let mut caller = program.connect();
+        caller.write(&same);
+        caller
+    };
+    let first = asking();
+    upstream.request();
+    assert_eq!(asking().answer().unwrap().status(), 409);
+    drop(first);
+    upstream.closed();
+    let _third = asking();
+    upstream.request(); // the name is free again
+    let mut caller = program.connect();
+    caller.write(&same.replace("X-Budget", "X-Call-Id: 9b1f03aa5c7e2d42\r\nX-Budget"));
+    assert_eq!(caller.answer().unwrap().status(), 400);
+}
+
+/// Guards against a request whose time begins only once the one in front of it is answered, and against a
+/// caller whose leaving is not seen behind what it has sent ahead.
+#[test]
+fn a_request_behind_another_has_its_time_and_its_caller() {
+    let upstream = Upstream::start(|message| match message.body == b"quick" {
+        true => Act::Answer(ok("quick")),
+        false => Act::Silence,
+    });
+    let program = served_by(&upstream);
+    let mut caller = program.connect();
+    let requests = [("1.0", "slow"), ("0.2", "quick"), (LONG, "quick")];
+    caller.write(&requests.map(|(budget, body)| request("post", budget, body)).concat());
+    assert_eq!(caller.answer().unwrap().status(), 502);
+    assert_ne!(caller.answer().unwrap().status(), 200, "its time is over");
+    assert_eq!(caller.answer().unwrap().body, b"quick");
+    assert_eq!(upstream.requests(), 2);
+    upstream.seen.try_iter().for_each(drop);
+
+    let mut caller = program.connect();
+    caller.write(&(request("post", LONG, "slow") + &request("post", LONG, "quick")));
+    upstream.request();
+    drop(caller);
+    upstream.closed();
+}
+
 #[test]
 fn takes_a_body_of_the_largest_size() {
     let upstream = Upstream::start(|message| Act::Answer(ok(&"a".repeat(message.body.len()))));
@@ -347,6 +458,7 @@
         (break_at("/discovery", "there".into()), "discovery"),
         (break_at("/seed", "dice".into()), "seed"),
         (break_at("/limits/sockets", 3.into()), "sockets"),
+        (break_at("/limits/memory_mb", 1.into()), "memory_mb"),
         (break_at("/settings/Zones", 3.into()), "Zones"),
         (break_at("/settings/Zone", 7.into()), "zone"),
         (break_at("/settings/Classes", serde_json::json!([])), "classes"),
