--- a/src/policy.rs
+++ b/src/policy.rs
@@ -367,7 +367,7 @@
     }
 
     fn give_up(&mut self, id: RequestId, request: &Request) {
-        self.answered(request.per_aim, false);
+        self.answered(request.per_aim);
         self.refuse_or_fail(id, request);
     }
 
@@ -726,7 +726,7 @@
 
     fn on_client_gone(&mut self, id: RequestId) {
         if let Some(asking) = self.asking.remove(&id) {
-            return self.answered(asking.request.per_aim, false);
+            return self.answered(asking.request.per_aim);
         }
         let Some(request) = self.requests.get_mut(&id).filter(|request| !request.closed) else { return };
         request.closed = true;
@@ -734,7 +734,7 @@
             self.actions.push(Action::Cancel { id, attempt: request.attempts - 1 });
         }
         let per_aim = request.per_aim;
-        self.answered(per_aim, false);
+        self.answered(per_aim);
     }
 
     fn on_ended(&mut self, id: RequestId, end: End) {
@@ -756,7 +756,7 @@
             return;
         }
         if end.closed {
-            return self.answered(request.per_aim, end.outcome == Outcome::Ok);
+            return self.answered(request.per_aim);
         }
         if !end.outcome.never_ran() {
             request.may_have_run = request.may_have_run.or(request.sent);
@@ -888,9 +888,10 @@
         self.shed.hold(self.now, change, self.answer_window());
     }
 
-    fn answered(&mut self, per_aim: f64, served: bool) {
+    /// A request is over, however it ended: spoilt answers hold nothing up, and are no jam.
+    fn answered(&mut self, per_aim: f64) {
         self.hold(-per_aim);
-        self.shed.answers.add(self.now, if served { 1.0 } else { 0.0 }, self.answer_window());
+        self.shed.answers.add(self.now, 1.0, self.answer_window());
     }
 
     /// Worth for each unit of work of a class, within or beyond the quota.
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -33,6 +33,23 @@
     }
 }
 
+/// Guards work against being shed for answers that are spoilt: they come as fast as others, and nothing waits.
+#[test]
+fn failed_answers_are_no_jam() {
+    let mut rig = Rig::new(settings(), &zones(3, 4));
+    let mut open = std::collections::VecDeque::new();
+    for call in 0..600 {
+        rig.now += 10 * MS;
+        let (id, actions) = rig.demand(UNSAFE);
+        assert!(!refused(&actions), "call {call}");
+        open.push_back(id);
+        if open.len() > 14 {
+            let outcome = if call % 2 == 0 { Outcome::Error } else { Outcome::Ok };
+            rig.end(open.pop_front().unwrap(), 0, outcome, 140 * MS);
+        }
+    }
+}
+
 #[test]
 fn blackout_of_half_the_zone_leaves_it() {
     let mut rig = Rig::new(settings(), &zones(3, 4));
