Forget upstreams that are gone; drop what leads to former processes; let bad requests count against nobody

A whole list closes idle connections to those it omits. - driver.rs on_ended put a connection back under its upstream's name though the process had been replaced, had drained or gone meanwhile: the next request went to the former process. - A 4xx of an upstream counted as its failure, was sent again up to six times and tripped breakers; it is the final answer now and is passed on (Outcome::Declined). - The safety net's timer stayed for up to X-Budget; it goes with the request. - Answers: a length over 64 KiB is given up when the head is read, a head without end at 16 KiB instead of 408. Copies and noise behind an answer, in one write or after it, reached no other request before either; a test holds that now.

--- a/src/api.rs
+++ b/src/api.rs
@@ -209,6 +209,8 @@
     Ok,
     /// The server answered with an error; it may have run.
     Error,
+    /// The server found fault with the request, and its answer is the final one: it tells nothing of the server.
+    Declined,
     /// Turned away unseen.
     Full,
     /// No answer within the attempt's limit; it may have run.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -7,7 +7,7 @@
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response, Uri, Version};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -83,6 +83,8 @@
 struct Out {
     number: u32,
     server: ServerId,
+    /// The process that it was sent to.
+    upstream: Upstream,
     sent: Time,
     /// Dropping it withdraws the attempt.
     cancel: Option<oneshot::Sender<()>>,
@@ -91,7 +93,6 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
     Module(u64),
-    Net(RequestId),
     Sweep,
 }
 
@@ -107,19 +108,24 @@
     subscribe: UnboundedSender<()>,
     ready: watch::Sender<bool>,
     requests: HashMap<RequestId, Open>,
+    /// The upstreams that are listed, and the number of the next new one: none is given out twice.
     ids: HashMap<String, ServerId>,
+    next_server: u32,
     servers: HashMap<ServerId, Upstream>,
     idle: Idle,
     timers: BinaryHeap<Reverse<(Time, Timer)>>,
+    /// When the safety net is due for each request that is owed an answer.
+    nets: BTreeSet<(Time, RequestId)>,
     actions: Vec<Action>,
     pending: VecDeque<Pending>,
 }
 
-/// Where an upstream listens, and since when it runs.
-#[derive(PartialEq, Eq)]
+/// Where an upstream listens, since when it runs, and whether it takes work.
+#[derive(Clone, Copy, PartialEq, Eq)]
 struct Upstream {
     address: Option<SocketAddr>,
     boot_ms: u64,
+    in_service: bool,
 }
 
 /// The module's clock: Unix time, that an upstream's start can be told in, but never set back.
@@ -168,9 +174,11 @@
             ready,
             requests: HashMap::new(),
             ids: HashMap::new(),
+            next_server: 0,
             servers: HashMap::new(),
             idle,
             timers: BinaryHeap::new(),
+            nets: BTreeSet::new(),
             actions: Vec::new(),
             pending: VecDeque::new(),
             config,
@@ -185,7 +193,9 @@
     pub async fn run(mut self, mut inbox: UnboundedReceiver<Input>) {
         let mut inputs = Vec::new();
         loop {
-            let next = self.timers.peek().map_or(self.clock.now(), |Reverse((at, _))| *at);
+            let timer = self.timers.peek().map(|Reverse((at, _))| *at);
+            let net = self.nets.first().map(|(at, _)| *at);
+            let next = timer.into_iter().chain(net).min().unwrap_or_else(|| self.clock.now());
             tokio::select! {
                 biased;
                 () = sleep_until(self.clock.instant(next)) => {}
@@ -222,22 +232,22 @@
             self.timers.pop();
             match timer {
                 Timer::Module(token) => self.tell(Event::Timer(token)),
-                Timer::Net(id) => self.on_net(id),
                 Timer::Sweep => {
                     self.idle.sweep();
                     self.set_timer(SWEEP_EVERY, Timer::Sweep);
                 }
             }
         }
+        while let Some(&(_, id)) = self.nets.first().filter(|(at, _)| *at <= now) {
+            self.on_net(id);
+        }
     }
 
     /// Guards the callers: what the module has left open past its time is answered all the same.
     fn on_net(&mut self, id: RequestId) {
-        if self.requests.get(&id).is_some_and(|open| open.answer.is_some()) {
-            super::log(format_args!("request {} was left open past its time", id.0));
-            self.answer(id, Answer::Failed);
-            self.tell(Event::ClientGone(id));
-        }
+        super::log(format_args!("request {} was left open past its time", id.0));
+        self.answer(id, Answer::Failed);
+        self.tell(Event::ClientGone(id));
     }
 
     // ---- Discovery ----
@@ -249,21 +259,44 @@
         } else if !entries.is_empty() {
             self.tell(Event::ListChange(&entries));
         }
+        self.forget_gone(&listing);
         if entries.iter().any(|entry| entry.lifecycle == Lifecycle::Ready) {
             self.ready.send_if_modified(|ready| !std::mem::replace(ready, true));
         }
     }
 
+    /// Forgets the upstreams that are gone, by name or by not being on a whole list, and closes their idle
+    /// connections. Guards the memory where upstreams are ever new.
+    fn forget_gone(&mut self, listing: &Listing) {
+        let names = |gone: bool| {
+            let targets = listing.targets.iter().filter(move |t| (t.state == State::Terminated) == gone);
+            targets.map(|target| target.uid.as_str()).collect::<HashSet<_>>()
+        };
+        let (named, gone) = (names(false), names(true));
+        let (servers, idle) = (&mut self.servers, &mut self.idle);
+        self.ids.retain(|uid, server| {
+            let stays = !gone.contains(uid.as_str()) && (!listing.all || named.contains(uid.as_str()));
+            if !stays {
+                servers.remove(server);
+                idle.close(*server);
+            }
+            stays
+        });
+    }
+
     fn entry(&mut self, target: &Target) -> ListEntry {
-        let next = ServerId(self.ids.len() as u32);
-        let server = *self.ids.entry(target.uid.clone()).or_insert(next);
+        let server = *self.ids.entry(target.uid.clone()).or_insert_with(|| {
+            self.next_server += 1;
+            ServerId(self.next_server)
+        });
         let address: Option<SocketAddr> = target.endpoint.parse().ok();
         if address.is_none() {
             super::log(format_args!("upstream {}: no address in {:?}", target.uid, target.endpoint));
         }
-        let upstream = Upstream { address, boot_ms: target.boot_ms };
+        let in_service = target.state == State::InService;
+        let upstream = Upstream { address, boot_ms: target.boot_ms, in_service };
         // Connections to a former process, or to one that takes nothing new, are of no use.
-        if target.state != State::InService || self.servers.get(&server) != Some(&upstream) {
+        if !in_service || self.servers.get(&server) != Some(&upstream) {
             self.idle.close(server);
         }
         self.servers.insert(server, upstream);
@@ -292,20 +325,24 @@
             id,
             Open { request: call.request, deadline, answer: Some(call.answer), attempts: 0, out: Vec::new() },
         );
-        self.timers.push(Reverse((deadline.saturating_add(NET_AFTER), Timer::Net(id))));
+        self.nets.insert((deadline.saturating_add(NET_AFTER), id));
         self.tell(Event::Request(id, demand));
     }
 
     fn on_caller_gone(&mut self, id: RequestId) {
         if let Some(open) = self.requests.get_mut(&id).filter(|open| open.answer.is_some()) {
             open.answer = None;
+            self.nets.remove(&(open.deadline.saturating_add(NET_AFTER), id));
             self.tell(Event::ClientGone(id));
             self.forget_if_done(id);
         }
     }
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
-        if let Some(sender) = self.requests.get_mut(&id).and_then(|open| open.answer.take()) {
+        if let Some(open) = self.requests.get_mut(&id)
+            && let Some(sender) = open.answer.take()
+        {
+            self.nets.remove(&(open.deadline.saturating_add(NET_AFTER), id));
             sender.send(answer).ok(); // a caller that has just gone needs none
         }
         self.forget_if_done(id);
@@ -324,16 +361,17 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         let (number, until) = (open.attempts, until.min(open.deadline));
         open.attempts += 1;
-        let address = self.servers.get(&server).and_then(|upstream| upstream.address);
+        let upstream = self.servers.get(&server).copied();
         let possible = open.answer.is_some() && now < until && number < self.config.settings.max_attempts;
-        let Some(address) = address.filter(|_| possible) else { return self.not_sent(id, number) };
+        let target = upstream.filter(|_| possible).and_then(|upstream| Some((upstream, upstream.address?)));
+        let Some((upstream, address)) = target else { return self.not_sent(id, number) };
         let idle = self.idle.take(server);
         if idle.is_none() && !self.idle.make_room() {
             return self.not_sent(id, number);
         }
         let request = forwarded(&open.request, address, open.deadline - now);
         let (cancel, cancelled) = oneshot::channel::<()>();
-        open.out.push(Out { number, server, sent: now, cancel: Some(cancel) });
+        open.out.push(Out { number, server, upstream, sent: now, cancel: Some(cancel) });
         let (inputs, until) = (self.inputs.clone(), self.clock.instant(until));
         let exchange = exchange(request, idle, address, self.config.names.connect_timeout, self.idle.open());
         tokio::spawn(async move {
@@ -357,16 +395,19 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(at) = open.out.iter().position(|out| out.number == attempt) else { return };
         let out = open.out.swap_remove(at);
-        if let Some(connection) = finished.connection {
+        // One to a process that has drained, gone or been replaced since is of no use.
+        let current = out.upstream.in_service && self.servers.get(&out.server) == Some(&out.upstream);
+        if let Some(connection) = finished.connection.filter(|_| current) {
             self.idle.put(out.server, connection);
         }
         let fields = &self.config.names.report_fields;
         let report = finished.response.as_ref().and_then(|response| response.headers().get("x-load-report"));
         let load = report.and_then(|report| load_report(report.as_bytes(), fields));
-        let closed = open.answer.is_none() || finished.outcome == Outcome::Ok;
+        let closing = matches!(finished.outcome, Outcome::Ok | Outcome::Declined);
+        let closed = open.answer.is_none() || closing;
         let elapsed = self.clock.now().saturating_sub(out.sent);
         let end = End { attempt, outcome: finished.outcome, elapsed, closed, load };
-        if let Some(response) = finished.response.filter(|_| finished.outcome == Outcome::Ok) {
+        if let Some(response) = finished.response.filter(|_| closing) {
             self.answer(id, Answer::Served(response));
         }
         self.tell(Event::Ended(id, end));
@@ -394,7 +435,7 @@
     }
 
     fn on_probed(&mut self, server: ServerId, finished: Finished) {
-        if let Some(connection) = finished.connection {
+        if let Some(connection) = finished.connection.filter(|_| self.servers.contains_key(&server)) {
             self.idle.put(server, connection);
         }
         let load = finished
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame, SizeHint};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -24,6 +24,8 @@
 
 /// Largest body either way.
 pub const MOST_BODY: usize = 64 << 10;
+/// hyper's buffer for an answer: a head without end is given up at this size.
+const READ_BUFFER: usize = 16 << 10;
 /// An idle connection is dropped by this much, or by half its time, before its upstream may close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -70,6 +72,9 @@
         return broken().into();
     };
     let (head, body) = response.into_parts();
+    if body.size_hint().lower() > MOST_BODY as u64 {
+        return Outcome::Error.into(); // larger than any answer may be
+    }
     let body = match Limited::new(body, MOST_BODY).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) if error.is::<hyper::Error>() => return broken().into(),
@@ -79,6 +84,9 @@
     let outcome = match head.status {
         StatusCode::OK => Outcome::Ok,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => Outcome::Full,
+        // 408 and 429 are about the connection and the load; all else of its kind is about the request.
+        StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS => Outcome::Error,
+        status if status.is_client_error() => Outcome::Declined,
         _ => Outcome::Error,
     };
     // Ready again unless the upstream closes it, which it has said by now.
@@ -110,7 +118,9 @@
         tcp.set_nodelay(true)?;
         let (tcp, progress) = (Arc::new(tcp), Arc::new(Progress::default()));
         let socket = Socket { tcp: tcp.clone(), progress: progress.clone() };
-        let (sender, connection) = handshake(TokioIo::new(socket)).await.map_err(io::Error::other)?;
+        let builder = &mut Builder::new();
+        let builder = builder.max_buf_size(READ_BUFFER);
+        let (sender, connection) = builder.handshake(TokioIo::new(socket)).await.map_err(io::Error::other)?;
         let task = tokio::spawn(connection).abort_handle();
         open.fetch_add(1, Ordering::Relaxed);
         Ok(Self { sender, tcp, progress, task, open })
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -6,7 +6,7 @@
 
 use crate::api::*;
 use crate::state::{Asking, Breaker, IdleRisk, Latency, Pool, Recent, Request, Server, Shedding};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 const SECOND: Duration = 1_000_000_000;
 /// Proposals of one pick before the fallback, as in the article.
@@ -109,6 +109,8 @@
     actions: Vec<Action>,
     servers: Vec<Server>,
     index: HashMap<ServerId, usize>,
+    /// Places among the servers that nobody has.
+    free: Vec<usize>,
     /// One for each zone; the last has all servers.
     pools: Vec<Pool>,
     largest: f64,
@@ -142,6 +144,7 @@
             actions: Vec::new(),
             servers: Vec::new(),
             index: HashMap::new(),
+            free: Vec::new(),
             pools: (0..=settings.zones).map(|_| Pool::default()).collect(),
             largest: 1.0,
             requests: HashMap::new(),
@@ -197,9 +200,11 @@
 
     fn on_list(&mut self, entries: &[ListEntry], whole: bool) {
         if whole {
+            self.index.values().for_each(|&at| self.servers[at].gone = true);
             self.servers.iter_mut().for_each(|server| server.ready = false);
         }
         entries.iter().for_each(|entry| self.on_entry(entry));
+        self.forget_gone();
         self.rebuild_pools();
         if self.watch_failures.replace(0).is_none() && self.settings.ask_discovery {
             let spread = WATCH_SPACING * Duration::from(self.settings.siblings);
@@ -208,14 +213,14 @@
     }
 
     fn on_entry(&mut self, entry: &ListEntry) {
-        let next = self.servers.len();
-        let at = *self.index.entry(entry.server).or_insert(next);
-        if at == next {
-            // Seeded, so that siblings that skip a server don't all hit the same next one.
-            let (order, turn) = (self.rng.u64(..), self.rng.f64());
-            self.servers.push(Server { id: entry.server, order, turn, slowness: 1.0, ..Server::default() });
-        }
+        let gone = entry.lifecycle == Lifecycle::Gone;
+        let at = match self.index.get(&entry.server) {
+            Some(&at) => at,
+            None if gone => return,
+            None => self.add(entry.server),
+        };
         let server = &mut self.servers[at];
+        server.gone = gone;
         server.zone = usize::from(entry.zone.0).min(self.settings.zones);
         server.cell = entry.cell;
         server.ready = entry.lifecycle == Lifecycle::Ready;
@@ -231,6 +236,39 @@
         server.started = entry.started;
     }
 
+    fn add(&mut self, id: ServerId) -> usize {
+        // Seeded, so that siblings that skip a server don't all hit the same next one.
+        let (order, turn) = (self.rng.u64(..), self.rng.f64());
+        let server = Server { id, order, turn, slowness: 1.0, ..Server::default() };
+        let at = self.free.pop().unwrap_or(self.servers.len());
+        match self.servers.get_mut(at) {
+            Some(place) => *place = server,
+            None => self.servers.push(server),
+        }
+        self.index.insert(id, at);
+        at
+    }
+
+    /// Forgets the servers that are gone, but for those that an attempt is out at, or that stand for the group
+    /// a keyed request must stay in. Guards the memory, and the time for each list, where servers are ever new.
+    fn forget_gone(&mut self) {
+        if self.servers.iter().all(|server| !server.gone) {
+            return;
+        }
+        let asking = self.asking.values();
+        let requests = self.requests.values().chain(asking.clone().map(|asking| &asking.request));
+        let sent = requests.flat_map(|request| [request.sent, request.may_have_run]).flatten();
+        let asked = asking.flat_map(|asking| asking.proposals.iter().map(|&(at, _)| at));
+        let needed: HashSet<usize> = sent.map(|(at, _)| at).chain(asked).collect();
+        for (at, server) in self.servers.iter_mut().enumerate() {
+            if server.gone && !needed.contains(&at) {
+                self.index.remove(&server.id);
+                *server = Server::default();
+                self.free.push(at);
+            }
+        }
+    }
+
     fn rebuild_pools(&mut self) {
         let mut ready: Vec<usize> = (0..self.servers.len()).filter(|&at| self.servers[at].ready).collect();
         ready.sort_by_key(|&at| self.servers[at].order);
@@ -793,7 +831,7 @@
                 let server = &mut self.servers[at];
                 (server.open, server.conn_limit) = (server.in_flight, Some((server.in_flight, self.now)));
             }
-            Outcome::Cancelled | Outcome::Moot => {}
+            Outcome::Cancelled | Outcome::Moot | Outcome::Declined => {}
             Outcome::Error | Outcome::ConnectFailed => self.breaker_failure(at),
             _ => self.failure(at, request.idle),
         }
@@ -888,8 +926,8 @@
         self.shed.hold(self.now, change, self.answer_window());
     }
 
-    /// A request is over. Spoilt answers count like others: they hold nothing up. What no server has worked on
-    /// does not: quick refusals would pass for quick answers.
+    /// A request is over. Spoilt answers count like others: they hold nothing up. What no server has worked
+    /// on does not: quick refusals would pass for quick answers.
     fn answered(&mut self, per_aim: f64, worked_on: bool) {
         self.hold(-per_aim);
         self.shed.answers.add(self.now, if worked_on { 1.0 } else { 0.0 }, self.answer_window());
--- a/src/state.rs
+++ b/src/state.rs
@@ -10,6 +10,8 @@
     pub zone: usize,
     pub cell: u16,
     pub ready: bool,
+    /// It is on no list any more, and is forgotten once nothing refers to it.
+    pub gone: bool,
     pub size: f64,
     pub started: Option<Time>,
     /// Place in the round robin.
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -59,6 +59,8 @@
     Answer(String),
     /// Writes this and closes the connection.
     AnswerAndClose(String),
+    /// Writes the one, and then the other, which belongs to no request.
+    AnswerAndMore(String, String),
     /// Says nothing until the peer closes.
     Silence,
 }
@@ -76,6 +78,8 @@
 pub enum Seen {
     Connected,
     Request(Message),
+    /// What belongs to no request is written.
+    Wrote,
     /// A connection has ended.
     Closed,
 }
@@ -107,6 +111,11 @@
         while !matches!(self.seen.recv_timeout(PATIENCE).expect("the end of a connection"), Seen::Closed) {}
     }
 
+    /// Waits until something is written that belongs to no request.
+    pub fn wrote(&self) {
+        while !matches!(self.seen.recv_timeout(PATIENCE).expect("more than an answer"), Seen::Wrote) {}
+    }
+
     /// The requests seen since the last look.
     pub fn requests(&self) -> usize {
         self.seen.try_iter().filter(|seen| matches!(seen, Seen::Request(_))).count()
@@ -125,6 +134,11 @@
                 output.write_all(text.as_bytes()).unwrap_or(());
                 break;
             }
+            Act::AnswerAndMore(text, more) => {
+                output.write_all(text.as_bytes()).unwrap_or(());
+                output.write_all(more.as_bytes()).unwrap_or(());
+                tell.send(Seen::Wrote).ok();
+            }
             Act::Silence => {}
         }
     }
@@ -311,6 +325,13 @@
         }
     }
 
+    /// Resident memory, in KiB.
+    pub fn memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmRSS")).expect("its memory");
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
     /// Waits for the end; the rest of the log comes with it.
     pub fn end(mut self) -> (ExitStatus, String) {
         let mut log = String::new();
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -658,3 +658,25 @@
     }
     assert!(logs.iter().all(|text| !text.contains("breaker")), "{logs:?}");
 }
+
+/// Where servers are ever new, all that were ever listed filled the memory, and each list took longer.
+#[test]
+fn servers_that_are_gone_are_forgotten() {
+    let mut rig = Rig::new(settings(), &zones(3, 1));
+    let mut size = Vec::new();
+    for round in 1..200 {
+        // One attempt is out at a server that goes; its end still finds what it belongs to.
+        let (id, actions) = rig.demand(KEYED_ZONE);
+        let first = sent(&actions).expect("sent");
+        let list: Vec<ListEntry> = (0..3).map(|zone| entry(3 * round + u32::from(zone), zone)).collect();
+        rig.tell(Event::List(&list));
+        rig.now += 20 * MS;
+        // The budget for retries does not grant each.
+        if let Some(again) = sent(&rig.end(id, 0, Outcome::Error, 20 * MS)) {
+            assert_eq!(again % 3, first % 3, "the window of its key is that of its zone");
+            rig.end(id, 1, Outcome::Ok, 20 * MS);
+        }
+        size.push(format!("{:?}", rig.balancer).len());
+    }
+    assert!(size[198] < 2 * size[4], "{} then {}", size[4], size[198]);
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -318,6 +318,103 @@
     }
 }
 
+/// Guards against a connection that outlives the process it leads to: the upstream of the same name is another.
+#[test]
+fn does_not_keep_a_connection_to_a_former_process() {
+    let held = Arc::new(Barrier::new(2));
+    let gate = held.clone();
+    let old = Upstream::start(move |_| {
+        gate.wait();
+        Act::Answer(ok("old"))
+    });
+    let new = Upstream::start(|_| Act::Answer(ok("new")));
+    let discovery = Discovery::start();
+    let program = Program::start(&config(discovery.address, &in_service(&[&old])));
+    let mut caller = program.connect();
+    caller.send("post", LONG, "b");
+    old.request();
+    discovery.publish(&in_service(&[&new]));
+    held.wait();
+    assert_eq!(caller.answer().unwrap().body, b"old");
+    assert_eq!(program.call("post").body, b"new");
+}
+
+/// Guards the memory where upstreams are ever new: what is gone is forgotten.
+#[test]
+fn forgets_upstreams_that_are_gone() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let discovery = Discovery::start();
+    let program = Program::start(&config(discovery.address, &in_service(&[&upstream])));
+    let publish = |round: usize| {
+        let uid = |at: usize| format!("s-{round}-{at}-{}", "x".repeat(200));
+        let fleet: Vec<String> =
+            (0..300).map(|at| target(&uid(at), upstream.address, "in_service")).collect();
+        discovery.publish(&fleet);
+        assert_eq!(program.call("post").status(), 200);
+    };
+    (0..20).for_each(publish);
+    let before = program.memory();
+    (20..120).for_each(publish);
+    let grown = program.memory().saturating_sub(before);
+    assert!(grown < 8 << 10, "{grown} KiB more after 30,000 upstreams");
+}
+
+/// Guards against answers that belong to nobody: the next request must not be given one.
+#[test]
+fn takes_no_answer_for_another_request() {
+    for more in [ok("stale"), "noise".into()] {
+        let together = ok("first") + &more;
+        for first in [Act::Answer(together), Act::AnswerAndMore(ok("first"), more)] {
+            let apart = matches!(first, Act::AnswerAndMore(..));
+            let upstream = Upstream::start(once(first));
+            let program = served_by(&upstream);
+            let mut caller = program.connect();
+            assert_eq!(caller.call("post", LONG, "b").unwrap().body, b"first");
+            if apart {
+                upstream.wrote();
+            }
+            assert_eq!(caller.call("post", LONG, "b").unwrap().body, b"second");
+        }
+    }
+}
+
+/// Guards the caller against answers that can't be read or have no end: they have failed, and their connection
+/// is of no further use.
+#[test]
+fn gives_up_spoilt_answers_at_once() {
+    let endless = format!("HTTP/1.1 200 OK\r\n{}", "X-Pad: pppppppppp\r\n".repeat(2000));
+    let huge = "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nbegun".to_owned();
+    let chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n".to_owned();
+    for spoilt in [endless, huge, chunks, "noise\r\n\r\n".to_owned()] {
+        let upstream = Upstream::start(once(Act::Answer(spoilt.clone())));
+        let program = served_by(&upstream);
+        assert_eq!(program.call("post").status(), 502, "{}", &spoilt[..20]);
+        upstream.closed();
+        assert_eq!(upstream.requests(), 0, "it may have run");
+        assert_eq!(program.call("post").body, b"second");
+    }
+    let sound =
+        "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nX-Load-Report: {{\r\nContent-Length: 2\r\n\r\nok";
+    let upstream = Upstream::start(move |_| Act::Answer(sound.into()));
+    assert_eq!(served_by(&upstream).call("post").body, b"ok");
+}
+
+/// Guards upstreams against being held at fault for a caller's request, and against getting it again.
+#[test]
+fn passes_on_that_a_request_is_at_fault() {
+    let upstream = Upstream::start(|message| match message.body == b"bad" {
+        true => Act::Answer("HTTP/1.1 422 Unprocessable\r\nContent-Length: 3\r\n\r\nwhy".into()),
+        false => Act::Answer(ok("")),
+    });
+    let program = served_by(&upstream);
+    for _ in 0..12 {
+        let answer = program.connect().call("pay", LONG, "bad").unwrap();
+        assert_eq!((answer.status(), &answer.body[..]), (422, &b"why"[..]));
+    }
+    assert_eq!(upstream.requests(), 12);
+    assert_eq!(program.call("post").status(), 200);
+}
+
 /// Guards against a signal that ends the program, and against a list that two services share by chance: the
 /// new one's versions say nothing of the old one's.
 #[test]
@@ -354,6 +451,7 @@
         let mut list = vec![target("s-1", new.address, "in_service")];
         list.extend(listed);
         discovery.publish(&list);
+        old.closed(); // what is idle is of no use any more
         for _ in 0..10 {
             assert_eq!(program.call("post").status(), 200);
         }
