A balancer fresh from its start goes by what it takes on for the budget of cold servers

Checked on the module alone: with all servers cold and nothing answered yet the budget's rate is 0, so 0 of 200 calls are served until the servers count as warm; the new test holds that.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -121,6 +121,9 @@
     /// Time to an answer for each call that the server held.
     per_held: Latency,
     served: Recent,
+    /// Calls taken on, which is all that is known of their rate after a start.
+    taken_on: Recent,
+    fresh_until: Time,
     failing: f64,
     idle_risk: IdleRisk,
     retry_budget: f64,
@@ -153,6 +156,8 @@
             overall: Latency::default(),
             per_held: Latency::default(),
             served: Recent::since(now),
+            taken_on: Recent::since(now),
+            fresh_until: now.saturating_add(RATE_WINDOW),
             failing: 0.0,
             idle_risk: IdleRisk::default(),
             retry_budget: RETRY_BUDGET.1,
@@ -250,7 +255,7 @@
     }
 
     /// Forgets the servers that are gone, but for those that an attempt is out at, or that stand for the group
-    /// a keyed request must stay in. Guards the memory, and the time for each list, where servers are ever new.
+    /// of a keyed request. Guards the memory, and the time for each list, where servers are ever new.
     fn forget_gone(&mut self) {
         if self.servers.iter().all(|server| !server.gone) {
             return;
@@ -312,6 +317,7 @@
             self.refuse_or_fail(id, &request);
         } else {
             self.hold(request.per_aim);
+            self.taken_on.add(self.now, 1.0, RATE_WINDOW);
             self.attempt(id, request);
         }
     }
@@ -576,8 +582,12 @@
         // Where servers tell their load before they get a call, a busy cold one is seen: half the multiple
         // that pushes it over is safe, and its share of proposals alone would leave it idle.
         let ease = if self.asks() { (self.settings.tip_multiple / 2.0).max(1.0) } else { 1.0 };
-        let rate = self.served.per_second(self.now, RATE_WINDOW) * warmth * ease
-            / self.pools[pool].size.max(f64::MIN_POSITIVE);
+        let served = self.served.per_second(self.now, RATE_WINDOW);
+        // A balancer that has just started has had nothing answered: where all servers are cold as well, after
+        // a release, nothing would ever be. It goes by what it takes on until it knows better.
+        let fresh = self.now < self.fresh_until;
+        let known = if fresh { served.max(self.taken_on.per_second(self.now, RATE_WINDOW)) } else { served };
+        let rate = known * warmth * ease / self.pools[pool].size.max(f64::MIN_POSITIVE);
         let server = &mut self.servers[at];
         let passed = (self.now - server.budget_at) as f64 / SECOND as f64;
         server.budget = (server.budget + rate * server.size * passed).min(1.0);
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -314,3 +314,13 @@
     let failed = rig.tell(Event::ListFailed);
     assert_eq!(log(&failed, "discovery failed 1 times"), 1);
 }
+
+/// Guards restarts during a release: a balancer that knows nothing yet still uses servers that are all cold.
+#[test]
+fn fresh_balancer_uses_a_fleet_that_is_cold() {
+    let mut list = zones(3, 1);
+    list.iter_mut().for_each(|entry| entry.started = Some(SECOND / 2));
+    let mut rig = Rig::new(settings(), &list);
+    let served = (0..200).filter_map(|_| rig.serve(SAFE, 20 * MS)).count();
+    assert!(served > 40, "{served} of 200 calls in 4 s, at a quarter of the capacity and more");
+}
