--- a/src/policy.rs
+++ b/src/policy.rs
@@ -254,8 +254,8 @@
         at
     }
 
-    /// Forgets the servers that are gone, but for those that an attempt is out at, or that stand for the group
-    /// of a keyed request. Guards the memory, and the time for each list, where servers are ever new.
+    /// Forgets the servers that are gone, unless an attempt is out at them or they stand for the group of a
+    /// keyed request. Guards the memory, and the time for each list, where servers are ever new.
     fn forget_gone(&mut self) {
         if self.servers.iter().all(|server| !server.gone) {
             return;
@@ -583,8 +583,8 @@
         // that pushes it over is safe, and its share of proposals alone would leave it idle.
         let ease = if self.asks() { (self.settings.tip_multiple / 2.0).max(1.0) } else { 1.0 };
         let served = self.served.per_second(self.now, RATE_WINDOW);
-        // A balancer that has just started has had nothing answered: where all servers are cold as well, after
-        // a release, nothing would ever be. It goes by what it takes on until it knows better.
+        // A balancer that has just started has had nothing answered: where all servers are cold as well,
+        // after a release, nothing would ever be. It goes by what it takes on until it knows better.
         let fresh = self.now < self.fresh_until;
         let known = if fresh { served.max(self.taken_on.per_second(self.now, RATE_WINDOW)) } else { served };
         let rate = known * warmth * ease / self.pools[pool].size.max(f64::MIN_POSITIVE);
