--- a/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -252,6 +252,8 @@
     pub time_left: Duration,
     /// Its work, roughly, where that is known.
     pub work: Option<Duration>,
+    /// Most attempts for it, whatever the settings allow beyond that: 1 where it cannot be sent again.
+    pub attempts: u32,
 }
 
 /// The end of an attempt.
--- a/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -1,4 +1,4 @@
-//! All decisions of the balancer, and all constants that steer them. The interface is `src/api.rs`.
+//! All decisions of the balancer, and all constants that steer them. The interface is `api.rs`.
 //!
 //! The ordinary path is Ribbon's zone-aware mechanism: stay in the own zone while it is healthy, else
 //! avoid the worst zone, and go round robin past tripped and over-full servers. docs/design.md has the
@@ -311,6 +311,7 @@
             class,
             per_aim: 1.0 / aim,
             deadline: self.now.saturating_add(self.useful_time(class, &demand)),
+            most: self.settings.max_attempts.min(demand.attempts),
             ..Request::default()
         };
         if self.sheds(class, demand.tenant) {
@@ -401,7 +402,7 @@
         let left = request.deadline.saturating_sub(self.now);
         let latency = &self.classes[request.class];
         let overdue = latency.above(OVERDUE_DEVS);
-        let again = request.attempts + 1 < self.settings.max_attempts && self.repeatable(request.class);
+        let again = request.attempts + 1 < request.most && self.repeatable(request.class);
         let cut = again && latency.calls >= KNOWN && overdue + latency.mean as Duration <= left;
         if cut { self.now + overdue } else { request.deadline }
     }
@@ -880,7 +881,7 @@
         let in_time =
             request.deadline.saturating_sub(self.now) as f64 > self.classes[request.class].mean / 2.0;
         // What never ran is bounded too: where nothing can be reached, each call would make all its attempts.
-        let attempts_left = request.attempts < self.settings.max_attempts;
+        let attempts_left = request.attempts < request.most;
         let granted = harmless && in_time && attempts_left && self.retry_budget >= 1.0;
         self.retry_budget -= if granted { 1.0 } else { 0.0 };
         granted
--- a/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -122,6 +122,8 @@
     pub per_aim: f64,
     pub deadline: Time,
     pub attempts: u32,
+    /// Attempts that it may have in all.
+    pub most: u32,
     /// The last server it was sent to, and when.
     pub sent: Option<(usize, Time)>,
     /// The attempt out has been found late (1), and has counted as a failure or cannot any more (2).
--- /dev/null
+++ b/crates/decisions/tests/common/mod.rs
@@ -0,0 +1,161 @@
+//! A balancer under test, and what every test says to it.
+#![allow(dead_code)]
+
+use woadstall_decisions::Balancer;
+use woadstall_decisions::api::*;
+
+pub const MS: u64 = 1_000_000;
+pub const SECOND: u64 = 1000 * MS;
+pub const SAFE: usize = 0;
+pub const UNSAFE: usize = 1;
+pub const KEYED_ALL: usize = 2;
+pub const KEYED_ZONE: usize = 3;
+pub const KEYED_CELL: usize = 4;
+
+pub fn settings() -> Settings {
+    let class = |effect, worth| Class {
+        aim: 500 * MS,
+        aim_stretch: 0.0,
+        deadline: 2 * SECOND,
+        effect,
+        late_worth: 0.2,
+        worth,
+    };
+    Settings {
+        classes: vec![
+            class(Effect::Safe, 1.0),
+            class(Effect::Unsafe, 5.0),
+            class(Effect::Keyed(Group::All, SECOND), 2.0),
+            class(Effect::Keyed(Group::Zone, SECOND), 2.0),
+            class(Effect::Keyed(Group::Cell, SECOND), 2.0),
+        ],
+        tenants: vec![],
+        over_quota_worth: 0.1,
+        worth_by_work: false,
+        zone: ZoneId(0),
+        zones: 3,
+        siblings: 4,
+        tier: 0,
+        passes_deadline: true,
+        ask_discovery: false,
+        ask_within: 10 * SECOND,
+        may_cancel: true,
+        max_retry_after: 0,
+        max_attempts: 4,
+        conn_idle: 60 * SECOND,
+        start_capacity: 0.25,
+        tip_multiple: 3.0,
+        ramp_time: 10 * SECOND,
+        report_inflight: None,
+        load_by_probe: false,
+        cross_price: 0.0,
+        probe_price: 0.0,
+    }
+}
+
+pub fn entry(server: u32, zone: u8) -> ListEntry {
+    ListEntry {
+        server: ServerId(server),
+        zone: ZoneId(zone),
+        cell: (server % 2) as u16,
+        lifecycle: Lifecycle::Ready,
+        size: 1.0,
+        started: None,
+    }
+}
+
+/// Servers 0 to `each - 1` in zone 0, then `each` in zone 1 and so on.
+pub fn zones(zones: u8, each: u32) -> Vec<ListEntry> {
+    (0..zones).flat_map(|z| (0..each).map(move |n| entry(u32::from(z) * each + n, z))).collect()
+}
+
+pub struct Rig {
+    pub balancer: Balancer,
+    pub now: u64,
+    pub next_id: u32,
+}
+
+impl Rig {
+    pub fn new(settings: Settings, list: &[ListEntry]) -> Self {
+        let mut rig =
+            Self { balancer: Balancer::new(settings, 11, SECOND).unwrap(), now: SECOND, next_id: 0 };
+        rig.tell(Event::List(list));
+        rig
+    }
+
+    pub fn tell(&mut self, event: Event<'_>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.balancer.handle(self.now, event, &mut actions);
+        actions
+    }
+
+    pub fn demand(&mut self, class: usize) -> (RequestId, Vec<Action>) {
+        let id = RequestId(self.next_id);
+        self.next_id += 1;
+        let demand = Demand { class, tenant: 0, time_left: 2 * SECOND, work: None, attempts: u32::MAX };
+        (id, self.tell(Event::Request(id, demand)))
+    }
+
+    pub fn end(&mut self, id: RequestId, attempt: u32, outcome: Outcome, elapsed: u64) -> Vec<Action> {
+        let closed = outcome == Outcome::Ok;
+        self.tell(Event::Ended(id, End { attempt, outcome, elapsed, closed, load: None }))
+    }
+
+    /// A request that is answered after `took`; the server that it went to.
+    pub fn serve(&mut self, class: usize, took: u64) -> Option<u32> {
+        let (id, actions) = self.demand(class);
+        let server = sent(&actions);
+        self.now += took;
+        if server.is_some() {
+            self.end(id, 0, Outcome::Ok, took);
+        }
+        server
+    }
+
+    /// Calm traffic, so that the balancer knows its latency.
+    pub fn warm_up(&mut self, calls: u32) {
+        for _ in 0..calls {
+            self.serve(SAFE, 20 * MS);
+        }
+    }
+
+    /// A request whose every attempt ends by `outcome(server)` at once; the servers that were tried.
+    pub fn run(&mut self, class: usize, outcome: impl Fn(u32) -> Outcome) -> (Vec<u32>, Option<Action>) {
+        let (id, mut actions) = self.demand(class);
+        let mut tried = Vec::new();
+        while let Some(server) = sent(&actions) {
+            tried.push(server);
+            self.now += 20 * MS;
+            let result = outcome(server);
+            actions = self.end(id, tried.len() as u32 - 1, result, 20 * MS);
+            if result == Outcome::Ok {
+                return (tried, None);
+            }
+        }
+        (tried, actions.pop())
+    }
+}
+
+pub fn sent(actions: &[Action]) -> Option<u32> {
+    actions.iter().find_map(|action| match action {
+        Action::Send { server, .. } => Some(server.0),
+        _ => None,
+    })
+}
+
+pub fn refused(actions: &[Action]) -> bool {
+    actions.iter().any(|action| matches!(action, Action::Refuse { .. }))
+}
+
+pub fn probed(actions: &[Action]) -> Vec<u32> {
+    let server = |action: &Action| match action {
+        Action::Probe(server) => Some(server.0),
+        _ => None,
+    };
+    actions.iter().filter_map(server).collect()
+}
+
+/// A load report of one figure.
+pub fn held(calls: f32) -> Option<LoadReport> {
+    Some(LoadReport { figures: [calls, 0.0, 0.0, 0.0], len: 1 })
+}
--- a/src/net/discovery.rs
+++ b/crates/discovery/src/client.rs
@@ -1,19 +1,16 @@
 //! The list of upstreams: a watch on discovery that is taken up again whenever it ends.
 
-use super::config::Config;
-use super::driver::Input;
+use crate::listing::Listing;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::Request;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
 use std::error::Error;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
@@ -31,62 +28,41 @@
 /// A list is never this large: guards the memory.
 const MOST_BYTES: usize = 8 << 20;
 
-/// A list of upstreams, whole or what changed, in discovery's form.
-#[derive(Clone, Debug, Default, Deserialize)]
-pub struct Listing {
-    pub rev: u64,
-    #[serde(default)]
-    pub all: bool,
-    #[serde(default)]
-    pub targets: Vec<Target>,
+/// What a follower of discovery hears of.
+#[derive(Debug)]
+pub enum Update {
+    /// Discovery has answered.
+    Listed(Listing),
+    /// A watch failed that the decision module had asked for.
+    Failed,
+    /// A line for the operators.
+    Note(String),
 }
 
-/// One upstream of a list.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Target {
-    pub uid: String,
-    pub endpoint: String,
-    #[serde(default)]
-    pub az: String,
-    #[serde(default)]
-    pub pod_group: u16,
-    pub state: State,
-    #[serde(default = "one")]
-    pub capacity_hint: f32,
-    /// Unix time in milliseconds; 0 for long ago.
-    #[serde(default)]
-    pub boot_ms: u64,
+/// What to follow.
+#[derive(Clone, Copy, Debug)]
+pub struct Follow {
+    /// The version of the list that is known already; `None` asks for the whole list first.
+    pub known: Option<u64>,
+    /// Discovery answers only when asked: a watch begins when one is subscribed.
+    pub asked: bool,
 }
 
-/// State of an upstream; what is not known is not sent to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum State {
-    InService,
-    Terminated,
-    #[serde(other)]
-    Terminating,
-}
-
-fn one() -> f32 {
-    1.0
-}
-
-/// Tells the driver of every change, for ever. Another address ends what was asked of the one before, and its
+/// Tells `tell` of every change, until that says that nobody wants to hear of it. Another address ends what was asked of the one before, and its
 /// whole list is asked for at once: versions of two services cannot be compared.
 pub async fn follow(
-    config: Arc<Config>,
-    events: UnboundedSender<Input>,
+    follow: Follow,
+    mut tell: impl FnMut(Update) -> bool,
     mut subscribed: UnboundedReceiver<()>,
     mut addresses: watch::Receiver<SocketAddr>,
 ) {
-    let mut known = Some(config.known.rev);
+    let Follow { mut known, asked } = follow;
     loop {
         let address = *addresses.borrow_and_update();
         tokio::select! {
             biased;
             changed = addresses.changed() => if changed.is_err() { return },
-            () = follow_one(address, known, config.settings.ask_discovery, &events, &mut subscribed) => return,
+            () = follow_one(address, known, asked, &mut tell, &mut subscribed) => return,
         }
         known = None;
     }
@@ -99,7 +75,7 @@
     address: SocketAddr,
     known: Option<u64>,
     asked: bool,
-    events: &UnboundedSender<Input>,
+    tell: &mut impl FnMut(Update) -> bool,
     subscribed: &mut UnboundedReceiver<()>,
 ) {
     let wait = if asked { WAIT_ASKED } else { WAIT_PUSHED };
@@ -118,11 +94,11 @@
             Ok(listing) if listing.rev < rev && !listing.all => whole = true,
             Ok(listing) => {
                 if failures > 0 {
-                    super::log(format_args!("discovery answers again after {failures} failures"));
+                    tell(Update::Note(format!("discovery answers again after {failures} failures")));
                 }
                 let unchanged = listing.rev == rev;
                 (rev, whole, failures) = (listing.rev, false, 0);
-                if events.send(Input::Listed(listing)).is_err() {
+                if !tell(Update::Listed(listing)) {
                     return;
                 }
                 if unchanged {
@@ -132,12 +108,12 @@
             Err(error) => {
                 watch.sender = None;
                 if failures == 0 {
-                    super::log(format_args!("discovery failed: {error}"));
+                    tell(Update::Note(format!("discovery failed: {error}")));
                 }
                 failures = failures.saturating_add(1);
                 if asked {
                     while subscribed.try_recv().is_ok() {} // what was asked before this failure
-                    if events.send(Input::ListFailed).is_err() || subscribed.recv().await.is_none() {
+                    if !tell(Update::Failed) || subscribed.recv().await.is_none() {
                         return;
                     }
                 } else {
--- /dev/null
+++ b/crates/engine/src/engine.rs
@@ -0,0 +1,426 @@
+//! The state machine: inputs in, commands out.
+
+use crate::members::{Entry, Members, Peer};
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
+use woadstall_decisions::Balancer;
+use woadstall_decisions::api::{
+    Action, Demand, Duration, End, Event, Lifecycle, LoadReport, Outcome, RequestId, ServerId, Settings,
+    SettingsError, Time,
+};
+
+/// The safety net answers this much after a request's time, when the module should long have done so.
+pub const NET_AFTER: Duration = 25_000_000;
+
+/// A request, as a front takes it.
+#[derive(Debug)]
+pub struct Call<R> {
+    /// Its number: none that is open may be used again.
+    pub id: RequestId,
+    /// What the front needs to send and to answer it.
+    pub request: R,
+    /// Its class, as a position in the settings.
+    pub class: usize,
+    /// Its tenant, as a position in the settings.
+    pub tenant: usize,
+    /// Its work in nanoseconds, where the caller has a guess.
+    pub work: Option<Duration>,
+    /// When its caller stops waiting.
+    pub deadline: Time,
+    /// Most attempts for it, whatever the settings allow beyond that: 1 where it cannot be sent again.
+    pub attempts: u32,
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub struct Ended<A> {
+    /// What is known of it.
+    pub outcome: Outcome,
+    /// The answer, if it is the final one.
+    pub answer: Option<A>,
+    /// The upstream's own figures, if any came along.
+    pub load: Option<LoadReport>,
+}
+
+impl<A> From<Outcome> for Ended<A> {
+    fn from(outcome: Outcome) -> Self {
+        Self { outcome, answer: None, load: None }
+    }
+}
+
+/// What a front tells the engine.
+#[derive(Debug)]
+pub enum Input<'a, R, A> {
+    /// A list of upstreams: all of them, or those that changed.
+    Listed {
+        /// The upstreams.
+        entries: &'a [Entry],
+        /// What is missing is gone.
+        all: bool,
+    },
+    /// Discovery failed; the list stays as it was.
+    ListFailed,
+    /// A request, read to its end.
+    Call(Call<R>),
+    /// The caller of a request has left.
+    Gone(RequestId),
+    /// The answer has begun at an attempt, and its caller has what came so far: no other attempt may follow.
+    Started {
+        /// The request.
+        id: RequestId,
+        /// Number of the attempt, from 0.
+        attempt: u32,
+        /// The answer that has begun.
+        answer: A,
+    },
+    /// An attempt ended; each that was sent must, once.
+    Ended {
+        /// The request.
+        id: RequestId,
+        /// Number of the attempt, from 0.
+        attempt: u32,
+        /// How.
+        ended: Ended<A>,
+    },
+    /// A probe ended.
+    Probed(ServerId, Outcome, Option<LoadReport>),
+    /// Time has passed.
+    Tick,
+}
+
+/// An attempt to be made.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Send {
+    /// The request.
+    pub id: RequestId,
+    /// Number of the attempt, from 0.
+    pub attempt: u32,
+    /// Where to.
+    pub to: Peer,
+    /// When it is given up.
+    pub until: Time,
+    /// What the upstream is told that the caller still waits, counted from now.
+    pub left: Duration,
+}
+
+/// The final answer to a request.
+#[derive(Debug, PartialEq)]
+pub enum Verdict<A> {
+    /// An upstream's answer.
+    Served(A),
+    /// Refused: trying again is harmless. With advice on how long to stay away; zero for none.
+    Refused(Duration),
+    /// Failed, with no promise on its effect.
+    Failed,
+}
+
+/// What a front is to do.
+#[derive(Debug, PartialEq)]
+pub enum Command<R, A> {
+    /// Make an attempt, connecting if need be, and tell its end.
+    Send(Send),
+    /// Stop waiting for an attempt; its end must be told all the same.
+    Withdraw {
+        /// The request.
+        id: RequestId,
+        /// Number of the attempt, from 0.
+        attempt: u32,
+    },
+    /// Give the final answer.
+    Answer {
+        /// The request.
+        request: R,
+        /// The answer.
+        verdict: Verdict<A>,
+    },
+    /// Ask an upstream for its figures, and tell how that ended.
+    Probe(Peer),
+    /// Close the idle connections to an upstream; busy ones may be used again.
+    CloseIdle(ServerId),
+    /// Use none of the present connections to an upstream for anything new: its process was replaced, takes
+    /// nothing new, or is gone. What is under way on them goes on.
+    Retire(ServerId),
+    /// Watch discovery.
+    Watch,
+    /// A line for the operators.
+    Log(String),
+}
+
+/// A request that is not answered yet, or has attempts out.
+struct Open<R> {
+    /// `None` once it is answered, or its caller has left.
+    request: Option<R>,
+    deadline: Time,
+    most: u32,
+    attempts: u32,
+    /// The attempts that have not ended, each with when it was sent.
+    out: Vec<(u32, Time)>,
+}
+
+/// See the crate's documentation.
+pub struct Engine<R, A> {
+    balancer: Balancer,
+    max_attempts: u32,
+    now: Time,
+    members: Members,
+    requests: HashMap<RequestId, Open<R>>,
+    timers: BinaryHeap<Reverse<(Time, u64)>>,
+    /// When the safety net is due for each request that is owed an answer.
+    nets: BTreeSet<(Time, RequestId)>,
+    actions: Vec<Action>,
+    /// Ends that the module hears of once it is done with what it is at.
+    pending: VecDeque<(RequestId, End)>,
+    commands: VecDeque<Command<R, A>>,
+    ready: bool,
+}
+
+impl<R, A> Engine<R, A> {
+    /// An engine that knows no upstream yet. Its random numbers come from `seed` alone.
+    pub fn new(settings: Settings, seed: u64, now: Time) -> Result<Self, SettingsError> {
+        Ok(Self {
+            max_attempts: settings.max_attempts,
+            balancer: Balancer::new(settings, seed, now)?,
+            now,
+            members: Members::default(),
+            requests: HashMap::new(),
+            timers: BinaryHeap::new(),
+            nets: BTreeSet::new(),
+            actions: Vec::new(),
+            pending: VecDeque::new(),
+            commands: VecDeque::new(),
+            ready: false,
+        })
+    }
+
+    /// Takes what happened. A time before that of the input before counts as that.
+    pub fn handle(&mut self, now: Time, input: Input<'_, R, A>) {
+        self.now = self.now.max(now);
+        match input {
+            Input::Listed { entries, all } => self.on_listed(entries, all),
+            Input::ListFailed => self.tell(Event::ListFailed),
+            Input::Call(call) => self.on_call(call),
+            Input::Gone(id) => self.on_gone(id),
+            Input::Started { id, attempt, answer } => self.on_started(id, attempt, answer),
+            Input::Ended { id, attempt, ended } => self.on_ended(id, attempt, ended),
+            Input::Probed(server, outcome, load) => self.tell(Event::Probed(server, outcome, load)),
+            Input::Tick => self.on_tick(),
+        }
+    }
+
+    /// The next thing to do, in order, until there is nothing more.
+    pub fn next_command(&mut self) -> Option<Command<R, A>> {
+        self.commands.pop_front()
+    }
+
+    /// When [`Input::Tick`] is due at the latest; `None` if never, as things are.
+    pub fn wake_at(&self) -> Option<Time> {
+        let timer = self.timers.peek().map(|Reverse((at, _))| *at);
+        let net = self.nets.first().map(|(at, _)| *at);
+        timer.into_iter().chain(net).min()
+    }
+
+    /// A request that is owed an answer.
+    pub fn request(&self, id: RequestId) -> Option<&R> {
+        self.requests.get(&id)?.request.as_ref()
+    }
+
+    /// Whether anything new may go to a process: it is listed, in service, and not replaced. To be asked
+    /// right before an attempt that had to wait is made, and before a connection is kept.
+    pub fn takes_new(&self, peer: &Peer) -> bool {
+        self.members.takes_new(peer)
+    }
+
+    /// Whether there ever was an upstream to send to.
+    pub fn is_ready(&self) -> bool {
+        self.ready
+    }
+
+    /// Whether a request is not answered, or has attempts out: its number is taken.
+    pub fn is_open(&self, id: RequestId) -> bool {
+        self.requests.contains_key(&id)
+    }
+
+    /// How many requests are not answered, or have attempts out.
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// How many upstreams are listed.
+    pub fn upstreams(&self) -> usize {
+        self.members.len()
+    }
+
+    // ---- Membership ----
+
+    fn on_listed(&mut self, entries: &[Entry], all: bool) {
+        let mut listed = Vec::with_capacity(entries.len());
+        for entry in entries {
+            if entry.address.is_none() {
+                self.log(format!("upstream {}: its address cannot be read", entry.name));
+            }
+            let (entry, retire) = self.members.take(entry);
+            if retire {
+                self.commands.push_back(Command::Retire(entry.server));
+            }
+            listed.push(entry);
+        }
+        if all {
+            self.tell(Event::List(&listed));
+        } else if !listed.is_empty() {
+            self.tell(Event::ListChange(&listed));
+        }
+        for server in self.members.forget_gone(entries, all) {
+            self.commands.push_back(Command::Retire(server));
+        }
+        self.ready |= listed.iter().any(|entry| entry.lifecycle == Lifecycle::Ready);
+    }
+
+    // ---- Timers ----
+
+    fn on_tick(&mut self) {
+        while let Some(&Reverse((_, token))) = self.timers.peek().filter(|Reverse((at, _))| *at <= self.now) {
+            self.timers.pop();
+            self.tell(Event::Timer(token));
+        }
+        while let Some(&(_, id)) = self.nets.first().filter(|(at, _)| *at <= self.now) {
+            self.log(format!("request {} was left open past its time", id.0));
+            self.answer(id, Verdict::Failed);
+            self.tell(Event::ClientGone(id));
+        }
+    }
+
+    // ---- Requests ----
+
+    fn on_call(&mut self, call: Call<R>) {
+        let Call { id, request, class, tenant, work, deadline, attempts: most } = call;
+        if self.requests.contains_key(&id) {
+            // The front's mistake; the module could not tell the two apart.
+            self.log(format!("request {} is open already", id.0));
+            return self.commands.push_back(Command::Answer { request, verdict: Verdict::Refused(0) });
+        }
+        let time_left = deadline.saturating_sub(self.now);
+        if time_left == 0 || most == 0 {
+            return self.commands.push_back(Command::Answer { request, verdict: Verdict::Refused(0) });
+        }
+        let open = Open { request: Some(request), deadline, most, attempts: 0, out: Vec::new() };
+        self.requests.insert(id, open);
+        self.nets.insert((deadline.saturating_add(NET_AFTER), id));
+        self.tell(Event::Request(id, Demand { class, tenant, time_left, work, attempts: most }));
+    }
+
+    fn on_gone(&mut self, id: RequestId) {
+        if self.close(id).is_some() {
+            self.tell(Event::ClientGone(id));
+            self.forget_if_done(id);
+        }
+    }
+
+    /// Nothing is owed to the caller of a request any more.
+    fn close(&mut self, id: RequestId) -> Option<R> {
+        let open = self.requests.get_mut(&id)?;
+        let request = open.request.take()?;
+        self.nets.remove(&(open.deadline.saturating_add(NET_AFTER), id));
+        Some(request)
+    }
+
+    fn answer(&mut self, id: RequestId, verdict: Verdict<A>) {
+        if let Some(request) = self.close(id) {
+            self.commands.push_back(Command::Answer { request, verdict });
+        }
+        self.forget_if_done(id);
+    }
+
+    fn forget_if_done(&mut self, id: RequestId) {
+        if self.requests.get(&id).is_some_and(|open| open.request.is_none() && open.out.is_empty()) {
+            self.requests.remove(&id);
+        }
+    }
+
+    // ---- Attempts ----
+
+    fn send(&mut self, id: RequestId, server: ServerId, until: Time) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let (attempt, until) = (open.attempts, until.min(open.deadline));
+        open.attempts += 1;
+        let allowed = attempt < self.max_attempts.min(open.most);
+        let possible = allowed && open.request.is_some() && self.now < until;
+        let to = self.members.peer(server).filter(|peer| possible && self.members.takes_new(peer));
+        let Some(to) = to else {
+            let end = End {
+                attempt,
+                outcome: Outcome::Moot,
+                elapsed: 0,
+                closed: open.request.is_none(),
+                load: None,
+            };
+            return self.pending.push_back((id, end));
+        };
+        open.out.push((attempt, self.now));
+        let left = open.deadline - self.now;
+        self.commands.push_back(Command::Send(Send { id, attempt, to, until, left }));
+    }
+
+    fn on_started(&mut self, id: RequestId, attempt: u32, answer: A) {
+        let out = |open: &&Open<R>| open.out.iter().any(|(number, _)| *number == attempt);
+        if self.requests.get(&id).filter(out).is_some_and(|open| open.request.is_some()) {
+            self.tell(Event::Started(id, attempt));
+            self.answer(id, Verdict::Served(answer));
+        }
+    }
+
+    fn on_ended(&mut self, id: RequestId, attempt: u32, ended: Ended<A>) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some(at) = open.out.iter().position(|(number, _)| *number == attempt) else { return };
+        let (_, sent) = open.out.swap_remove(at);
+        let closed = open.request.is_none() || ended.answer.is_some();
+        let elapsed = self.now.saturating_sub(sent);
+        let end = End { attempt, outcome: ended.outcome, elapsed, closed, load: ended.load };
+        if let Some(answer) = ended.answer {
+            self.answer(id, Verdict::Served(answer));
+        }
+        self.tell(Event::Ended(id, end));
+        self.forget_if_done(id);
+    }
+
+    // ---- The module ----
+
+    /// Tells the module of an event, does what it says, and tells it of what came of that at once.
+    fn tell(&mut self, event: Event<'_>) {
+        self.tell_one(event);
+        while let Some((id, end)) = self.pending.pop_front() {
+            self.tell_one(Event::Ended(id, end));
+        }
+    }
+
+    fn tell_one(&mut self, event: Event<'_>) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.balancer.handle(self.now, event, &mut actions);
+        actions.drain(..).for_each(|action| self.act(action));
+        self.actions = actions;
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { id, server, until } => self.send(id, server, until),
+            Action::Refuse { id, retry_after } => self.answer(id, Verdict::Refused(retry_after)),
+            Action::Fail(id) => self.answer(id, Verdict::Failed),
+            Action::Cancel { id, attempt } => {
+                let out = self.requests.get(&id).map(|open| &open.out);
+                if out.is_some_and(|out| out.iter().any(|(number, _)| *number == attempt)) {
+                    self.commands.push_back(Command::Withdraw { id, attempt });
+                }
+            }
+            Action::Probe(server) => self.commands.extend(self.members.peer(server).map(Command::Probe)),
+            Action::Close(server) => self.commands.push_back(Command::CloseIdle(server)),
+            Action::SetTimer { after, token } => {
+                self.timers.push(Reverse((self.now.saturating_add(after), token)));
+            }
+            Action::Watch => self.commands.push_back(Command::Watch),
+            Action::Log(text) => self.log(text),
+        }
+    }
+
+    fn log(&mut self, text: String) {
+        self.commands.push_back(Command::Log(text));
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/balance.rs
@@ -0,0 +1,442 @@
+//! The engine behind a mutex, calls that drive their own attempts, and the tasks that go with them.
+
+use crate::slot::{Order, Slot};
+use crate::{Clock, Step, Transport};
+use std::fmt;
+use std::future::{Future, poll_fn};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::task::Poll;
+use std::time::Duration;
+use tokio::runtime::Handle;
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::sync::{Notify, watch};
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use woadstall_discovery::{Follow, Listing, Update, follow};
+use woadstall_engine::{
+    Call, Command, Ended, Engine, Input, Outcome, Peer, RequestId, Send as Attempt, Settings, Time, Verdict,
+};
+use woadstall_settings::Names;
+
+/// How often idle connections are looked through.
+const SWEEP_EVERY: Duration = Duration::from_millis(500);
+/// How long a probe may take.
+const PROBE_PATIENCE: Duration = Duration::from_millis(250);
+
+/// Where lines for the operators go.
+pub type Log = Arc<dyn Fn(fmt::Arguments<'_>) + Send + Sync>;
+
+/// What a balance starts from.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The settings of its decisions.
+    pub settings: Settings,
+    /// Their names.
+    pub names: Names,
+    /// Seed of its random numbers: another for each instance, and with each start.
+    pub seed: u64,
+    /// The list of upstreams as it is known already; it may be old.
+    pub known: Listing,
+}
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask {
+    /// Its class, as a position in the settings.
+    pub class: usize,
+    /// Its tenant, as a position in the settings.
+    pub tenant: usize,
+    /// Its work in nanoseconds, where the caller has a guess.
+    pub work: Option<u64>,
+    /// When its caller stops waiting.
+    pub deadline: Instant,
+    /// Most attempts for it; 1 where it cannot be sent again.
+    pub attempts: u32,
+}
+
+type Core = Engine<Arc<Slot>, ()>;
+type Running<A> = Pin<Box<dyn Future<Output = Step<A>> + Send>>;
+
+struct Locked {
+    engine: Core,
+    next_id: u32,
+    /// What the ringing task sleeps until.
+    planned: Time,
+}
+
+struct Shared<T> {
+    locked: Mutex<Locked>,
+    transport: T,
+    clock: Clock,
+    names: Names,
+    asked: bool,
+    known: u64,
+    may_cancel: bool,
+    subscribe: UnboundedSender<()>,
+    earlier: Notify,
+    ready: watch::Sender<bool>,
+    log: Log,
+    runtime: Handle,
+}
+
+impl<T: Transport> Shared<T> {
+    fn lock(&self) -> MutexGuard<'_, Locked> {
+        self.locked.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn tell(self: &Arc<Self>, locked: &mut Locked, input: Input<'_, Arc<Slot>, ()>) {
+        locked.engine.handle(self.clock.now(), input);
+        self.carry_out(locked);
+    }
+
+    /// Does what the engine says; what concerns a call is left for its own task.
+    fn carry_out(self: &Arc<Self>, locked: &mut Locked) {
+        let engine = &mut locked.engine;
+        while let Some(command) = engine.next_command() {
+            match command {
+                Command::Send(send) => match engine.request(send.id) {
+                    Some(slot) => slot.push(Order::Send(send)),
+                    None => {
+                        let ended = Outcome::Moot.into();
+                        let (id, attempt) = (send.id, send.attempt);
+                        engine.handle(self.clock.now(), Input::Ended { id, attempt, ended });
+                    }
+                },
+                Command::Withdraw { id, attempt } => {
+                    // A call that is answered or dropped withdraws its attempt by itself.
+                    engine.request(id).into_iter().for_each(|slot| slot.push(Order::Withdraw(attempt)));
+                }
+                Command::Answer { request, verdict } => request.push(Order::Answer(verdict)),
+                Command::Probe(peer) => self.probe(peer),
+                Command::CloseIdle(server) => self.transport.close_idle(server),
+                Command::Retire(server) => self.transport.retire(server),
+                Command::Watch => drop(self.subscribe.send(())),
+                Command::Log(text) => (self.log)(format_args!("{text}")),
+            }
+        }
+        if let Some(at) = engine.wake_at().filter(|at| *at < locked.planned) {
+            locked.planned = at;
+            self.earlier.notify_one();
+        }
+    }
+
+    fn probe(self: &Arc<Self>, peer: Peer) {
+        let (shared, probe) = (self.clone(), self.transport.probe(peer, PROBE_PATIENCE));
+        self.runtime.spawn(async move {
+            let (outcome, load) = timeout(PROBE_PATIENCE, probe).await.unwrap_or((Outcome::Timeout, None));
+            shared.tell(&mut shared.lock(), Input::Probed(peer.server, outcome, load));
+        });
+    }
+
+    fn list(self: &Arc<Self>, listing: &Listing) {
+        let entries = listing.entries(&self.names);
+        let mut locked = self.lock();
+        self.tell(&mut locked, Input::Listed { entries: &entries, all: listing.all });
+        let ready = locked.engine.is_ready();
+        drop(locked);
+        if ready {
+            self.ready.send_if_modified(|now| !std::mem::replace(now, true));
+        }
+    }
+
+    fn hear(self: &Arc<Self>, update: Update) {
+        match update {
+            Update::Listed(listing) => self.list(&listing),
+            Update::Failed => self.tell(&mut self.lock(), Input::ListFailed),
+            Update::Note(text) => (self.log)(format_args!("{text}")),
+        }
+    }
+
+    fn ended(self: &Arc<Self>, id: RequestId, attempt: u32, ended: Ended<()>) {
+        self.tell(&mut self.lock(), Input::Ended { id, attempt, ended });
+    }
+}
+
+/// Rings the engine's timers until the balance is gone.
+async fn ring<T: Transport>(shared: Weak<Shared<T>>) {
+    let mut sweep_at = Instant::now() + SWEEP_EVERY;
+    loop {
+        let Some(shared) = shared.upgrade() else { return };
+        let now = Instant::now();
+        if now >= sweep_at {
+            shared.transport.sweep();
+            sweep_at = now + SWEEP_EVERY;
+        }
+        let next = {
+            let mut locked = shared.lock();
+            // Nothing asks for an earlier look while it is taken.
+            locked.planned = 0;
+            shared.tell(&mut locked, Input::Tick);
+            let sweep = shared.clock.time(sweep_at);
+            locked.planned = locked.engine.wake_at().map_or(sweep, |at| at.min(sweep));
+            shared.clock.instant(locked.planned)
+        };
+        tokio::select! {
+            () = sleep_until(next) => {}
+            () = shared.earlier.notified() => {}
+        }
+    }
+}
+
+/// Ends the tasks of a balance with its last clone.
+struct Tasks(Mutex<Vec<AbortHandle>>);
+
+impl Drop for Tasks {
+    fn drop(&mut self) {
+        let tasks = self.0.get_mut().unwrap_or_else(PoisonError::into_inner);
+        tasks.iter().for_each(AbortHandle::abort);
+    }
+}
+
+/// See the crate's documentation. Clones share everything.
+pub struct Balance<T> {
+    shared: Arc<Shared<T>>,
+    tasks: Arc<Tasks>,
+    /// Subscriptions to discovery, until it is followed.
+    subscribed: Arc<Mutex<Option<tokio::sync::mpsc::UnboundedReceiver<()>>>>,
+}
+
+impl<T> Clone for Balance<T> {
+    fn clone(&self) -> Self {
+        Self { shared: self.shared.clone(), tasks: self.tasks.clone(), subscribed: self.subscribed.clone() }
+    }
+}
+
+impl<T: Transport> Balance<T> {
+    /// A balance that knows the upstreams it is set up with, on the runtime that this is called in. The error
+    /// names the setting at fault.
+    pub fn new(setup: Setup, transport: T, log: Log) -> Result<Self, String> {
+        let clock = Clock::default();
+        let Setup { settings, names, seed, known } = setup;
+        let (asked, may_cancel) = (settings.ask_discovery, settings.may_cancel);
+        let engine =
+            Engine::new(settings, seed, clock.now()).map_err(|error| format!("settings: {error}"))?;
+        let (subscribe, subscribed) = unbounded_channel();
+        let shared = Arc::new(Shared {
+            locked: Mutex::new(Locked { engine, next_id: 0, planned: 0 }),
+            transport,
+            clock,
+            names,
+            asked,
+            known: known.rev,
+            may_cancel,
+            subscribe,
+            earlier: Notify::new(),
+            ready: watch::Sender::new(false),
+            log,
+            runtime: Handle::try_current().map_err(|error| error.to_string())?,
+        });
+        shared.list(&Listing { all: true, ..known });
+        let ringing = tokio::spawn(ring(Arc::downgrade(&shared))).abort_handle();
+        let tasks = Arc::new(Tasks(Mutex::new(vec![ringing])));
+        Ok(Self { shared, tasks, subscribed: Arc::new(Mutex::new(Some(subscribed))) })
+    }
+
+    /// Follows discovery at an address that may change, from the list that is known on. Once only.
+    pub fn follow(&self, addresses: watch::Receiver<SocketAddr>) {
+        let subscribed = self.subscribed.lock().unwrap_or_else(PoisonError::into_inner).take();
+        let Some(subscribed) = subscribed else { return };
+        let shared = Arc::downgrade(&self.shared);
+        let hear = move |update| shared.upgrade().map(|shared| shared.hear(update)).is_some();
+        let from = Follow { known: Some(self.shared.known), asked: self.shared.asked };
+        let task = tokio::spawn(follow(from, hear, subscribed, addresses)).abort_handle();
+        self.tasks.0.lock().unwrap_or_else(PoisonError::into_inner).push(task);
+    }
+
+    /// Takes a list of upstreams, whole or what changed.
+    pub fn list(&self, listing: &Listing) {
+        self.shared.list(listing);
+    }
+
+    /// Turns true once there is an upstream to send to.
+    pub fn ready(&self) -> watch::Receiver<bool> {
+        self.shared.ready.subscribe()
+    }
+
+    /// The names in the settings.
+    pub fn names(&self) -> &Names {
+        &self.shared.names
+    }
+
+    /// The connections to upstreams.
+    pub fn transport(&self) -> &T {
+        &self.shared.transport
+    }
+
+    /// How many requests are not answered, or have attempts out.
+    pub fn open(&self) -> usize {
+        self.shared.lock().engine.open()
+    }
+
+    /// Has a request answered. Dropping the future means that its caller has left.
+    pub async fn call(&self, ask: Ask, request: T::Request) -> Verdict<T::Answer> {
+        let shared = &self.shared;
+        let slot = Arc::new(Slot::default());
+        let id = {
+            let mut locked = shared.lock();
+            let id = loop {
+                let id = RequestId(locked.next_id);
+                locked.next_id = locked.next_id.wrapping_add(1);
+                if !locked.engine.is_open(id) {
+                    break id;
+                }
+            };
+            let Ask { class, tenant, work, deadline, attempts } = ask;
+            let deadline = shared.clock.time(deadline);
+            let call = Call { id, request: slot.clone(), class, tenant, work, deadline, attempts };
+            shared.tell(&mut locked, Input::Call(call));
+            id
+        };
+        Held { shared: shared.clone(), id, slot, request, running: None, begun: None, answered: false }
+            .drive()
+            .await
+    }
+}
+
+/// A call and the attempt that it has out.
+struct Held<T: Transport> {
+    shared: Arc<Shared<T>>,
+    id: RequestId,
+    slot: Arc<Slot>,
+    request: T::Request,
+    running: Option<(u32, Running<T::Answer>)>,
+    /// The attempt whose answer has begun, until that is handed over: its end is this call's to tell.
+    begun: Option<u32>,
+    answered: bool,
+}
+
+impl<T: Transport> Held<T> {
+    async fn drive(mut self) -> Verdict<T::Answer> {
+        let mut brought = None;
+        loop {
+            let event = poll_fn(|cx| {
+                if let Poll::Ready(order) = self.slot.poll_next(cx) {
+                    return Poll::Ready(Ok(order));
+                }
+                match &mut self.running {
+                    Some((_, running)) => running.as_mut().poll(cx).map(Err),
+                    None => Poll::Pending,
+                }
+            });
+            match event.await {
+                Ok(Order::Send(send)) => self.start(&send),
+                Ok(Order::Withdraw(attempt)) => {
+                    if let Some((_, running)) = self.running.take_if(|(number, _)| *number == attempt) {
+                        drop(running);
+                        self.shared.ended(self.id, attempt, Outcome::Cancelled.into());
+                    }
+                }
+                Ok(Order::Answer(verdict)) => {
+                    self.answered = true;
+                    return match (verdict, brought) {
+                        (Verdict::Served(()), Some(Brought::Whole(answer))) => Verdict::Served(answer),
+                        (Verdict::Served(()), Some(Brought::Begun(attempt, make))) => {
+                            self.begun = None; // its end is the tail's to tell from here on
+                            let shared: Arc<dyn Ends> = self.shared.clone();
+                            Verdict::Served(make(Tail { ends: Some((shared, self.id, attempt)) }))
+                        }
+                        (Verdict::Refused(after), _) => Verdict::Refused(after),
+                        (Verdict::Served(()) | Verdict::Failed, _) => Verdict::Failed,
+                    };
+                }
+                Err(Step::Ended(Ended { outcome, answer, load })) => {
+                    let Some((attempt, _)) = self.running.take() else { continue };
+                    let served = answer.is_some().then_some(());
+                    brought = answer.map(Brought::Whole);
+                    self.shared.ended(self.id, attempt, Ended { outcome, answer: served, load });
+                }
+                Err(Step::Started(make)) => {
+                    let Some((attempt, _)) = self.running.take() else { continue };
+                    self.begun = Some(attempt);
+                    brought = Some(Brought::Begun(attempt, make));
+                    let begun = Input::Started { id: self.id, attempt, answer: () };
+                    self.shared.tell(&mut self.shared.lock(), begun);
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, send: &Attempt) {
+        let until = self.shared.clock.instant(send.until);
+        let attempt = self.shared.transport.attempt(&mut self.request, send);
+        let limited = async move {
+            timeout_at(until, attempt).await.unwrap_or_else(|_| Step::Ended(Outcome::Timeout.into()))
+        };
+        self.running = Some((send.attempt, Box::pin(limited)));
+    }
+}
+
+/// The answer that a call's own attempt brought.
+enum Brought<A> {
+    Whole(A),
+    Begun(u32, Box<dyn FnOnce(Tail) -> A + Send>),
+}
+
+impl<T: Transport> Drop for Held<T> {
+    /// The caller has left, or has its answer: what is out is withdrawn, and what was to be sent is not.
+    fn drop(&mut self) {
+        let orders = self.slot.take_all();
+        let left_out = self.running.take();
+        if !self.answered {
+            self.shared.tell(&mut self.shared.lock(), Input::Gone(self.id));
+        }
+        for order in orders {
+            if let Order::Send(send) = order {
+                self.shared.ended(self.id, send.attempt, Outcome::Moot.into());
+            }
+        }
+        if let Some(attempt) = self.begun.take() {
+            self.shared.ended(self.id, attempt, Outcome::Cancelled.into());
+        }
+        let Some((attempt, running)) = left_out else { return };
+        if self.shared.may_cancel {
+            drop(running);
+            return self.shared.ended(self.id, attempt, Outcome::Cancelled.into());
+        }
+        let (shared, id) = (self.shared.clone(), self.id);
+        self.shared.runtime.spawn(async move {
+            let ended = match running.await {
+                Step::Ended(Ended { outcome, load, .. }) => Ended { outcome, answer: None, load },
+                Step::Started(_) => Outcome::Cancelled.into(),
+            };
+            shared.ended(id, attempt, ended);
+        });
+    }
+}
+
+/// Takes the ends of attempts whose answers are read elsewhere.
+trait Ends: Send + Sync {
+    fn end(self: Arc<Self>, id: RequestId, attempt: u32, outcome: Outcome);
+}
+
+impl<T: Transport> Ends for Shared<T> {
+    fn end(self: Arc<Self>, id: RequestId, attempt: u32, outcome: Outcome) {
+        self.ended(id, attempt, outcome.into());
+    }
+}
+
+/// The rest of an answer that has begun. It tells the attempt's end once; dropped, that it was withdrawn.
+pub struct Tail {
+    ends: Option<(Arc<dyn Ends>, RequestId, u32)>,
+}
+
+impl Tail {
+    /// The answer has ended so.
+    pub fn end(mut self, outcome: Outcome) {
+        self.tell(outcome);
+    }
+
+    fn tell(&mut self, outcome: Outcome) {
+        if let Some((ends, id, attempt)) = self.ends.take() {
+            ends.end(id, attempt, outcome);
+        }
+    }
+}
+
+impl Drop for Tail {
+    fn drop(&mut self) {
+        self.tell(Outcome::Cancelled);
+    }
+}
--- a/src/net/upstream.rs
+++ b/crates/transport/src/http1.rs
@@ -4,7 +4,8 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::client::conn::http1::{Builder, SendRequest};
-use hyper::{Request, Response, StatusCode};
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, Response, StatusCode, Uri, Version};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::collections::HashMap;
@@ -13,27 +14,27 @@
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{Duration, Instant, timeout};
-use woadstall::api::{Outcome, ServerId};
+use woadstall_runtime::engine::{Ended, LoadReport, Outcome, Peer, Send as Attempt, ServerId};
+use woadstall_runtime::{Step, Transport};
+use woadstall_settings::Names;
 
-/// Largest body either way.
-pub const MOST_BODY: usize = 64 << 10;
 /// hyper's buffer for an answer: a head without end is given up at this size.
 const READ_BUFFER: usize = 16 << 10;
 /// An idle connection is dropped by this much, or by half its time, before its upstream may close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
 /// How an attempt ended, with the answer if it is whole and the connection if it can be used again.
-pub struct Finished {
-    pub outcome: Outcome,
-    pub response: Option<Response<Bytes>>,
-    pub connection: Option<Connection>,
+struct Finished {
+    outcome: Outcome,
+    response: Option<Response<Bytes>>,
+    connection: Option<Connection>,
 }
 
 impl From<Outcome> for Finished {
@@ -42,23 +43,8 @@
     }
 }
 
-/// Sends a request on a connection, or on a new one, and waits for its whole answer.
-pub async fn exchange(
-    request: Request<Bytes>,
-    idle: Option<Connection>,
-    address: SocketAddr,
-    connect_timeout: Duration,
-    open: Arc<AtomicUsize>,
-) -> Finished {
-    let mut connection = match idle {
-        Some(connection) => connection,
-        None => match timeout(connect_timeout, Connection::open(address, open)).await {
-            Ok(Ok(connection)) => connection,
-            // Our own lack of descriptors or ports says nothing of the upstream.
-            Ok(Err(error)) if is_local(&error) => return Outcome::Moot.into(),
-            Ok(Err(_)) | Err(_) => return Outcome::ConnectFailed.into(),
-        },
-    };
+/// Sends a request on a connection and waits for its whole answer.
+async fn exchange(request: Request<Bytes>, mut connection: Connection, most_body: usize) -> Finished {
     let progress = connection.progress.clone();
     let (head, body) = request.into_parts();
     progress.body_taken.store(body.is_empty(), Ordering::Relaxed);
@@ -72,10 +58,10 @@
         return broken().into();
     };
     let (head, body) = response.into_parts();
-    if body.size_hint().lower() > MOST_BODY as u64 {
+    if body.size_hint().lower() > most_body as u64 {
         return Outcome::Error.into(); // larger than any answer may be
     }
-    let body = match Limited::new(body, MOST_BODY).collect().await {
+    let body = match Limited::new(body, most_body).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) if error.is::<hyper::Error>() => return broken().into(),
         Err(_) => return Outcome::Error.into(), // larger than any answer may be
@@ -104,7 +90,7 @@
 }
 
 /// A connection to an upstream. Dropping it closes it.
-pub struct Connection {
+struct Connection {
     sender: SendRequest<Outgoing>,
     tcp: Arc<TcpStream>,
     progress: Arc<Progress>,
@@ -245,67 +231,219 @@
     }
 }
 
-/// Idle connections, the latest used last.
-pub struct Idle {
-    keep: Duration,
-    most: usize,
+/// Connections over HTTP/1.1 to all upstreams: one attempt at a time on each.
+pub struct Http1 {
+    pool: Arc<Mutex<Pool>>,
     open: Arc<AtomicUsize>,
-    idle: HashMap<ServerId, Vec<(Instant, Connection)>>,
+    connect_timeout: Duration,
+    most_body: usize,
+    report_fields: Vec<String>,
 }
 
-impl Idle {
-    /// Connections are kept for less than `limit`, and no more than `most` are open, idle or not.
-    pub fn new(limit: Duration, most: usize) -> Self {
-        let keep = limit - IDLE_MARGIN.min(limit / 2);
-        Self { keep, most, open: Arc::default(), idle: HashMap::new() }
+impl Http1 {
+    /// Idle connections are kept for less than `keep`, no more than `most` are open, idle or not, and an answer
+    /// has at most `most_body` bytes.
+    pub fn new(names: &Names, keep: Duration, most: usize, most_body: usize) -> Self {
+        let open = Arc::<AtomicUsize>::default();
+        let keep = keep - IDLE_MARGIN.min(keep / 2);
+        let pool = Pool { keep, most, open: open.clone(), upstreams: HashMap::new(), next_epoch: 0 };
+        Self {
+            pool: Arc::new(Mutex::new(pool)),
+            open,
+            connect_timeout: names.connect_timeout,
+            most_body,
+            report_fields: names.report_fields.clone(),
+        }
     }
 
-    /// Counts all connections that are open.
-    pub fn open(&self) -> Arc<AtomicUsize> {
-        self.open.clone()
+    /// Closes all idle connections.
+    pub fn close_all(&self) {
+        lock(&self.pool).upstreams.clear();
     }
 
-    /// The latest used connection to an upstream that is sound.
-    pub fn take(&mut self, server: ServerId) -> Option<Connection> {
-        let idle = self.idle.get_mut(&server)?;
-        while let Some((since, connection)) = idle.pop() {
-            if since.elapsed() < self.keep && connection.is_quiet() {
-                return Some(connection);
+    /// Connections that are open, idle or not.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// One request and its answer, on a kept connection or a new one.
+    fn exchange(
+        &self,
+        request: Request<Bytes>,
+        peer: Peer,
+    ) -> impl Future<Output = Finished> + Send + 'static {
+        let taken = lock(&self.pool).take(peer.server);
+        let (pool, open) = (self.pool.clone(), self.open.clone());
+        let (connect_timeout, most_body) = (self.connect_timeout, self.most_body);
+        async move {
+            let Some((epoch, idle)) = taken else { return Outcome::Moot.into() };
+            let connection = match idle {
+                Some(connection) => connection,
+                None => match timeout(connect_timeout, Connection::open(peer.address, open)).await {
+                    Ok(Ok(connection)) => connection,
+                    // Our own lack of descriptors or ports says nothing of the upstream.
+                    Ok(Err(error)) if is_local(&error) => return Outcome::Moot.into(),
+                    Ok(Err(_)) | Err(_) => return Outcome::ConnectFailed.into(),
+                },
+            };
+            // Guards rule 3: since it was begun, the upstream may have been listed as draining or gone.
+            if !lock(&pool).is_current(peer.server, epoch) {
+                return Outcome::Moot.into();
             }
+            let mut finished = exchange(request, connection, most_body).await;
+            if let Some(connection) = finished.connection.take() {
+                lock(&pool).put(peer.server, epoch, connection);
+            }
+            finished
         }
-        None
     }
+}
 
-    /// Keeps a connection for the next attempt.
-    pub fn put(&mut self, server: ServerId, connection: Connection) {
-        self.idle.entry(server).or_default().push((Instant::now(), connection));
+impl Transport for Http1 {
+    type Request = Request<Bytes>;
+    type Answer = Response<Bytes>;
+
+    fn attempt(
+        &self,
+        request: &mut Request<Bytes>,
+        attempt: &Attempt,
+    ) -> impl Future<Output = Step<Response<Bytes>>> + Send + 'static {
+        let request = forwarded(request, attempt.to.address, attempt.left);
+        let (exchange, fields) = (self.exchange(request, attempt.to), self.report_fields.clone());
+        async move {
+            let Finished { outcome, response, .. } = exchange.await;
+            let report = response.as_ref().and_then(|response| response.headers().get("x-load-report"));
+            let load = report.and_then(|report| load_report(report.as_bytes(), &fields));
+            let is_final = matches!(outcome, Outcome::Ok | Outcome::Declined);
+            Step::Ended(Ended { outcome, answer: response.filter(|_| is_final), load })
+        }
     }
 
-    /// Closes the idle connections to an upstream.
-    pub fn close(&mut self, server: ServerId) {
-        self.idle.remove(&server);
+    fn probe(
+        &self,
+        peer: Peer,
+        patience: Duration,
+    ) -> impl Future<Output = (Outcome, Option<LoadReport>)> + Send + 'static {
+        let mut request = Request::new(Bytes::new());
+        *request.uri_mut() = Uri::from_static("/load");
+        let request = forwarded(&request, peer.address, patience.as_nanos() as u64);
+        let (exchange, fields) = (self.exchange(request, peer), self.report_fields.clone());
+        async move {
+            let Finished { outcome, response, .. } = exchange.await;
+            (outcome, response.and_then(|response| load_report(response.body(), &fields)))
+        }
     }
 
-    /// Closes all idle connections.
-    pub fn close_all(&mut self) {
-        self.idle.clear();
+    fn close_idle(&self, server: ServerId) {
+        if let Some(upstream) = lock(&self.pool).upstreams.get_mut(&server) {
+            upstream.idle.clear();
+        }
     }
 
-    /// Closes what has been idle for too long, or has ended.
-    pub fn sweep(&mut self) {
-        self.idle.retain(|_, idle| {
-            idle.retain(|(since, connection)| since.elapsed() < self.keep && connection.is_quiet());
-            !idle.is_empty()
+    fn retire(&self, server: ServerId) {
+        lock(&self.pool).upstreams.remove(&server);
+    }
+
+    fn sweep(&self) {
+        lock(&self.pool).sweep();
+    }
+}
+
+/// The request as an upstream gets it: as it came, but for the budget, and in the form for an origin.
+fn forwarded(request: &Request<Bytes>, address: SocketAddr, left: u64) -> Request<Bytes> {
+    let mut request = request.clone();
+    *request.version_mut() = Version::HTTP_11;
+    if let Some(path) = request.uri().path_and_query().filter(|_| request.uri().authority().is_some()) {
+        *request.uri_mut() = path.clone().into();
+    }
+    let headers = request.headers_mut();
+    let budget = format!("{:.6}", left as f64 / 1e9);
+    headers.insert("x-budget", HeaderValue::from_str(&budget).unwrap_or(HeaderValue::from_static("0")));
+    if !headers.contains_key(HOST) {
+        let host = HeaderValue::from_str(&address.to_string());
+        headers.insert(HOST, host.unwrap_or(HeaderValue::from_static("upstream")));
+    }
+    request
+}
+
+/// The load figures in a report, in the order of the settings.
+pub fn load_report(text: &[u8], fields: &[String]) -> Option<LoadReport> {
+    let values: HashMap<String, f32> = serde_json::from_slice(text).ok()?;
+    let mut report = LoadReport::default();
+    for (figure, field) in report.figures.iter_mut().zip(fields) {
+        *figure = *values.get(field)?;
+        report.len += 1;
+    }
+    (report.len > 0).then_some(report)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Idle connections.
+struct Pool {
+    keep: Duration,
+    most: usize,
+    open: Arc<AtomicUsize>,
+    upstreams: HashMap<ServerId, Kept>,
+    next_epoch: u64,
+}
+
+/// The idle connections to one process of an upstream, the latest used last. What was begun in another epoch
+/// belongs to a former process, or to one that was told not to be sent to.
+struct Kept {
+    epoch: u64,
+    idle: Vec<(Instant, Connection)>,
+}
+
+impl Pool {
+    /// The present epoch, and the latest used connection that is sound; `None` if there is none, nor room for
+    /// one more.
+    fn take(&mut self, server: ServerId) -> Option<(u64, Option<Connection>)> {
+        let next_epoch = &mut self.next_epoch;
+        let kept = self.upstreams.entry(server).or_insert_with(|| {
+            *next_epoch += 1;
+            Kept { epoch: *next_epoch, idle: Vec::new() }
         });
+        let epoch = kept.epoch;
+        while let Some((since, connection)) = kept.idle.pop() {
+            if since.elapsed() < self.keep && connection.is_quiet() {
+                return Some((epoch, Some(connection)));
+            }
+        }
+        self.make_room().then_some((epoch, None))
+    }
+
+    fn is_current(&self, server: ServerId, epoch: u64) -> bool {
+        self.upstreams.get(&server).is_some_and(|kept| kept.epoch == epoch)
+    }
+
+    /// Keeps a connection for the next attempt.
+    fn put(&mut self, server: ServerId, epoch: u64, connection: Connection) {
+        if let Some(kept) = self.upstreams.get_mut(&server).filter(|kept| kept.epoch == epoch) {
+            kept.idle.push((Instant::now(), connection));
+        }
+    }
+
+    /// Closes what has been idle for too long, or has ended.
+    fn sweep(&mut self) {
+        for kept in self.upstreams.values_mut() {
+            kept.idle.retain(|(since, connection)| since.elapsed() < self.keep && connection.is_quiet());
+        }
     }
 
     /// Whether one more connection may be opened, after closing the one idle for longest if need be.
-    pub fn make_room(&mut self) -> bool {
-        let full = |idle: &Self| idle.open.load(Ordering::Relaxed) >= idle.most;
+    fn make_room(&mut self) -> bool {
+        let full = |pool: &Self| pool.open.load(Ordering::Relaxed) >= pool.most;
         if full(self) {
-            let oldest = self.idle.iter().filter_map(|(server, idle)| Some((idle.first()?.0, *server))).min();
+            let oldest = self
+                .upstreams
+                .iter()
+                .filter_map(|(server, kept)| Some((kept.idle.first()?.0, *server)))
+                .min();
             if let Some((_, server)) = oldest {
-                self.idle.get_mut(&server).map(|idle| idle.remove(0));
+                self.upstreams.get_mut(&server).map(|kept| kept.idle.remove(0));
             }
         }
         !full(self)
@@ -335,7 +473,8 @@
             stream
         });
         let request = Request::new(Bytes::new());
-        let finished = exchange(request, None, address, Duration::from_secs(30), Arc::default()).await;
+        let connection = Connection::open(address, Arc::default()).await.unwrap();
+        let finished = exchange(request, connection, 1 << 10).await;
         (finished.connection.expect("a connection to use again"), peer.await.unwrap())
     }
 
--- a/src/bin/woadstall-wirehost.rs
+++ b/src/bin/woadstall-wirehost.rs
@@ -6,9 +6,9 @@
 use std::error::Error;
 use std::io::{self, BufReader, ErrorKind, Read, Write};
 use std::process::ExitCode;
-use woadstall::Balancer;
-use woadstall::api::{Action, Event, ListEntry, Time};
-use woadstall::wire::{self, BATCH_HEADER, BatchHeader, Record, Reply, TABLES, WireError};
+use woadstall::wire::{self, BATCH_HEADER, BatchHeader, Record, Reply, TABLES};
+use woadstall_decisions::Balancer;
+use woadstall_decisions::api::{Action, Event, ListEntry, Time};
 
 fn main() -> ExitCode {
     match serve(BufReader::with_capacity(1 << 16, io::stdin().lock()), io::stdout().lock()) {
@@ -70,13 +70,13 @@
     fn apply(&mut self, now: Time, record: Record<'_>) {
         match record {
             Record::PowerOn { instance, seed, settings } => {
-                let balancer = wire::settings(settings).and_then(|settings| {
-                    Balancer::new(settings, seed, now)
-                        .map_err(|error| WireError::new(format!("settings: {error}")))
+                let settings = woadstall_settings::settings(settings).map_err(|error| error.to_string());
+                let balancer = settings.and_then(|settings| {
+                    Balancer::new(settings, seed, now).map_err(|error| format!("settings: {error}"))
                 });
                 match balancer {
                     Ok(balancer) => drop(self.instances.insert(instance, balancer)),
-                    Err(error) => self.reply.fault(instance, &error.to_string()),
+                    Err(error) => self.reply.fault(instance, &error),
                 }
             }
             Record::Retire(instance) => drop(self.instances.remove(&instance)),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,9 +2,5 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod api;
-pub mod policy;
-mod state;
+pub mod net;
 pub mod wire;
-
-pub use policy::Balancer;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,10 +2,9 @@
 
 #![forbid(unsafe_code)]
 
-mod net;
-
 use std::process::ExitCode;
 use tokio::runtime::Builder;
+use woadstall::net;
 
 fn main() -> ExitCode {
     let outcome = net::config::Config::load().and_then(|config| {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,13 +1,12 @@
 //! What a balancer is told at its start, from the environment and a JSON file.
 
-use super::discovery::Listing;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::net::SocketAddr;
-use std::time::Duration;
-use woadstall::api::Settings;
-use woadstall::wire;
+use woadstall_decisions::api::Settings;
+use woadstall_discovery::Listing;
+use woadstall_settings::Names;
 
 /// Descriptors that are neither callers' nor upstreams': standard streams, listener, discovery, the runtime's,
 /// and callers taken only to be refused.
@@ -19,12 +18,19 @@
 
 /// The whole configuration, checked.
 pub struct Config {
+    /// Where callers connect.
     pub listen: SocketAddr,
+    /// Where discovery is.
     pub discovery: SocketAddr,
+    /// Seed of the random numbers, new with each start.
     pub seed: u64,
+    /// What may be held.
     pub limits: Limits,
+    /// The last list of upstreams.
     pub known: Listing,
+    /// The settings of the decisions.
     pub settings: Settings,
+    /// Their names.
     pub names: Names,
 }
 
@@ -39,16 +45,6 @@
     pub memory: usize,
 }
 
-/// What the settings name and the decision module knows by position alone, and the figures of the sockets.
-#[derive(Debug)]
-pub struct Names {
-    pub classes: Vec<String>,
-    pub tenants: Vec<String>,
-    pub zones: Vec<String>,
-    pub report_fields: Vec<String>,
-    pub connect_timeout: Duration,
-}
-
 #[derive(Deserialize)]
 struct Raw {
     listen: Option<String>,
@@ -66,36 +62,6 @@
     sockets: usize,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct RawNames {
-    classes: Vec<Named>,
-    #[serde(default)]
-    tenants: Vec<Named>,
-    zones: Vec<String>,
-    limits: NameLimits,
-    telemetry: Option<Telemetry>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Named {
-    name: String,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct NameLimits {
-    connect_timeout_ns: u64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Telemetry {
-    #[serde(default)]
-    fields: Vec<String>,
-}
-
 impl Config {
     /// Reads the file that `LB_CONFIG` names; the error is one line that names the field at fault.
     pub fn load() -> Result<Self, String> {
@@ -110,8 +76,9 @@
     fn parse(text: &str, listen: Option<String>, discovery: Option<String>) -> Result<Self, String> {
         let raw: Raw = json("configuration", text)?;
         let settings = raw.settings.to_string();
-        let names: RawNames = json("settings", &settings)?;
-        let settings = wire::settings(settings.as_bytes()).map_err(|error| error.to_string())?;
+        let names = woadstall_settings::names(settings.as_bytes()).map_err(|error| error.to_string())?;
+        let settings =
+            woadstall_settings::settings(settings.as_bytes()).map_err(|error| error.to_string())?;
         settings.check().map_err(|error| format!("settings: {error}"))?;
         let sockets = raw.limits.sockets;
         if sockets < LEAST_SOCKETS {
@@ -131,13 +98,7 @@
             limits: Limits { callers: share, upstreams: share, memory: memory.saturating_mul(1 << 20) },
             known: raw.known,
             settings,
-            names: Names {
-                classes: names.classes.into_iter().map(|class| class.name).collect(),
-                tenants: names.tenants.into_iter().map(|tenant| tenant.name).collect(),
-                zones: names.zones,
-                report_fields: names.telemetry.map_or(Vec::new(), |telemetry| telemetry.fields),
-                connect_timeout: Duration::from_nanos(names.limits.connect_timeout_ns),
-            },
+            names,
         })
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,11 +1,9 @@
-//! The balancer's sockets. Nothing here decides: the driver asks the decision module.
+//! The daemon: callers' sockets on one side, the shared runtime and its connections on the other. Nothing here
+//! decides: the engine asks the decision module.
 
 pub mod config;
-mod discovery;
-mod driver;
 mod gate;
 mod server;
-mod upstream;
 
 use config::Config;
 use std::fmt;
@@ -15,10 +13,14 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
+use woadstall_runtime::{Balance, Setup};
+use woadstall_transport::Http1;
 
 /// Lines written in a second at most: in trouble, what they tell of happens many times a second.
 const LOG_LINES: u32 = 20;
+/// Largest body either way.
+const MOST_BODY: usize = 64 << 10;
 
 /// Writes one line to standard error, unless too many were written lately. Unlike `eprintln`, it does not
 /// panic where that is closed.
@@ -48,7 +50,7 @@
     }
 }
 
-/// Serves until a signal to stop, and then until all that was taken is answered.
+/// Serves until a signal to stop, and then until all that was taken is answered. The error is one line.
 pub async fn run(config: Config) -> Result<(), String> {
     let failed = |what: &str, error: io::Error| format!("{what}: {error}");
     let mut term = signal(SignalKind::terminate()).map_err(|e| failed("SIGTERM", e))?;
@@ -62,16 +64,19 @@
     log(format_args!("listening on {address}"));
 
     let config = Arc::new(config);
-    let (events, inbox) = mpsc::unbounded_channel();
-    let (ready, is_ready) = watch::channel(false);
-    let (subscribe, subscribed) = mpsc::unbounded_channel();
     let (stop, stopping) = watch::channel(false);
     let (discovery, discovery_at) = watch::channel(config.discovery);
-
-    let driver = driver::Driver::new(config.clone(), events.clone(), subscribe, ready)?;
-    tokio::spawn(driver.run(inbox));
-    tokio::spawn(discovery::follow(config.clone(), events.clone(), subscribed, discovery_at));
-    let server = server::Server::new(config, events, is_ready);
+    let keep = Duration::from_nanos(config.settings.conn_idle);
+    let transport = Http1::new(&config.names, keep, config.limits.upstreams, MOST_BODY);
+    let setup = Setup {
+        settings: config.settings.clone(),
+        names: config.names.clone(),
+        seed: config.seed,
+        known: config.known.clone(),
+    };
+    let balance = Balance::new(setup, transport, Arc::new(log))?;
+    balance.follow(discovery_at);
+    let server = server::Server::new(config, balance);
     let serving = tokio::spawn(server.run(listener, stopping));
 
     loop {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,9 +1,8 @@
 //! The callers' side: takes connections, reads and checks requests, writes answers.
 
+use super::MOST_BODY;
 use super::config::Config;
-use super::driver::{Answer, Call, Input};
 use super::gate::{Gate, MOST_HEAD, Seen, lock};
-use super::upstream::{MOST_BODY, is_local};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -17,14 +16,16 @@
 use hyper_util::rt::TokioIo;
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
-use woadstall::api::{Effect, RequestId};
+use woadstall_decisions::api::Effect;
+use woadstall_engine::Verdict;
+use woadstall_runtime::{Ask, Balance};
+use woadstall_transport::{Http1, is_local};
 
 /// How long connections are still taken after a signal to stop: callers hear of it late.
 const GO_ON: Duration = Duration::from_millis(500);
@@ -53,9 +54,8 @@
 /// What all connections share.
 pub struct Server {
     config: Arc<Config>,
-    driver: UnboundedSender<Input>,
+    balance: Balance<Http1>,
     ready: watch::Receiver<bool>,
-    next_id: AtomicU32,
     next_caller: AtomicU64,
     callers: Mutex<HashMap<u64, Arc<Caller>>>,
     /// The callers' own ids of the requests that are open.
@@ -127,25 +127,13 @@
     }
 }
 
-/// Tells the driver that a caller has gone, unless it got its answer.
-struct Owed<'a>(Option<RequestId>, &'a UnboundedSender<Input>);
-
-impl Drop for Owed<'_> {
-    fn drop(&mut self) {
-        if let Some(id) = self.0 {
-            self.1.send(Input::CallerGone(id)).ok();
-        }
-    }
-}
-
 impl Server {
-    /// A server that hands its requests to the driver.
-    pub fn new(config: Arc<Config>, driver: UnboundedSender<Input>, ready: watch::Receiver<bool>) -> Self {
+    /// A server that has its requests answered by a balance.
+    pub fn new(config: Arc<Config>, balance: Balance<Http1>) -> Self {
         Self {
             config,
-            driver,
-            ready,
-            next_id: AtomicU32::new(0),
+            ready: balance.ready(),
+            balance,
             next_caller: AtomicU64::new(0),
             callers: Mutex::default(),
             open: Mutex::default(),
@@ -210,7 +198,7 @@
                     super::log(format_args!("cannot take a connection: {error}"));
                     if is_local(&error) {
                         self.close_idle();
-                        self.driver.send(Input::DescriptorsShort).ok();
+                        self.balance.transport().close_all();
                         sleep(ACCEPT_PAUSE).await;
                     }
                 }
@@ -291,25 +279,18 @@
         };
         let deadline = lock(seen).whole() + asked.budget;
         end_to_end(&mut head.headers);
-        let id = RequestId(self.next_id.fetch_add(1, Ordering::Relaxed));
-        let mut owed = Owed(Some(id), &self.driver);
-        let (answer, answered) = oneshot::channel();
-        let request = Request::from_parts(head, body);
         let Asked { class, tenant, work, .. } = asked;
-        self.driver
-            .send(Input::Called(Box::new(Call { id, request, class, tenant, work, deadline, answer })))
-            .ok();
-        let answer = answered.await.unwrap_or(Answer::Failed);
-        owed.0 = None;
+        let ask = Ask { class, tenant, work, deadline, attempts: u32::MAX };
+        let answer = self.balance.call(ask, Request::from_parts(head, body)).await;
         Ok(match answer {
-            Answer::Served(response) => {
+            Verdict::Served(response) => {
                 let mut reply = response.map(Full::new);
                 *reply.version_mut() = Version::HTTP_11;
                 end_to_end(reply.headers_mut());
                 reply
             }
-            Answer::Refused(stay_away) => refusal(stay_away),
-            Answer::Failed => status(StatusCode::BAD_GATEWAY),
+            Verdict::Refused(nanos) => refusal(Duration::from_nanos(nanos)),
+            Verdict::Failed => status(StatusCode::BAD_GATEWAY),
         })
     }
 
@@ -318,8 +299,7 @@
         let bad = |text| (StatusCode::BAD_REQUEST, text);
         let (headers, names) = (request.headers(), &self.config.names);
         let in_path = request.uri().path().split('/').nth(1).unwrap_or("");
-        let class = names.classes.iter().position(|class| class == in_path);
-        let class = class.ok_or((StatusCode::NOT_FOUND, "no such path\n"))?;
+        let class = names.class(in_path).ok_or((StatusCode::NOT_FOUND, "no such path\n"))?;
         if text(headers, "x-call-class") != Some(in_path) {
             return Err(bad("X-Call-Class is missing or not that of the path\n"));
         }
@@ -339,12 +319,7 @@
             }
         }
         let call_id = text(headers, "x-call-id").filter(|id| !id.is_empty());
-        let tenant = match names.tenants.is_empty() {
-            true => Some(0),
-            false => {
-                text(headers, "x-caller").and_then(|caller| names.tenants.iter().position(|t| t == caller))
-            }
-        };
+        let tenant = names.tenant(text(headers, "x-caller"));
         let budget = text(headers, "x-budget").and_then(|budget| budget.parse().ok());
         let cost = match headers.contains_key("x-call-cost") {
             false => Some(None),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,11 +1,9 @@
 //! The simulator's wire: bytes to events, actions to bytes. Nothing is decided here.
 
-use crate::api::{
-    Action, Class, Demand, Duration, Effect, End, Event, Group, Lifecycle, ListEntry, LoadReport, Outcome,
-    RequestId, ServerId, Settings, Tenant, Time, ZoneId,
-};
-use serde::Deserialize;
 use std::fmt;
+use woadstall_decisions::api::{
+    Action, Demand, End, Event, Lifecycle, ListEntry, LoadReport, Outcome, RequestId, ServerId, Time, ZoneId,
+};
 
 /// Bytes of a batch header.
 pub const BATCH_HEADER: usize = 20;
@@ -158,6 +156,7 @@
                 tenant: u32_at(record, 17) as usize,
                 time_left: u64_at(record, 23),
                 work: (record[39] & 1 != 0).then(|| u64_at(record, 31)),
+                attempts: u32::MAX,
             },
         ),
         3 => Event::Started(id, record[9] as u32),
@@ -308,179 +307,3 @@
     )*};
 }
 fields!(u8, u32, u64);
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct RawSettings {
-    classes: Vec<RawClass>,
-    discovery: RawDiscovery,
-    family_info: Option<RawFamily>,
-    layer: u32,
-    limits: RawLimits,
-    over_share_worth: Option<f64>,
-    prices: Option<RawPrices>,
-    safety: RawSafety,
-    siblings: u32,
-    telemetry: Option<RawTelemetry>,
-    #[serde(default)]
-    tenants: Vec<RawTenant>,
-    value_by: RawValueBy,
-    zone: u8,
-    zones: Vec<String>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct RawClass {
-    aim_ns: Duration,
-    aim_stretch: Option<f64>,
-    deadline_ns: Duration,
-    effect: RawEffect,
-    group: Option<RawGroup>,
-    late_worth: Option<f64>,
-    window_ns: Option<Duration>,
-    value: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum RawEffect {
-    ReadLike,
-    IdempotencyKey,
-    NonIdempotent,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum RawGroup {
-    All,
-    Zone,
-    Cell,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum RawDiscovery {
-    Push,
-    Ask,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum RawValueBy {
-    Request,
-    Work,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct RawFamily {
-    passes_deadline: Option<bool>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct RawLimits {
-    cancelling: bool,
-    conn_idle_ns: Option<Duration>,
-    max_retry_after_ns: Option<Duration>,
-    #[serde(default)]
-    may_probe: bool,
-    try_limit: u32,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct RawSafety {
-    ask_within_ns: Option<Duration>,
-    start_capacity: f64,
-    tip_multiple: f64,
-    ramp_time_ns: Duration,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct RawTelemetry {
-    #[serde(default)]
-    fields: Vec<String>,
-    via: Option<String>,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct RawPrices {
-    #[serde(default)]
-    cross_zone: f64,
-    #[serde(default)]
-    probe: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct RawTenant {
-    quota_rps: f64,
-}
-
-/// Reads the settings that an instance starts with. The error names the key that is at fault.
-pub fn settings(text: &[u8]) -> Result<Settings, WireError> {
-    let error = |error: &dyn fmt::Display| WireError::new(format!("settings: {error}"));
-    let mut text = serde_json::Deserializer::from_slice(text);
-    let raw: RawSettings = serde_path_to_error::deserialize(&mut text).map_err(|e| error(&e))?;
-    text.end().map_err(|e| error(&e))?;
-    let classes = raw.classes.into_iter().map(class).collect::<Result<Vec<_>, _>>()?;
-    let ask_discovery = matches!(raw.discovery, RawDiscovery::Ask);
-    if ask_discovery && raw.safety.ask_within_ns.is_none() {
-        return Err(WireError::new("settings: missing field `AskWithinNs`"));
-    }
-    let prices = raw.prices.unwrap_or_default();
-    let (fields, via) =
-        raw.telemetry.map_or((Vec::new(), None), |telemetry| (telemetry.fields, telemetry.via));
-    Ok(Settings {
-        classes,
-        tenants: raw.tenants.into_iter().map(|t| Tenant { quota_rps: t.quota_rps }).collect(),
-        over_quota_worth: raw.over_share_worth.unwrap_or(1.0),
-        worth_by_work: matches!(raw.value_by, RawValueBy::Work),
-        zone: ZoneId(raw.zone),
-        zones: raw.zones.len(),
-        siblings: raw.siblings,
-        tier: raw.layer,
-        passes_deadline: raw.family_info.and_then(|f| f.passes_deadline).unwrap_or(true),
-        ask_discovery,
-        ask_within: raw.safety.ask_within_ns.unwrap_or(0),
-        may_cancel: raw.limits.cancelling,
-        max_retry_after: raw.limits.max_retry_after_ns.unwrap_or(0),
-        max_attempts: raw.limits.try_limit,
-        conn_idle: raw.limits.conn_idle_ns.unwrap_or(Duration::MAX),
-        start_capacity: raw.safety.start_capacity,
-        tip_multiple: raw.safety.tip_multiple,
-        ramp_time: raw.safety.ramp_time_ns,
-        report_inflight: fields.iter().position(|field| field == "inflight"),
-        cross_price: prices.cross_zone,
-        probe_price: prices.probe,
-        load_by_probe: raw.limits.may_probe && via.as_deref() == Some("probe"),
-    })
-}
-
-fn class(raw: RawClass) -> Result<Class, WireError> {
-    let effect = match raw.effect {
-        RawEffect::ReadLike => Effect::Safe,
-        RawEffect::NonIdempotent => Effect::Unsafe,
-        RawEffect::IdempotencyKey => {
-            let missing = |key| WireError::new(format!("settings: missing field `{key}`"));
-            let group = match raw.group.ok_or_else(|| missing("Group"))? {
-                RawGroup::All => Group::All,
-                RawGroup::Zone => Group::Zone,
-                RawGroup::Cell => Group::Cell,
-            };
-            Effect::Keyed(group, raw.window_ns.ok_or_else(|| missing("WindowNs"))?)
-        }
-    };
-    Ok(Class {
-        aim: raw.aim_ns,
-        aim_stretch: raw.aim_stretch.unwrap_or(0.0),
-        deadline: raw.deadline_ns,
-        effect,
-        late_worth: raw.late_worth.unwrap_or(0.0),
-        worth: raw.value,
-    })
-}
