Plug-in inside the caller: a tower service over HTTP/2 and HTTP/1.1 on the same engine

Need: the service that takes handheld uploads calls the posting service past every rule that the daemon keeps. It is to get the same decisions in its own process, under a tonic client or any client of `http`.

Change: crates/plugin (woadstall-tower) puts the engine under a cloneable tower service; crates/transport speaks HTTP/2 through h2 itself, so that what GOAWAY and REFUSED_STREAM prove is known and no stream waits where it cannot be taken back. A method that nobody named is unsafe. InheritTime passes on what a service's own caller still waits. Stand-ins: a gRPC upstream that does as told, and a peer that writes its own HTTP/2 frames. In the module, what was never sent no longer costs retry budget: forty calls that waited for a stream on a draining connection were refused though another server had room (test in failures.rs).

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -810,7 +810,7 @@
         if !end.outcome.never_ran() {
             request.may_have_run = request.may_have_run.or(request.sent);
         }
-        if self.may_retry(&request) {
+        if self.may_retry(&request, end.outcome) {
             self.attempt(id, request);
         } else {
             self.give_up(id, &request);
@@ -876,14 +876,17 @@
         }
     }
 
-    fn may_retry(&mut self, request: &Request) -> bool {
+    fn may_retry(&mut self, request: &Request, ended: Outcome) -> bool {
         let harmless = self.harmless(request);
         let in_time =
             request.deadline.saturating_sub(self.now) as f64 > self.classes[request.class].mean / 2.0;
         // What never ran is bounded too: where nothing can be reached, each call would make all its attempts.
         let attempts_left = request.attempts < request.most;
-        let granted = harmless && in_time && attempts_left && self.retry_budget >= 1.0;
-        self.retry_budget -= if granted { 1.0 } else { 0.0 };
+        // What was never sent has cost no server anything: calls that wait for a stream on a connection whose
+        // server is told to drain come back all at once, and would be refused though others have room.
+        let price = if ended == Outcome::Moot { 0.0 } else { 1.0 };
+        let granted = harmless && in_time && attempts_left && self.retry_budget >= price;
+        self.retry_budget -= if granted { price } else { 0.0 };
         granted
     }
 
--- a/crates/decisions/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -680,3 +680,21 @@
     }
     assert!(size[198] < 2 * size[4], "{} then {}", size[4], size[198]);
 }
+
+/// Calls that wait in a queue of ours for a server that is told to drain were never sent, and cost no server
+/// anything: the retry budget, which is there for the servers' sake, must not refuse them.
+#[test]
+fn what_was_never_sent_costs_no_retry_budget() {
+    let mut rig = Rig::new(settings(), &zones(1, 3));
+    rig.warm_up(50);
+    let mut calls: Vec<_> = (0..40).map(|_| rig.demand(UNSAFE)).collect();
+    calls.retain(|(_, actions)| sent(actions).is_some());
+    assert_eq!(calls.len(), 40);
+    for (id, _) in &calls {
+        let again = rig.end(*id, 0, Outcome::Moot, 0);
+        assert!(sent(&again).is_some(), "{again:?}");
+    }
+    // What has reached a server still costs.
+    let refusals = calls.iter().filter(|(id, _)| refused(&rig.end(*id, 1, Outcome::Full, MS))).count();
+    assert!(refusals >= 20, "{refusals} of 40 refused");
+}
--- /dev/null
+++ b/crates/plugin/src/answer.rs
@@ -0,0 +1,73 @@
+//! Answers that no upstream made: refusals and failures, in the form that the caller's library reads.
+
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use std::time::Duration;
+use woadstall_transport::Inbound;
+use woadstall_transport::code;
+
+/// Whether a request is a gRPC call.
+pub(crate) fn is_grpc(headers: &HeaderMap) -> bool {
+    headers.get(CONTENT_TYPE).is_some_and(|kind| kind.as_bytes().starts_with(b"application/grpc"))
+}
+
+fn number(text: String) -> HeaderValue {
+    HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("0"))
+}
+
+fn trailers_only(status: u32, message: &'static str) -> Response<Inbound> {
+    let mut answer = Response::new(Inbound::new(Default::default()));
+    let headers = answer.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/grpc"));
+    headers.insert("grpc-status", number(status.to_string()));
+    headers.insert("grpc-message", HeaderValue::from_static(message));
+    answer
+}
+
+fn status(status: StatusCode) -> Response<Inbound> {
+    let mut answer = Response::new(Inbound::new(Default::default()));
+    *answer.status_mut() = status;
+    answer
+}
+
+/// Refused: trying again is harmless, after a while if that is not zero.
+pub(crate) fn refused(grpc: bool, stay_away: Duration) -> Response<Inbound> {
+    let mut answer = match grpc {
+        true => trailers_only(code::UNAVAILABLE, "refused; trying again is harmless"),
+        false => status(StatusCode::SERVICE_UNAVAILABLE),
+    };
+    if stay_away > Duration::ZERO {
+        let (name, value) = match grpc {
+            true => ("grpc-retry-pushback-ms".parse(), stay_away.as_millis().to_string()),
+            false => (Ok(RETRY_AFTER), format!("{:.3}", stay_away.as_secs_f64())),
+        };
+        name.into_iter().for_each(|name: http::HeaderName| {
+            answer.headers_mut().insert(name, number(value.clone()));
+        });
+    }
+    answer
+}
+
+/// Failed, with no promise on its effect.
+pub(crate) fn failed(grpc: bool) -> Response<Inbound> {
+    match grpc {
+        true => trailers_only(code::UNKNOWN, "failed; it may have run"),
+        false => status(StatusCode::BAD_GATEWAY),
+    }
+}
+
+/// The caller's own body could not be read; nothing was sent.
+pub(crate) fn unreadable(grpc: bool) -> Response<Inbound> {
+    match grpc {
+        true => trailers_only(code::CANCELLED, "the request's body could not be read; nothing was sent"),
+        false => status(StatusCode::BAD_REQUEST),
+    }
+}
+
+/// The body is larger than the wire to the upstreams takes; nothing was sent.
+pub(crate) fn too_large(grpc: bool) -> Response<Inbound> {
+    match grpc {
+        true => trailers_only(code::RESOURCE_EXHAUSTED, "the request's body is too large; nothing was sent"),
+        false => status(StatusCode::PAYLOAD_TOO_LARGE),
+    }
+}
--- /dev/null
+++ b/crates/plugin/src/wire.rs
@@ -0,0 +1,74 @@
+//! The protocol towards upstreams, as set for the plug-in.
+
+use http::Response;
+use std::future::Future;
+use std::time::Duration;
+use woadstall_engine::{LoadReport, Outcome, Peer, Send as Attempt, ServerId};
+use woadstall_runtime::{Step, Transport};
+use woadstall_transport::{Http1, Http2, Inbound, Outbound};
+
+pub(crate) enum Wire {
+    Http1(Http1),
+    Http2(Http2),
+}
+
+impl Transport for Wire {
+    type Request = Outbound;
+    type Answer = Response<Inbound>;
+
+    fn attempt(
+        &self,
+        request: &mut Outbound,
+        attempt: &Attempt,
+    ) -> impl Future<Output = Step<Response<Inbound>>> + Send + 'static {
+        let (one, two) = match self {
+            Self::Http1(wire) => (request.whole().map(|whole| wire.ended(&whole, attempt)), None),
+            Self::Http2(wire) => (None, Some(wire.attempt(request, attempt))),
+        };
+        async move {
+            match (one, two) {
+                (Some(one), _) => Step::Ended(one.await.map(|answer| answer.map(Inbound::new))),
+                (None, Some(two)) => two.await,
+                (None, None) => Step::Ended(Outcome::Moot.into()),
+            }
+        }
+    }
+
+    fn probe(
+        &self,
+        peer: Peer,
+        patience: Duration,
+    ) -> impl Future<Output = (Outcome, Option<LoadReport>)> + Send + 'static {
+        let probe = match self {
+            Self::Http1(wire) => Some(wire.probe(peer, patience)),
+            Self::Http2(_) => None,
+        };
+        async move {
+            match probe {
+                Some(probe) => probe.await,
+                None => (Outcome::Moot, None),
+            }
+        }
+    }
+
+    fn close_idle(&self, server: ServerId) {
+        match self {
+            Self::Http1(wire) => wire.close_idle(server),
+            Self::Http2(wire) => wire.close_idle(server),
+        }
+    }
+
+    fn retire(&self, server: ServerId) {
+        match self {
+            Self::Http1(wire) => wire.retire(server),
+            Self::Http2(wire) => wire.retire(server),
+        }
+    }
+
+    fn sweep(&self) {
+        match self {
+            Self::Http1(wire) => wire.sweep(),
+            Self::Http2(wire) => wire.sweep(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/plugin/tests/grpc.rs
@@ -0,0 +1,445 @@
+//! gRPC through the plug-in: what came back, has it run, and what the caller hears.
+
+mod common;
+
+use bytes::Bytes;
+use common::*;
+use h2::Reason;
+use http::Request;
+use http_body_util::{BodyExt, Full, StreamBody};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+use tower_service::Service;
+use woadstall_standin::grpc::{Called, Grpc, Reply, message};
+use woadstall_standin::raw2::{Raw2, Then};
+use woadstall_tower::{CallInfo, InheritTime, Protocol};
+
+fn ok() -> Reply {
+    Reply::Ok(Bytes::from_static(b"done"))
+}
+
+/// The first call ends with `first`, all later ones are served.
+fn once(first: Reply) -> impl Fn(&Called) -> Reply + Send + Sync {
+    let count = AtomicUsize::new(0);
+    move |_| match count.fetch_add(1, Ordering::Relaxed) {
+        0 => first.clone(),
+        _ => ok(),
+    }
+}
+
+/// What a caller hears, and how many attempts came, where the first attempt ends so.
+async fn row(path: &str, first: Reply) -> (Outcome, usize) {
+    let upstream = Grpc::start(once(first)).await;
+    let balance = balance(&[upstream.address]);
+    let outcome = call(&balance, path).await;
+    until("all is over", || balance.open_calls() == 0).await;
+    (outcome, upstream.total())
+}
+
+/// The rows that never ran: another attempt follows, also for unsafe work.
+#[tokio::test]
+async fn what_never_ran_is_sent_again() {
+    let full = Reply::Status(14, vec![("x-rejected", "1")]);
+    let exhausted = Reply::Status(8, vec![("grpc-retry-pushback-ms", "5")]);
+    let refused = Reply::Reset(Reason::REFUSED_STREAM);
+    let http = Reply::Http(503, vec![("x-rejected", "1")], Bytes::new());
+    for (name, first) in [("full", full), ("exhausted", exhausted), ("refused", refused), ("http", http)] {
+        for path in [LOOK, PAY, POST] {
+            let (outcome, attempts) = row(path, first.clone()).await;
+            assert!(outcome.is_served(), "{name} {path}: {outcome:?}");
+            assert_eq!((attempts, &outcome.body), (2, &message(b"done")), "{name} {path}");
+        }
+    }
+}
+
+/// The rows that may have run: safe and keyed work is sent again, unsafe work fails with no promise.
+#[tokio::test]
+async fn unsafe_work_that_may_have_run_fails_with_no_promise() {
+    let rows = [
+        ("unavailable", Reply::Status(14, vec![])),
+        ("unavailable with pushback", Reply::Status(14, vec![("grpc-retry-pushback-ms", "5")])),
+        ("deadline exceeded", Reply::Status(4, vec![])),
+        ("cancelled", Reply::Reset(Reason::CANCEL)),
+        ("internal", Reply::Reset(Reason::INTERNAL_ERROR)),
+        ("no error", Reply::Reset(Reason::NO_ERROR)),
+        ("no status", Reply::NoStatus(Bytes::new())),
+        ("http", Reply::Http(500, vec![], Bytes::new())),
+        ("plain 503", Reply::Http(503, vec![], Bytes::new())),
+    ];
+    for (name, first) in rows {
+        for path in [LOOK, PAY] {
+            let (outcome, attempts) = row(path, first.clone()).await;
+            assert!(outcome.is_served() && attempts == 2, "{name} {path}: {outcome:?} after {attempts}");
+        }
+        for path in [POST, "/test.Test/Unknown"] {
+            let (outcome, attempts) = row(path, first.clone()).await;
+            assert!(outcome.is_failed() && attempts == 1, "{name} {path}: {outcome:?} after {attempts}");
+        }
+    }
+}
+
+/// All other statuses are the answer, as they came.
+#[tokio::test]
+async fn other_statuses_are_final() {
+    for status in [1, 2, 3, 5, 6, 7, 8, 9, 10, 11, 12, 13, 15, 16] {
+        let (outcome, attempts) = row(LOOK, Reply::Status(status, vec![("x-from", "upstream")])).await;
+        assert_eq!((outcome.status, attempts), (Some(status), 1));
+    }
+}
+
+/// Rule 2 on a connection with many streams: it dies, and what was on it may have run.
+#[tokio::test]
+async fn none_of_the_streams_on_a_dead_connection_is_sent_again() {
+    let dying = Raw2::start(30, Then::Close);
+    let balance = balance(&[dying.address]);
+    let calls: Vec<_> = (0..30)
+        .map(|_| {
+            let balance = balance.clone();
+            tokio::spawn(async move { call(&balance, POST).await })
+        })
+        .collect();
+    let sound = Grpc::start(|_| ok()).await;
+    // All thirty are out before the other upstream is there to be sent to.
+    tokio::task::spawn_blocking(move || dying.wait_for(29)).await.unwrap();
+    balance.list(&listing(false, &[Member("other", sound.address, "in_service", 0)]));
+    for ended in calls {
+        let outcome = ended.await.unwrap();
+        assert!(outcome.is_failed(), "{outcome:?}");
+    }
+    assert_eq!(sound.total(), 0);
+}
+
+/// RFC 9113, section 6.8: what lies above GOAWAY's last stream was not acted on, and goes elsewhere.
+#[tokio::test]
+async fn streams_above_goaway_are_sent_elsewhere_and_only_those() {
+    let leaving = Raw2::start(30, Then::GoAway { acted_on: 20 });
+    let balance = balance(&[leaving.address]);
+    let calls: Vec<_> = (0..29)
+        .map(|_| {
+            let balance = balance.clone();
+            tokio::spawn(async move { call(&balance, POST).await })
+        })
+        .collect();
+    let leaving = tokio::task::spawn_blocking(move || (leaving.wait_for(29), leaving).1).await.unwrap();
+    let sound = Grpc::start(|_| ok()).await;
+    let members = [("s-0", leaving.address, "terminating"), ("other", sound.address, "in_service")];
+    let members = members.map(|(name, address, state)| Member(name, address, state, 0));
+    // The thirtieth opens the way out, on the same connection, before that is told to drain.
+    let last = {
+        let balance = balance.clone();
+        tokio::spawn(async move { call(&balance, POST).await })
+    };
+    let leaving = tokio::task::spawn_blocking(move || (leaving.wait_for(1), leaving).1).await.unwrap();
+    balance.list(&listing(false, &members));
+    let (mut served, mut failed) = (0, 0);
+    for ended in calls.into_iter().chain([last]) {
+        let outcome = ended.await.unwrap();
+        served += usize::from(outcome.is_served());
+        failed += usize::from(outcome.is_failed());
+    }
+    assert_eq!((served, failed, sound.total()), (10, 20, 10));
+    drop(leaving);
+}
+
+/// Rule 3: a drain lets the streams finish, and no new one opens, neither at once nor from the queue.
+#[tokio::test]
+async fn a_drain_finishes_streams_and_opens_none() {
+    let ring = Arc::new(Notify::new());
+    let reply = Reply::After(ring.clone(), Box::new(ok()));
+    let draining = Grpc::start_with(Some(10), move |_| reply.clone()).await;
+    let settings = settings(|settings| settings["Limits"]["TryLimit"] = 6.into());
+    let balance = builder(&settings).connections(1).known(in_service(&[draining.address])).build().unwrap();
+    let calls: Vec<_> = (0..50)
+        .map(|_| {
+            let balance = balance.clone();
+            tokio::spawn(async move { call(&balance, POST).await })
+        })
+        .collect();
+    // Ten are out; forty wait behind MAX_CONCURRENT_STREAMS.
+    until("ten are held", || draining.held() == 10).await;
+    until("all are out", || balance.open_calls() == 50).await;
+    let sound = Grpc::start(|_| ok()).await;
+    balance.list(&listing(
+        false,
+        &[Member("s-0", draining.address, "terminating", 0), Member("other", sound.address, "in_service", 0)],
+    ));
+    until("the forty went elsewhere", || sound.total() == 40).await;
+    assert_eq!(draining.total(), 10, "nothing new after the drain was told");
+    let mut open = draining.open();
+    ring.notify_waiters();
+    for ended in calls {
+        let outcome = ended.await.unwrap();
+        assert!(outcome.is_served(), "{outcome:?}");
+    }
+    assert_eq!((draining.total(), sound.total(), draining.connections()), (10, 40, 1));
+    // With its last stream the connection goes.
+    tokio::time::timeout(PATIENCE, open.wait_for(|open| *open == 0)).await.unwrap().unwrap();
+}
+
+/// A server that asks for no more streams is no failure: what it has finishes, the next goes to a new connection.
+#[tokio::test]
+async fn a_graceful_goaway_costs_nothing() {
+    let ring = Arc::new(Notify::new());
+    let wait = Reply::After(ring.clone(), Box::new(ok()));
+    let upstream = Grpc::start(once(wait)).await;
+    let balance = balance(&[upstream.address]);
+    let held = {
+        let balance = balance.clone();
+        tokio::spawn(async move { call(&balance, POST).await })
+    };
+    upstream.called().await;
+    upstream.go_away();
+    // The other connection may be opened before the first has heard; either way nothing is lost.
+    for _ in 0..20 {
+        assert!(call(&balance, POST).await.is_served());
+    }
+    ring.notify_one();
+    assert!(held.await.unwrap().is_served());
+    assert_eq!(upstream.total(), 21);
+}
+
+/// What goes upstream is what is left then, each attempt anew.
+#[tokio::test]
+async fn each_attempt_carries_what_is_left() {
+    let wait = Duration::from_millis(300);
+    let upstream = Grpc::start(once(Reply::Later(wait, Box::new(Reply::Status(14, vec![]))))).await;
+    let balance = balance(&[upstream.address]);
+    let mut request = request(LOOK);
+    request.headers_mut().insert("grpc-timeout", "20S".parse().unwrap());
+    request.headers_mut().insert("x-budget", "10.0".parse().unwrap());
+    request.extensions_mut().insert(CallInfo { within: Some(Duration::from_secs(15)), ..Default::default() });
+    assert!(outcome(send(&balance, request).await).await.is_served());
+    let (first, second) = (upstream.called().await, upstream.called().await);
+    assert!((9_000..=10_000).contains(&first.time_left()), "{}", first.time_left());
+    let spent = first.time_left() - second.time_left();
+    assert!((300..5_000).contains(&spent), "{spent} ms passed between the attempts");
+    let budget: f64 = second.headers["x-budget"].to_str().unwrap().parse().unwrap();
+    assert!((budget * 1e3 - second.time_left() as f64).abs() < 2.0);
+}
+
+/// No time left: refused at once, nothing is sent.
+#[tokio::test]
+async fn without_time_nothing_is_sent() {
+    let upstream = Grpc::start(|_| ok()).await;
+    let balance = balance(&[upstream.address]);
+    assert!(call(&balance, LOOK).await.is_served());
+    for time in ["0n", "0S", "0m"] {
+        let mut request = request(POST);
+        request.headers_mut().insert("grpc-timeout", time.parse().unwrap());
+        let outcome = outcome(send(&balance, request).await).await;
+        assert!(outcome.is_refused(), "{outcome:?}");
+    }
+    assert_eq!(upstream.total(), 1);
+}
+
+/// A service's calls wait no longer than its own caller.
+#[tokio::test]
+async fn what_a_services_caller_waits_is_inherited() {
+    let upstream = Grpc::start(|_| Reply::Silence).await;
+    let balance = balance(&[upstream.address]);
+    let handler = tower::service_fn(move |_: Request<()>| {
+        let balance = balance.clone();
+        async move { Ok::<_, std::convert::Infallible>(call(&balance, POST).await) }
+    });
+    let mut server = tower_layer::Layer::layer(&InheritTime, handler);
+    let request = Request::post("/up.Up/Load").header("grpc-timeout", "150m").body(()).unwrap();
+    let asked = Instant::now();
+    let outcome = server.call(request).await.unwrap();
+    assert!(outcome.is_failed(), "{outcome:?}");
+    assert!((150..20_000).contains(&(asked.elapsed().as_millis() as u64)));
+    assert!(upstream.called().await.time_left() <= 150);
+}
+
+/// A dropped call is withdrawn: its stream is reset, and its next attempt never made.
+#[tokio::test]
+async fn a_dropped_call_is_withdrawn() {
+    let upstream = Grpc::start(|_| Reply::Silence).await;
+    let balance = balance(&[upstream.address]);
+    let calls: Vec<_> = (0..200)
+        .map(|_| {
+            let balance = balance.clone();
+            tokio::spawn(async move { call(&balance, LOOK).await })
+        })
+        .collect();
+    until("all are out", || upstream.held() == 200).await;
+    calls.iter().for_each(|call| call.abort());
+    until("all are withdrawn", || upstream.held() == 0).await;
+    assert_eq!((balance.open_calls(), upstream.total()), (0, 200));
+}
+
+/// Server streaming: after the first message there is no other attempt, whatever happens to the stream.
+#[tokio::test]
+async fn after_the_first_message_there_is_no_other_attempt() {
+    let upstream = Grpc::start(once(Reply::Broken(Bytes::from_static(b"one"), Reason::INTERNAL_ERROR))).await;
+    let balance = balance(&[upstream.address]);
+    let outcome = call(&balance, LOOK).await;
+    assert!(outcome.broken && outcome.body == message(b"one"), "{outcome:?}");
+    assert_eq!((upstream.total(), balance.open_calls()), (1, 0));
+}
+
+#[tokio::test]
+async fn messages_of_a_stream_come_as_they_are_sent() {
+    let ring = Arc::new(Notify::new());
+    let reply = Reply::Stream(Bytes::from_static(b"x"), 3, ring.clone());
+    let upstream = Grpc::start(move |_| reply.clone()).await;
+    let balance = balance(&[upstream.address]);
+    let mut body = send(&balance, request(LOOK)).await.into_body();
+    for _ in 0..2 {
+        let frame = tokio::time::timeout(PATIENCE, body.frame()).await.unwrap().unwrap().unwrap();
+        assert_eq!(frame.into_data().unwrap(), message(b"x"));
+        assert_eq!(balance.open_calls(), 1, "the stream goes on");
+        ring.notify_one();
+    }
+    assert_eq!(body.frame().await.unwrap().unwrap().into_data().unwrap(), message(b"x"));
+    let trailers = body.frame().await.unwrap().unwrap().into_trailers().unwrap();
+    assert_eq!(trailers["grpc-status"], "0");
+    assert!(body.frame().await.is_none());
+    until("the stream is over", || balance.open_calls() == 0).await;
+    // A caller that has heard enough: the stream is reset.
+    let body = send(&balance, request(LOOK)).await;
+    until("it is held", || upstream.held() == 1).await;
+    drop(body);
+    until("it is withdrawn", || upstream.held() == 0).await;
+    assert_eq!(balance.open_calls(), 0);
+}
+
+/// A stream whose caller has said how long it waits ends then, at both ends.
+#[tokio::test]
+async fn a_stream_ends_in_its_callers_time() {
+    let upstream = Grpc::start(|_| Reply::Stream(Bytes::from_static(b"x"), 2, Arc::new(Notify::new()))).await;
+    let balance = balance(&[upstream.address]);
+    let mut request = request(LOOK);
+    request.headers_mut().insert("grpc-timeout", "200m".parse().unwrap());
+    let outcome = outcome(send(&balance, request).await).await;
+    assert!(outcome.broken && outcome.body == message(b"x"), "{outcome:?}");
+    until("it is withdrawn", || upstream.held() == 0).await;
+}
+
+/// A server that answers headers and then nothing: the call ends in its time, and unsafe work with no promise.
+#[tokio::test]
+async fn headers_and_then_nothing_is_no_answer() {
+    for (path, refused) in [(LOOK, true), (POST, false)] {
+        let upstream = Grpc::start(|_| Reply::HeadersOnly).await;
+        let balance = balance(&[upstream.address]);
+        let mut request = request(path);
+        request.headers_mut().insert("grpc-timeout", "200m".parse().unwrap());
+        let outcome = outcome(send(&balance, request).await).await;
+        assert_eq!((outcome.is_refused(), outcome.is_failed()), (refused, !refused), "{outcome:?}");
+    }
+}
+
+/// A body beyond the replay limit, or one still to come, is sent once: after that there is no other attempt.
+#[tokio::test]
+async fn what_cannot_be_replayed_has_one_attempt() {
+    let upstream = Grpc::start(|_| Reply::Status(14, vec![("x-rejected", "1")])).await;
+    let balance =
+        builder(&settings(|_| {})).replay_limit(1000).known(in_service(&[upstream.address])).build();
+    let balance = balance.unwrap();
+    let sized = |bytes: usize| request(POST).map(|_| Full::new(message(&vec![7; bytes])));
+    let small = outcome(send(&balance, sized(900)).await).await;
+    assert!(small.is_refused(), "{small:?}");
+    let attempts = upstream.total();
+    assert!(attempts > 1, "a small body is sent again");
+    let large = outcome(send(&balance, sized(300_000)).await).await;
+    assert!(large.is_refused(), "it never ran: {large:?}");
+    assert_eq!(upstream.total(), attempts + 1);
+    for _ in 0..attempts {
+        upstream.called().await;
+    }
+    assert_eq!(upstream.called().await.body, message(&vec![7; 300_000]), "and is sent whole");
+    // A body that comes in pieces, the second later.
+    let parts = futures_util::stream::unfold(0, |at| async move {
+        if at == 1 {
+            tokio::time::sleep(Duration::from_millis(30)).await;
+        }
+        let frame = http_body::Frame::data(message(b"part"));
+        (at < 2).then_some((Ok::<_, std::convert::Infallible>(frame), at + 1))
+    });
+    let streamed = request(POST).map(|_| StreamBody::new(Box::pin(parts)));
+    assert!(outcome(send(&balance, streamed).await).await.is_refused());
+    assert_eq!(upstream.total(), attempts + 2);
+    assert_eq!(upstream.called().await.body, [message(b"part"), message(b"part")].concat());
+}
+
+/// The caller's runtime stands still, clones go in any order, and the last one goes with calls open: nothing is
+/// left behind, and nothing is sent afterwards.
+#[tokio::test]
+async fn stalls_and_dropped_clones_leave_nothing_behind() {
+    let upstream = Grpc::start(|_| Reply::Later(Duration::from_millis(50), Box::new(ok()))).await;
+    let balance = balance(&[upstream.address]);
+    let calls: Vec<_> = (0..20).map(|_| Box::pin(balance.clone().call(request(POST)))).collect();
+    let mut calls: Vec<_> = calls.into_iter().map(|call| tokio::spawn(call)).collect();
+    until("they are out", || upstream.held() > 0).await;
+    std::thread::sleep(Duration::from_millis(200)); // the whole runtime, upstream included
+    for call in calls.drain(..10) {
+        assert_eq!(outcome(call.await.unwrap().unwrap()).await.status, Some(0));
+    }
+    drop(calls);
+    let mut open = upstream.open();
+    // The last clone goes with calls open, whose futures go after it.
+    let orphans: Vec<_> = (0..5).map(|_| balance.clone().call(request(POST))).collect();
+    drop(balance);
+    drop(orphans);
+    let total = upstream.total();
+    tokio::time::timeout(PATIENCE, open.wait_for(|open| *open == 0)).await.unwrap().unwrap();
+    assert_eq!(upstream.total(), total);
+}
+
+/// A new process at the address of a former one: no stream of its goes on the old connection.
+#[tokio::test]
+async fn a_former_process_is_not_spoken_to() {
+    let upstream = Grpc::start(|_| ok()).await;
+    let balance = balance(&[upstream.address]);
+    assert!(call(&balance, POST).await.is_served());
+    assert_eq!(upstream.called().await.connection, 0);
+    balance.list(&listing(false, &[Member("s-0", upstream.address, "in_service", 1_700_000_000_000)]));
+    assert!(call(&balance, POST).await.is_served());
+    assert_eq!(upstream.called().await.connection, 1);
+}
+
+/// Nobody listens: refused, as it never ran, with advice on when to come back.
+#[tokio::test]
+async fn where_nothing_listens_a_call_is_refused() {
+    let settings = settings(|settings| settings["Limits"]["RetryAfter"] = true.into());
+    let nowhere = woadstall_standin::http1::refusing();
+    let balance = builder(&settings).known(in_service(&[nowhere])).build().unwrap();
+    let outcome = call(&balance, POST).await;
+    assert!(outcome.is_refused() && outcome.pushback.is_some_and(|ms| ms > 0), "{outcome:?}");
+    let plain = Request::post("/post").body(Full::new(Bytes::new())).unwrap();
+    let answer = send(&balance, plain).await;
+    assert_eq!(answer.status(), 503);
+    assert!(answer.headers()["retry-after"].to_str().unwrap().parse::<f64>().unwrap() > 0.0);
+}
+
+/// HTTP/1.1 upstreams behind the same service.
+#[tokio::test]
+async fn http1_upstreams_are_served_alike() {
+    use woadstall_standin::http1::{Act, Upstream, full, ok};
+    let count = AtomicUsize::new(0);
+    let upstream = Upstream::start(move |_| match count.fetch_add(1, Ordering::Relaxed) {
+        0 => Act::Answer(full()),
+        1 => Act::Silence,
+        _ => Act::Answer(ok("second")),
+    });
+    let builder = builder(&settings(|_| {})).protocol(Protocol::Http1).replay_limit(1000);
+    let balance = builder.known(in_service(&[upstream.address])).build().unwrap();
+    let post = |size: usize, budget: &str| {
+        let request = Request::post("/post/1?x=2").header("x-budget", budget);
+        request.body(Full::new(Bytes::from(vec![b'b'; size]))).unwrap()
+    };
+    // Full, sent again; then silence: it may have run.
+    let answer = send(&balance, post(4, "0.2")).await;
+    assert_eq!((answer.status().as_u16(), upstream.requests()), (502, 2));
+    let answer = send(&balance, post(4, "60")).await;
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.into_body().collect().await.unwrap().to_bytes(), "second");
+    let request = upstream.request();
+    assert_eq!(
+        (request.first_line.as_str(), request.body.as_slice()),
+        ("POST /post/1?x=2 HTTP/1.1", &b"bbbb"[..])
+    );
+    assert_eq!(send(&balance, post(1001, "60")).await.status(), 413);
+    assert_eq!(upstream.requests(), 0);
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,4 +2,6 @@
 
 #![forbid(unsafe_code)]
 
+pub mod grpc;
 pub mod http1;
+pub mod raw2;
--- /dev/null
+++ b/crates/standin/src/raw2.rs
@@ -0,0 +1,122 @@
+//! An HTTP/2 peer that writes its own frames (RFC 9113, section 4.1), for what a sound server never does: it
+//! counts the streams that are opened on it, and ends the connection as it is told.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, Sender, channel};
+
+const HEADERS: u8 = 0x1;
+const RST_STREAM: u8 = 0x3;
+const SETTINGS: u8 = 0x4;
+const PING: u8 = 0x6;
+const GOAWAY: u8 = 0x7;
+const ACK: u8 = 0x1;
+const PREFACE: usize = 24;
+
+/// What it does once so many streams have been opened on a connection.
+#[derive(Clone, Debug)]
+pub enum Then {
+    /// Says that no stream above this one, counted from 1, was acted on, and ends the connection.
+    GoAway {
+        /// How many it may have acted on.
+        acted_on: u32,
+    },
+    /// Ends each stream with this error, and stays.
+    ResetAll {
+        /// The error (RFC 9113, section 7).
+        error: u32,
+    },
+    /// Ends the connection without a word.
+    Close,
+    /// Nothing, ever.
+    Silence,
+}
+
+/// The peer.
+pub struct Raw2 {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The number of each stream as it is opened, over all connections.
+    pub opened: Receiver<u32>,
+}
+
+impl Raw2 {
+    /// Does as told once `streams` are open on a connection.
+    pub fn start(streams: usize, then: Then) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (tell, opened) = channel();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let (tell, then) = (tell.clone(), then.clone());
+                std::thread::spawn(move || serve(stream, streams, &then, &tell));
+            }
+        });
+        Self { address, opened }
+    }
+
+    /// Waits until so many more streams are open.
+    pub fn wait_for(&self, streams: usize) -> Vec<u32> {
+        let next = || self.opened.recv_timeout(crate::http1::PATIENCE).expect("one more stream");
+        (0..streams).map(|_| next()).collect()
+    }
+}
+
+fn frame(kind: u8, flags: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+    let mut bytes = (payload.len() as u32).to_be_bytes()[1..].to_vec();
+    bytes.extend([kind, flags]);
+    bytes.extend(stream.to_be_bytes());
+    bytes.extend(payload);
+    bytes
+}
+
+fn serve(mut stream: TcpStream, most: usize, then: &Then, tell: &Sender<u32>) -> Option<()> {
+    let mut preface = [0; PREFACE];
+    stream.read_exact(&mut preface).ok()?;
+    stream.write_all(&frame(SETTINGS, 0, 0, &[])).ok()?;
+    let mut opened = Vec::new();
+    loop {
+        let mut head = [0; 9];
+        stream.read_exact(&mut head).ok()?;
+        let length = u32::from_be_bytes([0, head[0], head[1], head[2]]) as usize;
+        let id = u32::from_be_bytes([head[5], head[6], head[7], head[8]]);
+        let mut payload = vec![0; length];
+        stream.read_exact(&mut payload).ok()?;
+        match head[3] {
+            SETTINGS if head[4] & ACK == 0 => stream.write_all(&frame(SETTINGS, ACK, 0, &[])).ok()?,
+            PING if head[4] & ACK == 0 => stream.write_all(&frame(PING, ACK, 0, &payload)).ok()?,
+            HEADERS => {
+                opened.push(id);
+                tell.send(id).ok();
+                if opened.len() == most {
+                    act(&mut stream, &opened, then)?;
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+fn act(stream: &mut TcpStream, opened: &[u32], then: &Then) -> Option<()> {
+    match *then {
+        Then::GoAway { acted_on } => {
+            let last = opened.get((acted_on as usize).wrapping_sub(1)).copied().unwrap_or(0);
+            let mut payload = last.to_be_bytes().to_vec();
+            payload.extend(0_u32.to_be_bytes()); // NO_ERROR
+            stream.write_all(&frame(GOAWAY, 0, 0, &payload)).ok()?;
+            stream.shutdown(Shutdown::Write).ok()?;
+            None
+        }
+        Then::ResetAll { error } => {
+            for &id in opened {
+                stream.write_all(&frame(RST_STREAM, 0, id, &error.to_be_bytes())).ok()?;
+            }
+            Some(())
+        }
+        Then::Close => {
+            stream.shutdown(Shutdown::Both).ok();
+            None
+        }
+        Then::Silence => Some(()),
+    }
+}
--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -1,11 +1,12 @@
 //! Connections to upstreams, and attempts on them: one attempt at a time on each.
 
+use crate::classify::{self, Class};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{HOST, HeaderValue};
-use hyper::{Request, Response, StatusCode, Uri, Version};
+use hyper::{Request, Response, Uri, Version};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::collections::HashMap;
@@ -33,13 +34,14 @@
 /// How an attempt ended, with the answer if it is whole and the connection if it can be used again.
 struct Finished {
     outcome: Outcome,
+    is_final: bool,
     response: Option<Response<Bytes>>,
     connection: Option<Connection>,
 }
 
 impl From<Outcome> for Finished {
     fn from(outcome: Outcome) -> Self {
-        Self { outcome, response: None, connection: None }
+        Self { outcome, is_final: false, response: None, connection: None }
     }
 }
 
@@ -66,18 +68,10 @@
         Err(error) if error.is::<hyper::Error>() => return broken().into(),
         Err(_) => return Outcome::Error.into(), // larger than any answer may be
     };
-    let rejected = head.headers.get("x-rejected").is_some_and(|value| value == "1");
-    let outcome = match head.status {
-        StatusCode::OK => Outcome::Ok,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => Outcome::Full,
-        // 408 and 429 are about the connection and the load; all else of its kind is about the request.
-        StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS => Outcome::Error,
-        status if status.is_client_error() => Outcome::Declined,
-        _ => Outcome::Error,
-    };
+    let Class { outcome, is_final } = classify::http(head.status, &head.headers);
     // Ready again unless the upstream closes it, which it has said by now.
     let connection = connection.sender.ready().await.is_ok().then_some(connection);
-    Finished { outcome, response: Some(Response::from_parts(head, body)), connection }
+    Finished { outcome, is_final, response: Some(Response::from_parts(head, body)), connection }
 }
 
 /// Whether a connection failed for lack of our own descriptors, ports or memory.
@@ -267,11 +261,7 @@
     }
 
     /// One request and its answer, on a kept connection or a new one.
-    fn exchange(
-        &self,
-        request: Request<Bytes>,
-        peer: Peer,
-    ) -> impl Future<Output = Finished> + Send + 'static {
+    fn exchange(&self, request: Request<Bytes>, peer: Peer) -> impl Future<Output = Finished> + Send + use<> {
         let taken = lock(&self.pool).take(peer.server);
         let (pool, open) = (self.pool.clone(), self.open.clone());
         let (connect_timeout, most_body) = (self.connect_timeout, self.most_body);
@@ -299,6 +289,24 @@
     }
 }
 
+impl Http1 {
+    /// An attempt to its end.
+    pub fn ended(
+        &self,
+        request: &Request<Bytes>,
+        attempt: &Attempt,
+    ) -> impl Future<Output = Ended<Response<Bytes>>> + Send + use<> {
+        let request = forwarded(request, attempt.to.address, attempt.left);
+        let (exchange, fields) = (self.exchange(request, attempt.to), self.report_fields.clone());
+        async move {
+            let Finished { outcome, is_final, response, .. } = exchange.await;
+            let report = response.as_ref().and_then(|response| response.headers().get("x-load-report"));
+            let load = report.and_then(|report| load_report(report.as_bytes(), &fields));
+            Ended { outcome, answer: response.filter(|_| is_final), load }
+        }
+    }
+}
+
 impl Transport for Http1 {
     type Request = Request<Bytes>;
     type Answer = Response<Bytes>;
@@ -308,15 +316,8 @@
         request: &mut Request<Bytes>,
         attempt: &Attempt,
     ) -> impl Future<Output = Step<Response<Bytes>>> + Send + 'static {
-        let request = forwarded(request, attempt.to.address, attempt.left);
-        let (exchange, fields) = (self.exchange(request, attempt.to), self.report_fields.clone());
-        async move {
-            let Finished { outcome, response, .. } = exchange.await;
-            let report = response.as_ref().and_then(|response| response.headers().get("x-load-report"));
-            let load = report.and_then(|report| load_report(report.as_bytes(), &fields));
-            let is_final = matches!(outcome, Outcome::Ok | Outcome::Declined);
-            Step::Ended(Ended { outcome, answer: response.filter(|_| is_final), load })
-        }
+        let ended = self.ended(request, attempt);
+        async move { Step::Ended(ended.await) }
     }
 
     fn probe(
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,7 +1,18 @@
-//! Connections to upstreams, and what the end of an attempt on them proves.
+//! Connections to upstreams, and what the end of an attempt on them proves. HTTP/1.1 always; HTTP/2 with the
+//! feature `http2`.
 
 #![forbid(unsafe_code)]
 
+mod classify;
 mod http1;
+#[cfg(feature = "http2")]
+mod http2;
+#[cfg(feature = "http2")]
+mod outbound;
 
+pub use classify::code;
 pub use http1::{Http1, is_local, load_report};
+#[cfg(feature = "http2")]
+pub use http2::{Http2, Inbound, InboundError, Limits, grpc_timeout_of};
+#[cfg(feature = "http2")]
+pub use outbound::{BodyError, Outbound};
