--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -43,6 +43,9 @@
 const LATE_DEVS: f64 = 4.0;
 /// ... and at which it is overdue, a failure: hardly any call to a sound server is.
 const OVERDUE_DEVS: f64 = 20.0;
+/// Part of its aim within which no attempt is overdue: where calls take a millisecond, a caller that is held up
+/// by itself for some would give up sound servers in a row.
+const OVERDUE_LEAST: f64 = 0.1;
 /// A server that answered so lately is alive: a connection that fails is one too many for it.
 const ALIVE: Duration = SECOND;
 /// Time after which a server that took no more connections is tried with one more.
@@ -401,12 +404,16 @@
     fn attempt_limit(&self, request: &Request) -> Time {
         let left = request.deadline.saturating_sub(self.now);
         let latency = &self.classes[request.class];
-        let overdue = latency.above(OVERDUE_DEVS);
+        let overdue = latency.above(OVERDUE_DEVS).max(self.never_overdue(request.class));
         let again = request.attempts + 1 < request.most && self.repeatable(request.class);
         let cut = again && latency.calls >= KNOWN && overdue + latency.mean as Duration <= left;
         if cut { self.now + overdue } else { request.deadline }
     }
 
+    fn never_overdue(&self, class: usize) -> Duration {
+        (OVERDUE_LEAST * self.settings.classes[class].aim as f64) as Duration
+    }
+
     fn repeatable(&self, class: usize) -> bool {
         self.settings.classes[class].effect != Effect::Unsafe
     }
@@ -762,7 +769,7 @@
         let (class, held) = (request.class, std::mem::take(&mut request.per_aim));
         self.hold(-held);
         self.learn_slowness(at, class, self.now - sent);
-        let after = self.classes[class].above(OVERDUE_DEVS - LATE_DEVS);
+        let after = self.classes[class].above(OVERDUE_DEVS - LATE_DEVS).max(self.never_overdue(class));
         self.actions.push(Action::SetTimer { after, token });
     }
 
--- a/crates/decisions/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -698,3 +698,33 @@
     let refusals = calls.iter().filter(|(id, _)| refused(&rig.end(*id, 1, Outcome::Full, MS))).count();
     assert!(refusals >= 20, "{refusals} of 40 refused");
 }
+
+/// Where calls take a millisecond, twenty deviations above that are a millisecond more: a caller that stood still
+/// for twenty gave up all its attempts at once, and refused two hundred calls to sound servers.
+#[test]
+fn a_caller_held_up_by_itself_does_not_give_up_sound_servers() {
+    let mut rig = Rig::new(settings(), &zones(1, 2));
+    for _ in 0..200 {
+        rig.serve(SAFE, MS);
+    }
+    let (_, actions) = rig.demand(SAFE);
+    let until = actions.iter().find_map(|action| match action {
+        Action::Send { until, .. } => Some(*until - rig.now),
+        _ => None,
+    });
+    assert!(until.is_some_and(|until| until >= 50 * MS && until < 500 * MS), "{until:?}");
+    // Nor is the server held to have failed before that: the look after the first one, which finds the call late,
+    // comes no sooner.
+    let (at, token) = timers(&actions, rig.now).pop().expect("a first look");
+    rig.now = at;
+    let (again, _) = timers(&rig.tell(Event::Timer(token)), 0).pop().expect("a second look");
+    assert!(again >= 50 * MS, "{again}");
+}
+
+fn timers(actions: &[Action], now: u64) -> Vec<(u64, u64)> {
+    let timer = |action: &Action| match action {
+        Action::SetTimer { after, token } => Some((now + after, *token)),
+        _ => None,
+    };
+    actions.iter().filter_map(timer).collect()
+}
--- a/crates/decisions/tests/fleet.rs
+++ b/crates/decisions/tests/fleet.rs
@@ -259,7 +259,9 @@
     let mut worst = 0.0_f64;
     for seed in 1..=5 {
         let (most, used, served, refused) = Fleet::run(kinds, servers, cold, load, restart, seed);
-        println!("{name}, seed {seed}: {most:.2} of what pushes it over, {used} calls to cold servers, {served} served, {refused} refused");
+        println!(
+            "{name}, seed {seed}: {most:.2} of what pushes it over, {used} calls to cold servers, {served} served, {refused} refused"
+        );
         assert!(used > 0, "{name}: a cold server is used");
         worst = worst.max(most);
     }
--- a/crates/plugin/src/lib.rs
+++ b/crates/plugin/src/lib.rs
@@ -27,6 +27,8 @@
 mod ask;
 mod builder;
 mod inherit;
+#[cfg(test)]
+mod same;
 mod service;
 mod wire;
 
