Operator file, woadstall check, a demo fleet, and measurements against plain peers

Need: operators must be able to check what they write before it is used, see the whole at work with one command, and know what the plug-in and the daemon cost. Daemon and plug-in must be shown to act alike.

Change: crates/operator reads deploy/operator.toml (unknown or unsound fields refused in one line that names them); `woadstall check`, `--help`, `--version`; the daemon can be started in-process (net::Daemon). woadstall-demo runs a fleet of stand-in nodos with a cold start, the daemon and a plug-in; woadstall-measure compares with tower's p2c, a direct call and a proxy that decides nothing. tests/beside.rs: the same upstreams in the same order by both paths, and a nodo that restarts under one daemon and forty plug-ins on real sockets stays up.

--- a/crates/decisions/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -712,7 +712,7 @@
         Action::Send { until, .. } => Some(*until - rig.now),
         _ => None,
     });
-    assert!(until.is_some_and(|until| until >= 50 * MS && until < 500 * MS), "{until:?}");
+    assert!(until.is_some_and(|until| (50 * MS..500 * MS).contains(&until)), "{until:?}");
     // Nor is the server held to have failed before that: the look after the first one, which finds the call late,
     // comes no sooner.
     let (at, token) = timers(&actions, rig.now).pop().expect("a first look");
--- /dev/null
+++ b/crates/measure/src/main.rs
@@ -0,0 +1,87 @@
+//! Measures the daemon and the plug-in against plain peers, side by side in one run. Each peer is a process of its
+//! own, so that its CPU time is its own; rounds take turns, and medians are printed. Linux, release builds.
+//!
+//! - `plugin`: a call through the plug-in, through `tower::balance::p2c`, and direct, over the same HTTP/2 code;
+//! - `daemon BEFORE AFTER`: a request through two builds of the daemon and through a proxy that decides nothing;
+//! - `contention`: 1, 4 and 16 tasks on one plug-in;
+//! - `memory`: what a call holds while it waits.
+
+#![forbid(unsafe_code)]
+
+mod daemon;
+mod load;
+mod peers;
+mod plugin;
+
+use clap::{Parser, Subcommand};
+use std::error::Error;
+use std::path::PathBuf;
+
+#[derive(Parser)]
+#[command(about = "Measures woadstall against plain peers, side by side in one run")]
+struct Arguments {
+    /// Length of a round, in milliseconds.
+    #[arg(long, global = true, default_value_t = 2_000, value_parser = clap::value_parser!(u64).range(100..=60_000))]
+    round: u64,
+    /// Rounds of each.
+    #[arg(long, global = true, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=50))]
+    rounds: u64,
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// The plug-in against p2c and a direct call.
+    Plugin,
+    /// Two builds of the daemon against a proxy that decides nothing.
+    Daemon {
+        /// The program as it was.
+        before: PathBuf,
+        /// The program as it is.
+        after: PathBuf,
+    },
+    /// 1, 4 and 16 tasks on one plug-in.
+    Contention,
+    /// What a call holds while it waits.
+    Memory,
+    /// An upstream that answers at once (a peer of the other commands).
+    #[command(hide = true)]
+    Upstream,
+    /// A proxy that decides nothing (a peer of the other commands).
+    #[command(hide = true)]
+    Proxy {
+        /// Where it sends everything.
+        upstream: std::net::SocketAddr,
+    },
+    /// A caller of upstreams (a peer of the other commands).
+    #[command(hide = true)]
+    Caller {
+        /// How it calls.
+        by: plugin::By,
+        /// Its tasks.
+        tasks: usize,
+        /// Its worker threads.
+        threads: usize,
+        /// Calls a second in all; 0 for as many as can be.
+        rate: u64,
+        /// Whom it calls.
+        upstreams: Vec<std::net::SocketAddr>,
+    },
+}
+
+fn main() -> Result<(), Box<dyn Error + Send + Sync>> {
+    let Arguments { round, rounds, what } = Arguments::parse();
+    let times = load::Times { round: std::time::Duration::from_millis(round), rounds };
+    match what {
+        What::Plugin => plugin::measure(times),
+        What::Daemon { before, after } => daemon::measure(times, &before, &after),
+        What::Contention => plugin::contention(times),
+        What::Memory => plugin::memory(),
+        What::Upstream => peers::upstream(),
+        What::Proxy { upstream } => peers::proxy(upstream),
+        What::Caller { by, tasks, threads, rate, upstreams } => {
+            plugin::caller(times.round, by, tasks, threads, rate, &upstreams)
+        }
+    }
+}
--- a/crates/plugin/src/builder.rs
+++ b/crates/plugin/src/builder.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 use woadstall_discovery::Listing;
 use woadstall_engine::Settings;
+use woadstall_operator::Operator;
 use woadstall_runtime::{Log, Setup};
 use woadstall_settings::Names;
 use woadstall_transport::{Http1, Http2, Limits};
@@ -84,6 +85,18 @@
         self
     }
 
+    /// Takes the section `[plugin]` of the operators' file, in addition to methods that are named otherwise.
+    pub fn operator(mut self, file: &str) -> Result<Self, BuildError> {
+        let plugin = Operator::parse(file).map_err(|fault| BuildError(fault.to_string()))?.plugin;
+        self.protocol = match plugin.protocol {
+            woadstall_operator::Protocol::Http1 => Protocol::Http1,
+            woadstall_operator::Protocol::Http2 => Protocol::Http2,
+        };
+        (self.replay_limit, self.connections) = (plugin.replay_limit, plugin.connections);
+        self.methods.extend(plugin.methods);
+        Ok(self)
+    }
+
     /// Where discovery is; without it, the list stays as it is known or told by [`Balance::list`].
     pub fn discovery(mut self, address: SocketAddr) -> Self {
         self.discovery = Some(address);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,4 +4,5 @@
 
 pub mod grpc;
 pub mod http1;
+pub mod nodo;
 pub mod raw2;
--- /dev/null
+++ b/crates/standin/src/nodo.rs
@@ -0,0 +1,260 @@
+//! A nodo with a capacity of its own: slots, a queue, a cold start, and a limit beyond which it falls over. It
+//! speaks HTTP/1.1 and HTTP/2 on one port, gRPC or plain, and can be killed and started again at its address.
+
+use crate::grpc::message;
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto;
+use std::collections::{HashMap, VecDeque};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+/// What it can do.
+#[derive(Clone, Copy, Debug)]
+pub struct Spec {
+    /// Requests that are worked on at a time.
+    pub slots: usize,
+    /// Work of a request on a warm nodo.
+    pub work: Duration,
+    /// Requests that may wait; what comes beyond is turned away unseen.
+    pub queue: usize,
+    /// Part of its capacity that it starts with.
+    pub start: f64,
+    /// It is warm after this time, evenly.
+    pub ramp: Duration,
+    /// It falls over where it is sent more than this multiple of what it can do, while it is cold ...
+    pub tip: f64,
+    /// ... within this time.
+    pub window: Duration,
+}
+
+impl Spec {
+    /// Requests a second that it can do when warm.
+    pub fn capacity(&self) -> f64 {
+        self.slots as f64 / self.work.as_secs_f64()
+    }
+}
+
+type Body = UnsyncBoxBody<Bytes, Infallible>;
+
+/// What it has seen.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// Requests that came.
+    pub came: u64,
+    /// Requests that it has worked on.
+    pub ran: u64,
+    /// Requests that it has turned away.
+    pub turned_away: u64,
+    /// How often each key has run, where requests have one (`x-call-id`).
+    pub keys: HashMap<String, u32>,
+    /// The most that it was sent within a window while cold, as part of what pushes it over.
+    pub worst: f64,
+    /// It has fallen over.
+    pub toppled: bool,
+}
+
+/// The nodo.
+pub struct Nodo {
+    /// Its name.
+    pub name: String,
+    /// Where it listens, also after a restart.
+    pub address: SocketAddr,
+    inner: Arc<Inner>,
+    process: Mutex<Option<JoinSet<()>>>,
+}
+
+struct Inner {
+    name: String,
+    spec: Spec,
+    slots: Semaphore,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    seen: Seen,
+    /// When its process started; `None` if long ago.
+    started: Option<Instant>,
+    boot_ms: u64,
+    waiting: usize,
+    /// When requests came lately, while it was cold.
+    came: VecDeque<Instant>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Nodo {
+    /// Starts it warm.
+    pub async fn start(name: impl Into<String>, spec: Spec) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let name = name.into();
+        let slots = Semaphore::new(spec.slots);
+        let inner = Arc::new(Inner { name: name.clone(), spec, slots, state: Mutex::default() });
+        let process = Mutex::new(Some(serve(listener, inner.clone())));
+        Self { name, address, inner, process }
+    }
+
+    /// Its process dies: connections are reset, new ones refused, work is lost.
+    pub fn kill(&self) {
+        lock(&self.process).take();
+    }
+
+    /// A new process at its address, cold.
+    pub async fn start_again(&self) {
+        self.kill();
+        let listener = loop {
+            match TcpListener::bind(self.address).await {
+                Ok(listener) => break listener,
+                // The former process's sockets are closed by its tasks, which may not have run yet.
+                Err(_) => sleep(Duration::from_millis(1)).await,
+            }
+        };
+        let mut state = lock(&self.inner.state);
+        state.started = Some(Instant::now());
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        (state.boot_ms, state.waiting) = (unix.as_millis() as u64, 0);
+        state.came.clear();
+        drop(state);
+        *lock(&self.process) = Some(serve(listener, self.inner.clone()));
+    }
+
+    /// What it has seen so far.
+    pub fn seen(&self) -> Seen {
+        lock(&self.inner.state).seen.clone()
+    }
+
+    /// Its entry in discovery's list.
+    pub fn target(&self, zone: &str, state: &str) -> String {
+        let boot_ms = lock(&self.inner.state).boot_ms;
+        serde_json::json!({"uid": self.name, "endpoint": self.address.to_string(), "az": zone, "model": "m",
+            "pod_group": 0, "state": state, "capacity_hint": 1.0, "boot_ms": boot_ms})
+        .to_string()
+    }
+}
+
+fn serve(listener: TcpListener, inner: Arc<Inner>) -> JoinSet<()> {
+    let mut process = JoinSet::new();
+    process.spawn(async move {
+        // All of a process's connections end with it.
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((tcp, _)) = accepted else { continue };
+                    tcp.set_nodelay(true).ok();
+                    let inner = inner.clone();
+                    connections.spawn(async move {
+                        let service = hyper::service::service_fn(move |request| {
+                            let inner = inner.clone();
+                            async move { Ok::<_, Infallible>(inner.answer(request).await) }
+                        });
+                        let server = auto::Builder::new(TokioExecutor::new());
+                        server.serve_connection(TokioIo::new(tcp), service).await.ok();
+                    });
+                }
+                Some(_) = connections.join_next() => {}
+            }
+        }
+    });
+    process
+}
+
+/// A place in the queue, until it is given up.
+struct Waiting<'a>(&'a Inner);
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut state = lock(&self.0.state);
+        state.waiting = state.waiting.saturating_sub(1);
+    }
+}
+
+impl Inner {
+    fn warmth(&self, state: &State, at: Instant) -> f64 {
+        let Some(started) = state.started else { return 1.0 };
+        let part = (at - started).as_secs_f64() / self.spec.ramp.as_secs_f64();
+        (self.spec.start + (1.0 - self.spec.start) * part).min(1.0)
+    }
+
+    /// Counts a request, and tells whether there is a place for it.
+    fn take(&self) -> Option<Waiting<'_>> {
+        let (now, spec) = (Instant::now(), &self.spec);
+        let mut state = lock(&self.state);
+        state.seen.came += 1;
+        let warmth = self.warmth(&state, now);
+        if warmth < 1.0 {
+            state.came.push_back(now);
+            while state.came.front().is_some_and(|came| now - *came > spec.window) {
+                state.came.pop_front();
+            }
+            let can_do = spec.capacity() * warmth * spec.window.as_secs_f64();
+            let part = state.came.len() as f64 / (spec.tip * can_do);
+            state.seen.worst = state.seen.worst.max(part);
+            state.seen.toppled |= part > 1.0;
+        }
+        if state.seen.toppled || state.waiting >= spec.queue + spec.slots {
+            state.seen.turned_away += 1;
+            return None;
+        }
+        state.waiting += 1;
+        Some(Waiting(self))
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        let kind = head.headers.get("content-type");
+        let grpc = kind.is_some_and(|kind| kind.as_bytes().starts_with(b"application/grpc"));
+        body.collect().await.ok();
+        let Some(_waiting) = self.take() else { return turned_away(grpc) };
+        let slot = self.slots.acquire().await;
+        let speed = self.warmth(&lock(&self.state), Instant::now());
+        sleep(self.spec.work.div_f64(speed)).await;
+        drop(slot);
+        let mut state = lock(&self.state);
+        state.seen.ran += 1;
+        if let Some(key) = head.headers.get("x-call-id").and_then(|key| key.to_str().ok()) {
+            *state.seen.keys.entry(key.to_owned()).or_default() += 1;
+        }
+        drop(state);
+        done(grpc, &self.name)
+    }
+}
+
+fn done(grpc: bool, name: &str) -> Response<Body> {
+    if !grpc {
+        return Response::new(Full::new(Bytes::copy_from_slice(name.as_bytes())).boxed_unsync());
+    }
+    let status: HeaderMap =
+        [(HeaderName::from_static("grpc-status"), HeaderValue::from_static("0"))].into_iter().collect();
+    let body = Full::new(message(name.as_bytes())).with_trailers(async move { Some(Ok(status)) });
+    let mut response = Response::new(body.boxed_unsync());
+    response.headers_mut().insert("content-type", HeaderValue::from_static("application/grpc"));
+    response
+}
+
+fn turned_away(grpc: bool) -> Response<Body> {
+    let mut response = Response::new(Full::default().boxed_unsync());
+    let headers = response.headers_mut();
+    headers.insert("x-rejected", HeaderValue::from_static("1"));
+    if grpc {
+        headers.insert("content-type", HeaderValue::from_static("application/grpc"));
+        headers.insert("grpc-status", HeaderValue::from_static("14"));
+    } else {
+        *response.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,5 +2,6 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod check;
 pub mod net;
 pub mod wire;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -73,7 +73,8 @@
         Self::parse(&file()?, variable("LB_LISTEN"), None)
     }
 
-    fn parse(text: &str, listen: Option<String>, discovery: Option<String>) -> Result<Self, String> {
+    /// Reads a configuration; addresses that are given go before those in the text.
+    pub fn parse(text: &str, listen: Option<String>, discovery: Option<String>) -> Result<Self, String> {
         let raw: Raw = json("configuration", text)?;
         let settings = raw.settings.to_string();
         let names = woadstall_settings::names(settings.as_bytes()).map_err(|error| error.to_string())?;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use woadstall_runtime::{Balance, Setup};
 use woadstall_transport::Http1;
 
@@ -38,15 +39,61 @@
     };
 }
 
-/// Takes over a new configuration: where discovery is. All else needs a new start. One that is not sound
-/// changes nothing.
-fn reload(discovery: &watch::Sender<SocketAddr>) {
-    match Config::load_again() {
-        Ok(config) => {
-            log(format_args!("configuration read again, discovery at {}", config.discovery));
-            discovery.send_replace(config.discovery);
+/// A daemon that serves, in the tokio runtime that it was started in.
+pub struct Daemon {
+    address: SocketAddr,
+    discovery: watch::Sender<SocketAddr>,
+    stop: watch::Sender<bool>,
+    serving: JoinHandle<()>,
+}
+
+impl Daemon {
+    /// Listens and serves. The error is one line that names the setting at fault.
+    pub async fn start(config: Config) -> Result<Self, String> {
+        let failed = |error: io::Error| format!("`listen` {}: {error}", config.listen);
+        let listener = TcpListener::bind(config.listen).await.map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        log(format_args!("listening on {address}"));
+
+        let config = Arc::new(config);
+        let (stop, stopping) = watch::channel(false);
+        let (discovery, discovery_at) = watch::channel(config.discovery);
+        let keep = Duration::from_nanos(config.settings.conn_idle);
+        let transport = Http1::new(&config.names, keep, config.limits.upstreams, MOST_BODY);
+        let setup = Setup {
+            settings: config.settings.clone(),
+            names: config.names.clone(),
+            seed: config.seed,
+            known: config.known.clone(),
+        };
+        let balance = Balance::new(setup, transport, Arc::new(log))?;
+        balance.follow(discovery_at);
+        let server = server::Server::new(config, balance);
+        let serving = tokio::spawn(server.run(listener, stopping));
+        Ok(Self { address, discovery, stop, serving })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Takes over a new configuration: where discovery is. All else needs a new start. One that is not sound
+    /// changes nothing.
+    fn reload(&self) {
+        match Config::load_again() {
+            Ok(config) => {
+                log(format_args!("configuration read again, discovery at {}", config.discovery));
+                self.discovery.send_replace(config.discovery);
+            }
+            Err(error) => log(format_args!("configuration kept, as the new one is not sound: {error}")),
         }
-        Err(error) => log(format_args!("configuration kept, as the new one is not sound: {error}")),
+    }
+
+    /// Stops taking connections, answers all that was taken, and returns.
+    pub async fn stop(self) -> Result<(), String> {
+        self.stop.send_replace(true);
+        self.serving.await.map_err(|error| format!("the server stopped: {error}"))
     }
 }
 
@@ -56,36 +103,13 @@
     let mut term = signal(SignalKind::terminate()).map_err(|e| failed("SIGTERM", e))?;
     let mut int = signal(SignalKind::interrupt()).map_err(|e| failed("SIGINT", e))?;
     let mut hup = signal(SignalKind::hangup()).map_err(|e| failed("SIGHUP", e))?;
-    let listener = TcpListener::bind(config.listen)
-        .await
-        .map_err(|error| failed(&format!("`listen` {}", config.listen), error))?;
-
-    let address = listener.local_addr().map_err(|error| failed("`listen`", error))?;
-    log(format_args!("listening on {address}"));
-
-    let config = Arc::new(config);
-    let (stop, stopping) = watch::channel(false);
-    let (discovery, discovery_at) = watch::channel(config.discovery);
-    let keep = Duration::from_nanos(config.settings.conn_idle);
-    let transport = Http1::new(&config.names, keep, config.limits.upstreams, MOST_BODY);
-    let setup = Setup {
-        settings: config.settings.clone(),
-        names: config.names.clone(),
-        seed: config.seed,
-        known: config.known.clone(),
-    };
-    let balance = Balance::new(setup, transport, Arc::new(log))?;
-    balance.follow(discovery_at);
-    let server = server::Server::new(config, balance);
-    let serving = tokio::spawn(server.run(listener, stopping));
-
+    let daemon = Daemon::start(config).await?;
     loop {
         tokio::select! {
             _ = term.recv() => break,
             _ = int.recv() => break,
-            _ = hup.recv() => reload(&discovery),
+            _ = hup.recv() => daemon.reload(),
         }
     }
-    stop.send_replace(true);
-    serving.await.map_err(|error| format!("the server stopped: {error}"))
+    daemon.stop().await
 }
--- /dev/null
+++ b/tests/beside.rs
@@ -0,0 +1,206 @@
+//! The plug-in beside the daemon: the same decisions, and one cold nodo that both feed.
+
+mod common;
+
+use bytes::Bytes;
+use common::Program;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tower_service::Service;
+use woadstall_standin::http1::*;
+use woadstall_standin::nodo::{Nodo, Spec};
+use woadstall_tower::{Balance, Protocol};
+
+/// Six upstreams that write down the order in which they are asked. Every fifth request at one ends with a
+/// failure, so that attempts at others follow.
+fn recording(count: usize) -> (Vec<Upstream>, Arc<Mutex<Vec<usize>>>) {
+    let order = Arc::new(Mutex::new(Vec::new()));
+    let upstream = |at: usize| {
+        let (order, asked) = (order.clone(), Mutex::new(0));
+        Upstream::start(move |_| {
+            order.lock().unwrap().push(at);
+            let mut asked = asked.lock().unwrap();
+            *asked += 1;
+            match *asked % 5 {
+                0 => Act::Answer("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n".into()),
+                _ => Act::Answer(ok("done")),
+            }
+        })
+    };
+    ((0..count).map(upstream).collect(), order)
+}
+
+/// A configuration of two zones, with so many classes that none is called often enough for its measured latency,
+/// which no two runs share, to weigh in.
+fn many_classes(known: &[String]) -> serde_json::Value {
+    let mut config = config(refusing(), known);
+    config["settings"]["Zones"] = serde_json::json!(["a", "b"]);
+    let classes = config["settings"]["Classes"].as_array().unwrap().clone();
+    let classes: Vec<_> = (0..CLASSES)
+        .map(|at| {
+            let mut class = classes[at % 3].clone();
+            class["Name"] = format!("class-{at}").into();
+            class
+        })
+        .collect();
+    config["settings"]["Classes"] = classes.into();
+    config
+}
+
+const CLASSES: usize = 24;
+const CALLS: usize = 7;
+
+/// One caller's calls: the class of each, and whether it is safe.
+fn script() -> impl Iterator<Item = (String, usize)> {
+    (0..CLASSES * CALLS).map(|call| (format!("class-{}", call % CLASSES), call % CLASSES % 3))
+}
+
+fn request_of(class: &str, effect: usize, id: usize) -> Request<Full<Bytes>> {
+    let method = if effect == 0 { "GET" } else { "POST" };
+    let mut request = Request::builder().method(method).uri(format!("/{class}"));
+    request = request.header("host", "backend.local").header("x-call-id", format!("{id:016x}"));
+    request = request.header("x-call-class", class).header("x-caller", "acme").header("x-budget", "60");
+    if effect == 1 {
+        request = request.header("idempotency-key", format!("k-{id}"));
+    }
+    request.body(Full::default()).unwrap()
+}
+
+/// One scripted caller through both paths: the same upstreams in the same order, retries included.
+#[tokio::test]
+async fn the_same_upstreams_in_the_same_order_by_both_paths() {
+    let mut orders = Vec::new();
+    for plugged_in in [false, true] {
+        let (upstreams, order) = recording(6);
+        let entry = |(at, upstream): (usize, &Upstream)| {
+            let zone = if at % 2 == 0 { "\"az\":\"a\"" } else { "\"az\":\"b\"" };
+            target(&format!("s-{at}"), upstream.address, "in_service").replace("\"az\":\"a\"", zone)
+        };
+        let known: Vec<_> = upstreams.iter().enumerate().map(entry).collect();
+        let config = many_classes(&known);
+        if plugged_in {
+            let seed = u64::from_str_radix(config["seed"].as_str().unwrap(), 16).unwrap();
+            let builder = Balance::builder().settings(config["settings"].to_string().as_bytes()).unwrap();
+            let builder = builder.known(serde_json::from_value(config["known"].clone()).unwrap());
+            let mut balance = builder.seed(seed).protocol(Protocol::Http1).build().unwrap();
+            for (id, (class, effect)) in script().enumerate() {
+                balance.call(request_of(&class, effect, id)).await.unwrap();
+            }
+        } else {
+            let program = Program::start(&config);
+            let mut caller = program.connect();
+            for (id, (class, effect)) in script().enumerate() {
+                let (method, key) = match effect {
+                    0 => ("GET", String::new()),
+                    1 => ("POST", format!("Idempotency-Key: k-{id}\r\n")),
+                    _ => ("POST", String::new()),
+                };
+                caller.write(&format!(
+                    "{method} /{class} HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: {id:016x}\r\n\
+                     X-Call-Class: {class}\r\nX-Caller: acme\r\nX-Budget: 60\r\n{key}Content-Length: 0\r\n\r\n"
+                ));
+                caller.answer().expect("an answer");
+            }
+        }
+        let order = order.lock().unwrap().clone();
+        assert!(order.len() > CLASSES * CALLS, "there were retries");
+        assert!((0..6).filter(|at| order.contains(at)).count() >= 3, "the own zone's at least");
+        orders.push(order);
+    }
+    assert_eq!(orders[0], orders[1]);
+}
+
+const COLD: Spec = Spec {
+    slots: 4,
+    work: Duration::from_millis(20),
+    queue: 40,
+    start: 0.3,
+    ramp: Duration::from_millis(4_000),
+    tip: 2.5,
+    window: Duration::from_millis(1_500),
+};
+
+/// Rule 4 on sockets: a nodo restarts cold under one daemon and forty plug-ins that know nothing of each other.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_nodo_restarted_under_daemon_and_plug_ins_stays_up() {
+    let mut nodos = Vec::new();
+    for at in 0..4 {
+        nodos.push(Nodo::start(format!("n-{at}"), COLD).await);
+    }
+    let list = |state: &str| {
+        nodos
+            .iter()
+            .enumerate()
+            .map(|(at, n)| n.target("a", if at == 0 { state } else { "in_service" }))
+            .collect()
+    };
+    let known: Vec<String> = list("in_service");
+    let mut config = config(refusing(), &known);
+    config["settings"]["Safety"]["RampTimeNs"] = 4_000_000_000_u64.into();
+    for class in config["settings"]["Classes"].as_array_mut().unwrap() {
+        class["AimNs"] = 600_000_000_u64.into();
+        class["DeadlineNs"] = 1_500_000_000_u64.into();
+    }
+    let discovery = Discovery::start();
+    discovery.set(&known);
+    config["discovery"] = discovery.address.to_string().into();
+    let program = Program::start(&config);
+    let settings = config["settings"].to_string();
+    let build = |_| {
+        let builder = Balance::builder().settings(settings.as_bytes()).unwrap().discovery(discovery.address);
+        let known = serde_json::from_value(config["known"].clone()).unwrap();
+        builder.known(known).protocol(Protocol::Http2).build().unwrap()
+    };
+    let plugins: Vec<Balance> = (0..40).map(build).collect();
+    // 800 calls a second is what the four can do; a bit over half of that comes, a fifth of it by the daemon.
+    let served = Arc::new(std::sync::atomic::AtomicU32::new(0));
+    let stop = tokio::time::Instant::now() + Duration::from_secs(8);
+    let mut callers = tokio::task::JoinSet::new();
+    for (at, balance) in plugins.into_iter().enumerate() {
+        let served = served.clone();
+        callers.spawn(async move {
+            let mut call = 0;
+            while tokio::time::Instant::now() < stop {
+                let id = (at + 1) << 20 | call;
+                call += 1;
+                let (mut balance, served) = (balance.clone(), served.clone());
+                tokio::spawn(async move {
+                    let answer = balance.call(request_of("post", 2, id)).await.unwrap();
+                    let answer = answer.map(|body| body.collect());
+                    if answer.status() == 200 && answer.into_body().await.is_ok() {
+                        served.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                    }
+                });
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        });
+    }
+    for _ in 0..4 {
+        let (address, served) = (program.address, served.clone());
+        callers.spawn_blocking(move || {
+            let mut caller = Caller::connect(address).unwrap();
+            while tokio::time::Instant::now() < stop {
+                if caller.call("post", "1.5", "").is_some_and(|answer| answer.status() == 200) {
+                    served.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                }
+                std::thread::sleep(Duration::from_millis(20));
+            }
+        });
+    }
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    nodos[0].kill();
+    discovery.set(&list("terminating"));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    nodos[0].start_again().await;
+    discovery.set(&list("in_service"));
+    while callers.join_next().await.is_some() {}
+    let seen = nodos[0].seen();
+    assert!(!seen.toppled, "it was sent {:.2} of what pushes it over", seen.worst);
+    assert!(seen.worst > 0.0, "it was used while cold");
+    let served = served.load(std::sync::atomic::Ordering::Relaxed);
+    assert!(served > 1_000, "{served} served");
+    let twice = nodos.iter().flat_map(|nodo| nodo.seen().keys).filter(|(_, ran)| *ran > 1).count();
+    assert_eq!(twice, 0, "unsafe work ran twice");
+}
