--- a/crates/standin/src/http1.rs
+++ b/crates/standin/src/http1.rs
@@ -197,9 +197,19 @@
                 let after = message.first_line.split("after=").nth(1);
                 let after: u64 = after.map_or(0, |after| after.split('&').next().unwrap().parse().unwrap());
                 tell.send(after).ok();
+                // A watch that names no wait is a call for the whole list, which is there at once.
+                let wait = message.first_line.split("wait_ms=").nth(1);
+                let wait = wait.and_then(|wait| wait.split([' ', '&']).next()?.parse().ok()).unwrap_or(0);
                 let (lock, changed) = &*shared;
-                let state = changed.wait_while(lock.lock().unwrap(), |(rev, _)| *rev <= after).unwrap();
-                let body = format!(r#"{{"rev":{},"all":true,"targets":[{}]}}"#, state.0, state.1);
+                let newer = |(rev, _): &mut (u64, String)| *rev <= after;
+                let waited =
+                    changed.wait_timeout_while(lock.lock().unwrap(), Duration::from_millis(wait), newer);
+                let state = waited.unwrap().0;
+                let (rev, targets) = &*state;
+                let body = match *rev > after {
+                    true => format!(r#"{{"rev":{rev},"all":true,"targets":[{targets}]}}"#),
+                    false => format!(r#"{{"rev":{rev},"all":false,"targets":[]}}"#),
+                };
                 drop(state);
                 if output.write_all(ok(&body).as_bytes()).is_err() {
                     return;
