--- a/crates/plugin/src/lib.rs
+++ b/crates/plugin/src/lib.rs
@@ -1,4 +1,4 @@
-//! woadstall inside the caller: the daemon's decisions as a [`tower::Service`] under a `tonic` client, or any
+//! woadstall inside the caller: the daemon's decisions as a `tower::Service` under a `tonic` client, or any
 //! client that speaks `http`.
 //!
 //! ```no_run
