--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -43,16 +43,16 @@
 const LATE_DEVS: f64 = 4.0;
 /// ... and at which it is overdue, a failure: hardly any call to a sound server is.
 const OVERDUE_DEVS: f64 = 20.0;
-/// Part of its aim within which no attempt is overdue: where calls take a millisecond, a caller that is held up
-/// by itself for some would give up sound servers in a row.
+/// Part of its aim within which no attempt is overdue: where calls take a millisecond, a caller that is held
+/// up by itself for some would give up sound servers in a row.
 const OVERDUE_LEAST: f64 = 0.1;
 /// A server that answered so lately is alive: a connection that fails is one too many for it.
 const ALIVE: Duration = SECOND;
 /// Time after which a server that took no more connections is tried with one more.
 const CONN_GROWTH: Duration = 5 * SECOND;
-/// Idle connections that a server is left with: a fuller table takes its capacity, and at last refuses. But where
-/// many calls are held they go up and down by chance, and closing at each low would cost a handshake a call: what
-/// the latest peak needed, less as many, is left too, and that fades over this time.
+/// Idle connections that a server is left with: a fuller table takes its capacity, and at last refuses. But
+/// where many calls are held they go up and down by chance, and closing at each low would cost a handshake a
+/// call: what the latest peak needed, less as many, is left too, and that fades over this time.
 const SPARE: (f64, Duration) = (2.0, SECOND / 4);
 /// Least time that makes a connection idle: what cuts idle ones waits longer than a round trip.
 const IDLE_FROM: Duration = SECOND / 4;
@@ -893,8 +893,8 @@
             request.deadline.saturating_sub(self.now) as f64 > self.classes[request.class].mean / 2.0;
         // What never ran is bounded too: where nothing can be reached, each call would make all its attempts.
         let attempts_left = request.attempts < request.most;
-        // What was never sent has cost no server anything: calls that wait for a stream on a connection whose
-        // server is told to drain come back all at once, and would be refused though others have room.
+        // What was never sent has cost no server anything: calls that wait for a stream on a connection
+        // whose server is told to drain come back all at once, and would be refused though others have room.
         let price = if ended == Outcome::Moot { 0.0 } else { 1.0 };
         let granted = harmless && in_time && attempts_left && self.retry_budget >= price;
         self.retry_budget -= if granted { price } else { 0.0 };
--- a/crates/transport/src/classify.rs
+++ b/crates/transport/src/classify.rs
@@ -55,6 +55,7 @@
 }
 
 /// The end of a gRPC call, by its trailers, or by its headers where these are all there is.
+#[cfg(feature = "http2")]
 pub fn grpc(trailers: &HeaderMap) -> Class {
     let status = trailers.get("grpc-status").and_then(|value| value.to_str().ok()?.parse().ok());
     let pushed_back = trailers.contains_key("grpc-retry-pushback-ms");
@@ -89,7 +90,7 @@
     Outcome::Reset
 }
 
-#[cfg(test)]
+#[cfg(all(test, feature = "http2"))]
 mod tests {
     use super::*;
 
