One place for the connection's own headers, gRPC's content type and locks

Need: the change wrote three pieces twice: the parsing of what `Connection` names (daemon and HTTP/2), the test for a gRPC message (plug-in and HTTP/2), and the lock that outlives a panic (HTTP/1.1 and HTTP/2).

Change: crates/transport/src/shared.rs has each once, and its callers use that. Behaviour is the same.

--- a/crates/plugin/src/answer.rs
+++ b/crates/plugin/src/answer.rs
@@ -1,16 +1,11 @@
 //! Answers that no upstream made: refusals and failures, in the form that the caller's library reads.
 
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
-use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use http::{HeaderValue, Response, StatusCode};
 use std::time::Duration;
 use woadstall_transport::Inbound;
 use woadstall_transport::code;
 
-/// Whether a request is a gRPC call.
-pub(crate) fn is_grpc(headers: &HeaderMap) -> bool {
-    headers.get(CONTENT_TYPE).is_some_and(|kind| kind.as_bytes().starts_with(b"application/grpc"))
-}
-
 fn number(text: String) -> HeaderValue {
     HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("0"))
 }
--- a/crates/plugin/src/service.rs
+++ b/crates/plugin/src/service.rs
@@ -21,7 +21,7 @@
 use woadstall_discovery::Listing;
 use woadstall_engine::Verdict;
 use woadstall_runtime::Ask;
-use woadstall_transport::{BodyError, Inbound, Outbound};
+use woadstall_transport::{BodyError, Inbound, Outbound, is_grpc};
 
 /// The decisions inside the caller. Clones share everything.
 #[derive(Clone)]
@@ -91,7 +91,7 @@
         B: Body<Data = Bytes> + Send + 'static,
         B::Error: Into<BodyError>,
     {
-        let grpc = answer::is_grpc(request.headers());
+        let grpc = is_grpc(request.headers());
         let info = request.extensions().get::<crate::CallInfo>();
         if let Some(key) = info.and_then(|info| HeaderValue::from_str(info.key.as_deref()?).ok()) {
             request.headers_mut().insert("idempotency-key", key);
--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -1,6 +1,7 @@
 //! Connections to upstreams, and attempts on them: one attempt at a time on each.
 
 use crate::classify::{self, Class};
+use crate::shared::lock;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame, SizeHint};
@@ -16,7 +17,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -378,10 +379,6 @@
     (report.len > 0).then_some(report)
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Idle connections.
 struct Pool {
     keep: Duration,
--- a/crates/transport/src/http2.rs
+++ b/crates/transport/src/http2.rs
@@ -7,6 +7,7 @@
 use crate::classify::{self, Class};
 use crate::http1::is_local;
 use crate::outbound::{Outbound, Replay};
+use crate::shared::{is_grpc, lock, named_by_connection};
 use bytes::Bytes;
 use h2::client::{Builder, ResponseFuture, SendRequest};
 use h2::{Ping, RecvStream, SendStream};
@@ -21,7 +22,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -177,10 +178,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Where to wait for a place, in a process of an upstream.
 struct Waiting {
     changed: OwnedNotified,
@@ -409,13 +406,7 @@
     *head.headers_mut() = request.head.headers.clone();
     let headers = head.headers_mut();
     let host = headers.remove(HOST);
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
+    let named = named_by_connection(headers);
     let others = ["keep-alive", "proxy-connection"].map(HeaderName::from_static);
     for name in [CONNECTION, TRANSFER_ENCODING, UPGRADE].into_iter().chain(others).chain(named) {
         headers.remove(name);
@@ -586,11 +577,6 @@
     Step::Started(begun)
 }
 
-fn is_grpc(headers: &HeaderMap) -> bool {
-    let kind = headers.get(http::header::CONTENT_TYPE);
-    kind.is_some_and(|kind| kind.as_bytes().starts_with(b"application/grpc"))
-}
-
 fn whole(
     head: Response<()>,
     data: Vec<Bytes>,
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -9,6 +9,7 @@
 mod http2;
 #[cfg(feature = "http2")]
 mod outbound;
+mod shared;
 
 pub use classify::code;
 pub use http1::{Http1, is_local, load_report};
@@ -16,3 +17,4 @@
 pub use http2::{Http2, Inbound, InboundError, Limits, grpc_timeout_of};
 #[cfg(feature = "http2")]
 pub use outbound::{BodyError, Outbound};
+pub use shared::{is_grpc, named_by_connection};
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -25,7 +25,7 @@
 use woadstall_decisions::api::Effect;
 use woadstall_engine::Verdict;
 use woadstall_runtime::{Ask, Balance};
-use woadstall_transport::{Http1, is_local};
+use woadstall_transport::{Http1, is_local, named_by_connection};
 
 /// How long connections are still taken after a signal to stop: callers hear of it late.
 const GO_ON: Duration = Duration::from_millis(500);
@@ -409,13 +409,7 @@
 
 /// Leaves the headers that are meant for the other end, not for this connection.
 fn end_to_end(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
+    let named = named_by_connection(headers);
     let hop = [CONNECTION, CONTENT_LENGTH, DATE, EXPECT, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
     let others = ["keep-alive", "proxy-connection", "x-load-report"].map(HeaderName::from_static);
     for name in hop.into_iter().chain(others).chain(named) {
