--- a/crates/plugin/src/wire.rs
+++ b/crates/plugin/src/wire.rs
@@ -2,6 +2,7 @@
 
 use http::Response;
 use std::future::Future;
+use std::pin::Pin;
 use std::time::Duration;
 use woadstall_engine::{LoadReport, Outcome, Peer, Send as Attempt, ServerId};
 use woadstall_runtime::{Step, Transport};
@@ -21,17 +22,18 @@
         request: &mut Outbound,
         attempt: &Attempt,
     ) -> impl Future<Output = Step<Response<Inbound>>> + Send + 'static {
-        let (one, two) = match self {
-            Self::Http1(wire) => (request.whole().map(|whole| wire.ended(&whole, attempt)), None),
-            Self::Http2(wire) => (None, Some(wire.attempt(request, attempt))),
+        // On the heap from here on: a future that is wrapped is held twice over in each wrapper.
+        let attempt: Pin<Box<dyn Future<Output = Step<Response<Inbound>>> + Send>> = match self {
+            Self::Http1(wire) => match request.whole() {
+                Some(whole) => {
+                    let ended = wire.ended(&whole, attempt);
+                    Box::pin(async move { Step::Ended(ended.await.map(|answer| answer.map(Inbound::new))) })
+                }
+                None => Box::pin(std::future::ready(Step::Ended(Outcome::Moot.into()))),
+            },
+            Self::Http2(wire) => Box::pin(wire.attempt(request, attempt)),
         };
-        async move {
-            match (one, two) {
-                (Some(one), _) => Step::Ended(one.await.map(|answer| answer.map(Inbound::new))),
-                (None, Some(two)) => two.await,
-                (None, None) => Step::Ended(Outcome::Moot.into()),
-            }
-        }
+        attempt
     }
 
     fn probe(
--- a/crates/runtime/src/balance.rs
+++ b/crates/runtime/src/balance.rs
@@ -22,6 +22,9 @@
 
 /// How often idle connections are looked through.
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
+/// Timers ring together at steps of this. Each call sets one, and few are of any use once they ring: to wake a
+/// thread for each costs more than the whole rest of the decisions.
+const RING_EVERY: Duration = Duration::from_millis(4);
 /// How long a probe may take.
 const PROBE_PATIENCE: Duration = Duration::from_millis(250);
 
@@ -64,6 +67,8 @@
     next_id: u32,
     /// What the ringing task sleeps until.
     planned: Time,
+    /// A call came since the timers were rung last.
+    busy: bool,
 }
 
 struct Shared<T> {
@@ -117,8 +122,11 @@
             }
         }
         if let Some(at) = engine.wake_at().filter(|at| *at < locked.planned) {
-            locked.planned = at;
-            self.earlier.notify_one();
+            let at = at.max(self.clock.now() + RING_EVERY.as_nanos() as Time);
+            if at < locked.planned {
+                locked.planned = at;
+                self.earlier.notify_one();
+            }
         }
     }
 
@@ -170,7 +178,10 @@
             locked.planned = 0;
             shared.tell(&mut locked, Input::Tick);
             let sweep = shared.clock.time(sweep_at);
-            locked.planned = locked.engine.wake_at().map_or(sweep, |at| at.min(sweep));
+            let step = shared.clock.now() + RING_EVERY.as_nanos() as Time;
+            let due = locked.engine.wake_at().map_or(sweep, |at| at.min(sweep));
+            // While calls come, the next one finds a step planned that is early enough for its timer.
+            locked.planned = if std::mem::take(&mut locked.busy) { step } else { due.max(step) };
             shared.clock.instant(locked.planned)
         };
         tokio::select! {
@@ -215,7 +226,7 @@
             Engine::new(settings, seed, clock.now()).map_err(|error| format!("settings: {error}"))?;
         let (subscribe, subscribed) = unbounded_channel();
         let shared = Arc::new(Shared {
-            locked: Mutex::new(Locked { engine, next_id: 0, planned: 0 }),
+            locked: Mutex::new(Locked { engine, next_id: 0, planned: 0, busy: false }),
             transport,
             clock,
             names,
@@ -276,6 +287,7 @@
         let slot = Arc::new(Slot::default());
         let id = {
             let mut locked = shared.lock();
+            locked.busy = true;
             let id = loop {
                 let id = RequestId(locked.next_id);
                 locked.next_id = locked.next_id.wrapping_add(1);
--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -261,12 +261,17 @@
         self.open.load(Ordering::Relaxed)
     }
 
-    /// One request and its answer, on a kept connection or a new one.
-    fn exchange(&self, request: Request<Bytes>, peer: Peer) -> impl Future<Output = Finished> + Send + use<> {
+    /// One request and its answer, on a kept connection or a new one. On the heap: each future that wraps it
+    /// would hold it twice over.
+    fn exchange(
+        &self,
+        request: Request<Bytes>,
+        peer: Peer,
+    ) -> Pin<Box<dyn Future<Output = Finished> + Send>> {
         let taken = lock(&self.pool).take(peer.server);
         let (pool, open) = (self.pool.clone(), self.open.clone());
         let (connect_timeout, most_body) = (self.connect_timeout, self.most_body);
-        async move {
+        Box::pin(async move {
             let Some((epoch, idle)) = taken else { return Outcome::Moot.into() };
             let connection = match idle {
                 Some(connection) => connection,
@@ -286,7 +291,7 @@
                 lock(&pool).put(peer.server, epoch, connection);
             }
             finished
-        }
+        })
     }
 }
 
--- a/crates/transport/src/http2.rs
+++ b/crates/transport/src/http2.rs
@@ -12,6 +12,7 @@
 use h2::client::{Builder, ResponseFuture, SendRequest};
 use h2::{Ping, RecvStream, SendStream};
 use http::header::{CONNECTION, HOST, HeaderName, TE, TRANSFER_ENCODING, UPGRADE};
+use http::uri::{self, Authority, PathAndQuery, Scheme};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, Version};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
@@ -397,6 +398,9 @@
     }
 }
 
+const X_BUDGET: HeaderName = HeaderName::from_static("x-budget");
+const GRPC_TIMEOUT: HeaderName = HeaderName::from_static("grpc-timeout");
+
 /// The head of a request as an upstream gets it: as it came, but for what belongs to one connection, and with
 /// the time that is left.
 fn forwarded(request: &Outbound, address: SocketAddr, left: u64) -> Request<()> {
@@ -414,20 +418,25 @@
     if headers.get(TE).is_some_and(|value| value != "trailers") {
         headers.remove(TE); // RFC 9113, section 8.2.2
     }
-    let number = |text: String| HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("0"));
-    headers.insert("x-budget", number(format!("{:.6}", left as f64 / 1e9)));
+    let number = |text: String| {
+        let mut number = HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("0"));
+        // Another one with each call: it must not push what repeats out of the peer's table (RFC 7541, 7.1.3).
+        number.set_sensitive(true);
+        number
+    };
+    headers.insert(X_BUDGET, number(format!("{}.{:06}", left / 1_000_000_000, left / 1_000 % 1_000_000)));
     if request.grpc {
-        headers.insert("grpc-timeout", number(grpc_timeout_of(left)));
+        headers.insert(GRPC_TIMEOUT, number(grpc_timeout_of(left)));
     }
     let uri = &request.head.uri;
-    let authority = uri.authority().map(|authority| authority.as_str().to_owned());
-    let authority = authority.or_else(|| host?.to_str().ok().map(str::to_owned));
-    let path = uri.path_and_query().map_or("/", |path| path.as_str());
-    let path = if request.head.method == Method::CONNECT || path.is_empty() { "/" } else { path };
-    let build = |authority: &str| Uri::builder().scheme("http").authority(authority).path_and_query(path);
-    let fallback = address.to_string();
-    let uri = build(authority.as_deref().unwrap_or(&fallback)).build();
-    *head.uri_mut() = uri.or_else(|_| build(&fallback).build()).unwrap_or_default();
+    let host = host.and_then(|host| Authority::try_from(host.as_bytes()).ok());
+    let authority = uri.authority().cloned().or(host);
+    let mut parts = uri::Parts::default();
+    parts.scheme = Some(Scheme::HTTP);
+    parts.authority = authority.or_else(|| Authority::try_from(address.to_string()).ok());
+    let path = uri.path_and_query().filter(|path| request.head.method != Method::CONNECT && *path != "");
+    parts.path_and_query = Some(path.cloned().unwrap_or_else(|| PathAndQuery::from_static("/")));
+    *head.uri_mut() = Uri::from_parts(parts).unwrap_or_default();
     head
 }
 
