--- /dev/null
+++ b/crates/lab-cli/src/grid.rs
@@ -0,0 +1,196 @@
+//! What is run: scenario files, with keys set to other values, policies and seeds.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::collections::BTreeMap;
+use std::path::Path;
+use toml::{Table, Value};
+use woadstall_emulator::{Policy, Scenario};
+
+/// Keys and the values they are set to, as given.
+pub type Set = BTreeMap<String, String>;
+
+/// A scenario as a file has it, before anything is set.
+pub struct Source {
+    table: Table,
+    name: String,
+}
+
+/// One run.
+#[derive(Clone)]
+pub struct Job {
+    pub scenario: Scenario,
+    pub digest: String,
+    pub set: Set,
+    pub policy: Policy,
+    pub seed: u64,
+}
+
+/// What tells runs apart.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize, Serialize)]
+pub struct Key {
+    pub scenario: String,
+    /// Of the scenario with what is set: 16 digits of its SHA-256.
+    pub digest: String,
+    pub set: Set,
+    pub policy: String,
+    pub seed: u64,
+}
+
+impl Job {
+    pub fn key(&self) -> Key {
+        Key {
+            scenario: self.scenario.name.clone(),
+            digest: self.digest.clone(),
+            set: self.set.clone(),
+            policy: self.policy.to_string(),
+            seed: self.seed,
+        }
+    }
+}
+
+impl Source {
+    /// Reads a file; the error names it, and what is at fault in it.
+    pub fn read(path: &Path) -> Result<Self, String> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|error| format!("{name}: {error}"))?;
+        Scenario::read(&text).map_err(|error| format!("{name}: {error}"))?;
+        let table = text.parse().map_err(|error| format!("{name}: {error}"))?;
+        Ok(Self { table, name })
+    }
+
+    /// The scenario with keys set to other values, and its digest.
+    pub fn with(&self, set: &Set) -> Result<(Scenario, String), String> {
+        let mut table = self.table.clone();
+        for (key, value) in set {
+            put(&mut table, key, value).map_err(|error| format!("{}: {key}: {error}", self.name))?;
+        }
+        let text = toml::to_string(&table).map_err(|error| format!("{}: {error}", self.name))?;
+        let scenario = Scenario::read(&text).map_err(|error| format!("{}: {error}", self.name))?;
+        // Of what it means, so that a comment or the order of keys makes no other scenario.
+        let meaning = toml::to_string(&scenario).map_err(|error| format!("{}: {error}", self.name))?;
+        let digest = Sha256::digest(meaning.as_bytes());
+        let digest = digest.iter().take(8).map(|byte| format!("{byte:02x}")).collect();
+        Ok((scenario, digest))
+    }
+}
+
+/// Sets a key, as in `limits.attempts` or `tier.0.nodos`. Tables on the way are made where they are missing.
+fn put(table: &mut Table, key: &str, value: &str) -> Result<(), String> {
+    // A value that is no TOML stands for itself, so that times need no quotes.
+    let parsed = format!("value = {value}").parse::<Table>().ok().and_then(|mut table| table.remove("value"));
+    let value = parsed.unwrap_or_else(|| Value::String(value.to_owned()));
+    let mut parts: Vec<&str> = key.split('.').collect();
+    let last = parts.pop().filter(|last| !last.is_empty()).ok_or("no key")?;
+    let mut at = table;
+    let mut parts = parts.into_iter().peekable();
+    while let Some(part) = parts.next() {
+        let next = at.entry(part).or_insert_with(|| Value::Table(Table::new()));
+        at = match next {
+            Value::Table(table) => table,
+            Value::Array(list) => {
+                let number = parts.next().unwrap_or(last);
+                let count = list.len();
+                let item = number.parse::<usize>().ok().and_then(|number| list.get_mut(number));
+                match item {
+                    Some(Value::Table(table)) => table,
+                    _ => return Err(format!("`{part}` has {count} entries, and none is `{number}`")),
+                }
+            }
+            _ => return Err(format!("`{part}` holds no further keys")),
+        };
+    }
+    at.insert(last.to_owned(), value);
+    Ok(())
+}
+
+/// `key=value`.
+pub fn pair(text: &str) -> Result<(String, String), String> {
+    match text.split_once('=') {
+        Some((key, value)) if !key.trim().is_empty() => Ok((key.trim().to_owned(), value.trim().to_owned())),
+        _ => Err("not of the form KEY=VALUE".to_owned()),
+    }
+}
+
+/// `3`, or `1..10` with both ends, or several of these behind commas.
+pub fn seeds(text: &str) -> Result<Vec<u64>, String> {
+    let mut seeds = Vec::new();
+    for part in text.split(',') {
+        let number = |text: &str| text.trim().parse::<u64>().map_err(|_| format!("{text:?} is no seed"));
+        match part.split_once("..") {
+            Some((first, last)) => {
+                let (first, last) = (number(first)?, number(last)?);
+                if first > last || last - first >= 10_000 {
+                    return Err(format!("{part:?} is no range of 10,000 seeds at most"));
+                }
+                seeds.extend(first..=last);
+            }
+            None => seeds.push(number(part)?),
+        }
+    }
+    Ok(seeds)
+}
+
+/// All combinations of what varies, in the order in which it is given; the last varies fastest.
+pub fn combinations(fixed: &Set, varied: &[(String, String)]) -> Vec<Set> {
+    let mut sets = vec![fixed.clone()];
+    for (key, values) in varied {
+        let with = |set: &Set, value: &str| {
+            let mut set = set.clone();
+            set.insert(key.clone(), value.trim().to_owned());
+            set
+        };
+        sets = sets.iter().flat_map(|set| values.split(',').map(|value| with(set, value))).collect();
+    }
+    sets
+}
+
+/// All runs of a sweep, in order.
+pub fn jobs(
+    sources: &[Source],
+    sets: &[Set],
+    policies: &[Policy],
+    seeds: &[u64],
+) -> Result<Vec<Job>, String> {
+    let mut jobs = Vec::new();
+    for source in sources {
+        for set in sets {
+            let (scenario, digest) = source.with(set)?;
+            for &policy in policies {
+                for &seed in seeds {
+                    let (scenario, digest, set) = (scenario.clone(), digest.clone(), set.clone());
+                    jobs.push(Job { scenario, digest, set, policy, seed });
+                }
+            }
+        }
+    }
+    Ok(jobs)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn keys_are_set_where_they_say() {
+        let mut table: Table = "a = 1\n[b]\nc = 2\n[[d]]\ne = 3\n[[d]]\ne = 4\n".parse().unwrap();
+        for (key, value) in [("a", "5"), ("b.c", "x y"), ("d.1.e", "[1, 2]"), ("new.key", "\"7 s\"")] {
+            put(&mut table, key, value).unwrap();
+        }
+        let expected = "a = 5\nnew = { key = \"7 s\" }\n[b]\nc = \"x y\"\n[[d]]\ne = 3\n[[d]]\ne = [1, 2]\n";
+        assert_eq!(table, expected.parse().unwrap());
+        assert!(put(&mut table, "d.2.e", "1").unwrap_err().contains("2 entries"));
+        assert!(put(&mut table, "a.b", "1").unwrap_err().contains("no further keys"));
+        assert!(put(&mut table, "", "1").is_err());
+    }
+
+    #[test]
+    fn lists_are_read() {
+        assert_eq!(seeds("1..3, 9").unwrap(), [1, 2, 3, 9]);
+        assert!(seeds("3..1").is_err() && seeds("x").is_err() && seeds("0..99999999").is_err());
+        let varied = [("a".to_owned(), "1,2".to_owned()), ("b".to_owned(), "x, y".to_owned())];
+        let all = combinations(&Set::new(), &varied);
+        let text: Vec<_> = all.iter().map(|set| format!("{}{}", set["a"], set["b"])).collect();
+        assert_eq!(text, ["1x", "1y", "2x", "2y"]);
+    }
+}
--- /dev/null
+++ b/crates/lab-cli/src/rows.rs
@@ -0,0 +1,66 @@
+//! Results as JSON lines: one row a run, with what tells it apart from others.
+
+use crate::grid::{Job, Key};
+use serde::{Deserialize, Serialize};
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::path::Path;
+use woadstall_emulator::{End, run};
+
+/// The form of rows; one with another number is refused.
+const VERSION: u32 = 1;
+
+/// One run and its result.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Row {
+    pub version: u32,
+    /// The commit that the program was built from.
+    pub commit: String,
+    #[serde(flatten)]
+    pub key: Key,
+    pub end: End,
+}
+
+impl Row {
+    /// Runs a job. Without its timeline a row has some hundred bytes.
+    pub fn run(job: &Job, timeline: bool) -> Self {
+        let mut end = run(&job.scenario, job.policy, job.seed);
+        if !timeline {
+            end.steps.clear();
+        }
+        Self { version: VERSION, commit: env!("WOADSTALL_COMMIT").to_owned(), key: job.key(), end }
+    }
+
+    /// As a line, without its end.
+    pub fn line(&self) -> Result<String, String> {
+        serde_json::to_string(self).map_err(|error| error.to_string())
+    }
+
+    /// What varies, for people.
+    pub fn set(&self) -> String {
+        let set: Vec<_> = self.key.set.iter().map(|(key, value)| format!("{key}={value}")).collect();
+        set.join(" ")
+    }
+}
+
+/// Reads the rows of a file. The last line may be a part of one, where a writer was killed; any other that cannot
+/// be read is an error that names its line.
+pub fn read(path: &Path) -> Result<Vec<Row>, String> {
+    let name = path.display();
+    let file = File::open(path).map_err(|error| format!("{name}: {error}"))?;
+    let lines: Result<Vec<String>, _> = BufReader::new(file).lines().collect();
+    let lines = lines.map_err(|error| format!("{name}: {error}"))?;
+    let mut rows = Vec::new();
+    for (at, line) in lines.iter().enumerate() {
+        match serde_json::from_str::<Row>(line) {
+            Ok(row) if row.version == VERSION => rows.push(row),
+            Ok(row) => {
+                let version = row.version;
+                return Err(format!("{name}: line {}: version {version}, not {VERSION}", at + 1));
+            }
+            Err(error) if at + 1 == lines.len() && error.is_eof() => {}
+            Err(error) => return Err(format!("{name}: line {}: {error}", at + 1)),
+        }
+    }
+    Ok(rows)
+}
--- /dev/null
+++ b/crates/lab-cli/tests/cli.rs
@@ -0,0 +1,145 @@
+//! The command as its users run it.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+const SCENARIO: &str = r#"
+name = "tiny"
+time = "4 s"
+warm-up = "1 s"
+zones = ["a"]
+
+[[class]]
+name = "look"
+effect = "safe"
+aim = "100 ms"
+deadline = "500 ms"
+service = { exponential = "20 ms" }
+
+[[tier]]
+name = "only"
+balancers = 2
+nodos = 4
+workers = 2
+
+[[callers]]
+name = "all"
+classes = { look = 1.0 }
+load = { constant = 200.0 }
+"#;
+
+fn lab(folder: &Path, arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_woadstall-lab"));
+    command.current_dir(folder).args(arguments).env_remove("WOADSTALL_LOG").output().unwrap()
+}
+
+fn text(output: &[u8]) -> String {
+    String::from_utf8_lossy(output).into_owned()
+}
+
+fn folder() -> (tempfile::TempDir, PathBuf) {
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("tiny.toml"), SCENARIO).unwrap();
+    let path = folder.path().to_owned();
+    (folder, path)
+}
+
+const SWEEP: [&str; 9] = [
+    "sweep",
+    "tiny.toml",
+    "--seeds",
+    "1..4",
+    "--policies",
+    "woadstall,random",
+    "--vary",
+    "tier.0.nodos=2,4",
+    "--out",
+];
+
+/// A run prints the rules and its worth, as text and as JSON, and draws its plots.
+#[test]
+fn run_prints_and_draws() {
+    let (_kept, folder) = folder();
+    let output = lab(&folder, &["run", "tiny.toml", "--plot", "tiny.html"]);
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output.stderr));
+    assert!(text(&output.stdout).contains("rule 4 (cold nodos are not pushed over): kept"));
+    let page = std::fs::read_to_string(folder.join("tiny.html")).unwrap();
+    assert!(page.matches("<svg").count() >= 8 && page.ends_with("</html>\n"));
+    assert!(!page.contains("src=") && !page.contains("href="), "it opens without a network");
+    let output = lab(&folder, &["run", "tiny.toml", "--json", "--seed", "2", "--set", "time=2 s"]);
+    let row: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!((&row["seed"], &row["set"]["time"]), (&2.into(), &"2 s".into()));
+    assert_eq!(row["end"]["steps"].as_array().unwrap().len(), 2);
+}
+
+/// Any number of threads, whole or stopped in the middle of a line and gone on with: the same bytes.
+#[test]
+fn a_sweep_goes_on_where_it_stopped() {
+    let (_kept, folder) = folder();
+    let sweep = |out: &str, threads: &str| {
+        let output = lab(&folder, &[&SWEEP[..], &[out, "--threads", threads]].concat());
+        assert_eq!(output.status.code(), Some(0), "{}", text(&output.stderr));
+        std::fs::read_to_string(folder.join(out)).unwrap()
+    };
+    let whole = sweep("one.jsonl", "1");
+    assert_eq!(whole.lines().count(), 16);
+    assert!(sweep("four.jsonl", "4") == whole);
+    std::fs::write(folder.join("cut.jsonl"), &whole[..whole.len() / 2]).unwrap();
+    assert!(sweep("cut.jsonl", "2") == whole);
+    // The rows of something else are not gone on with.
+    let output = lab(&folder, &["sweep", "tiny.toml", "--seeds", "9", "--out", "one.jsonl"]);
+    assert_eq!(output.status.code(), Some(3));
+    let fewer = lab(&folder, &["sweep", "tiny.toml", "--seeds", "1..20", "--out", "one.jsonl"]);
+    assert!(text(&fewer.stderr).contains("line 1: a row of another sweep"), "{}", text(&fewer.stderr));
+    assert!(std::fs::read_to_string(folder.join("one.jsonl")).unwrap() == whole, "and are not lost");
+}
+
+#[test]
+fn compare_pairs_by_seed() {
+    let (_kept, folder) = folder();
+    let output = lab(&folder, &[&SWEEP[..], &["rows.jsonl"]].concat());
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output.stderr));
+    let compare = |more: &[&str]| lab(&folder, &[&["compare", "rows.jsonl"], more].concat());
+    let output = compare(&[]);
+    assert_eq!(output.status.code(), Some(3));
+    assert!(text(&output.stderr).contains("name one"));
+    let sides = ["--left-policy", "woadstall", "--right-policy", "random", "--json"];
+    let output = compare(&sides);
+    let rows: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    let rows = rows.as_array().unwrap();
+    assert_eq!(rows.len(), 2);
+    assert!(rows.iter().all(|row| row["pairs"] == 4), "{rows:?}");
+    // Half the nodos are not enough for anyone, and for random choice least of all.
+    assert!(rows[0]["difference"].as_f64().unwrap() < 0.0, "{rows:?}");
+    assert_eq!(compare(&[&sides[..], &["--fail-worse"]].concat()).status.code(), Some(1));
+    let same = ["--left-policy", "random", "--right-policy", "random", "--fail-worse"];
+    assert_eq!(compare(&same).status.code(), Some(0));
+    let output = lab(&folder, &["report", "rows.jsonl", "--out", "rows.html"]);
+    assert_eq!(output.status.code(), Some(0));
+    assert!(std::fs::read_to_string(folder.join("rows.html")).unwrap().contains("tier.0.nodos=2"));
+}
+
+#[test]
+fn faults_have_their_codes_and_names() {
+    let (_kept, folder) = folder();
+    let fails = |arguments: &[&str], code: i32, part: &str| {
+        let output = lab(&folder, arguments);
+        assert_eq!(output.status.code(), Some(code), "{arguments:?}");
+        assert!(text(&output.stderr).contains(part), "{arguments:?}: {}", text(&output.stderr));
+    };
+    fails(&["run", "none.toml"], 3, "none.toml");
+    fails(&["run", "tiny.toml", "--set", "tier.7.nodos=1"], 3, "1 entries");
+    fails(&["run", "tiny.toml", "--set", "nonsense=1"], 3, "nonsense");
+    fails(&["run", "tiny.toml", "--set", "nonsense"], 2, "KEY=VALUE");
+    fails(&["run", "tiny.toml", "--policy", "best"], 2, "there is no policy");
+    fails(&["sweep", "tiny.toml", "--seeds", "x", "--out", "x.jsonl"], 3, "no seed");
+    fails(&["explain", "tiny.toml", "99999999"], 3, "no call");
+    std::fs::write(folder.join("bad.jsonl"), "{}\n{}\n").unwrap();
+    fails(&["report", "bad.jsonl", "--out", "x.html"], 3, "line 1");
+    let output = lab(&folder, &["--log", "json", "run", "none.toml"]);
+    assert!(serde_json::from_slice::<serde_json::Value>(&output.stderr).is_ok());
+    let output = lab(&folder, &["explain", "tiny.toml", "5"]);
+    assert!(text(&output.stdout).contains("its caller has Served"), "{}", text(&output.stdout));
+    let output = lab(&folder, &["check", "tiny.toml"]);
+    assert_eq!(text(&output.stdout), "tiny.toml: sound\n");
+}
--- /dev/null
+++ b/crates/lab/src/agenda.rs
@@ -0,0 +1,137 @@
+//! What happens when: a queue of events by time. Events of the same instant happen in the order in which they
+//! were planned; that is the rule for ties.
+
+use std::cmp::Ordering;
+use std::collections::{BinaryHeap, VecDeque};
+use woadstall_engine::Time;
+
+struct Planned<E> {
+    at: Time,
+    turn: u64,
+    event: E,
+}
+
+impl<E> Ord for Planned<E> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        (other.at, other.turn).cmp(&(self.at, self.turn)) // the heap's greatest is the earliest
+    }
+}
+
+impl<E> PartialOrd for Planned<E> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<E> PartialEq for Planned<E> {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl<E> Eq for Planned<E> {}
+
+/// The events to come.
+pub struct Agenda<E> {
+    heap: BinaryHeap<Planned<E>>,
+    turn: u64,
+    now: Time,
+}
+
+impl<E> Default for Agenda<E> {
+    fn default() -> Self {
+        Self { heap: BinaryHeap::new(), turn: 0, now: 0 }
+    }
+}
+
+impl<E> Agenda<E> {
+    /// The time of the event that was taken last.
+    pub fn now(&self) -> Time {
+        self.now
+    }
+
+    /// Plans an event; what lies in the past happens now.
+    pub fn at(&mut self, at: Time, event: E) {
+        self.turn += 1;
+        self.heap.push(Planned { at: at.max(self.now), turn: self.turn, event });
+    }
+
+    /// Plans an event after a while.
+    pub fn after(&mut self, after: Time, event: E) {
+        self.at(self.now.saturating_add(after), event);
+    }
+
+    /// The next event, unless that is later than `until`.
+    pub fn next(&mut self, until: Time) -> Option<E> {
+        if self.heap.peek()?.at > until {
+            return None;
+        }
+        let planned = self.heap.pop()?;
+        self.now = planned.at;
+        Some(planned.event)
+    }
+}
+
+/// Things that are numbered in the order in which they come, and forgotten one by one. A number is never used
+/// again; what is older than the oldest that is kept takes no memory.
+pub struct Numbered<T> {
+    first: u64,
+    kept: VecDeque<Option<T>>,
+    count: usize,
+}
+
+impl<T> Default for Numbered<T> {
+    fn default() -> Self {
+        Self { first: 0, kept: VecDeque::new(), count: 0 }
+    }
+}
+
+impl<T> Numbered<T> {
+    /// Keeps one more; tells its number.
+    pub fn add(&mut self, thing: T) -> u64 {
+        self.kept.push_back(Some(thing));
+        self.count += 1;
+        self.next() - 1
+    }
+
+    /// The number of the next one.
+    pub fn next(&self) -> u64 {
+        self.first + self.kept.len() as u64
+    }
+
+    /// One that is kept.
+    pub fn get(&self, number: u64) -> Option<&T> {
+        self.kept.get(usize::try_from(number.checked_sub(self.first)?).ok()?)?.as_ref()
+    }
+
+    /// One that is kept.
+    pub fn get_mut(&mut self, number: u64) -> Option<&mut T> {
+        self.kept.get_mut(usize::try_from(number.checked_sub(self.first)?).ok()?)?.as_mut()
+    }
+
+    /// Forgets one.
+    pub fn take(&mut self, number: u64) -> Option<T> {
+        let taken = self.kept.get_mut(usize::try_from(number.checked_sub(self.first)?).ok()?)?.take();
+        self.count -= usize::from(taken.is_some());
+        while let Some(None) = self.kept.front() {
+            self.kept.pop_front();
+            self.first += 1;
+        }
+        taken
+    }
+
+    /// How many are kept.
+    pub fn len(&self) -> usize {
+        self.count
+    }
+
+    /// Whether none is kept.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
+    /// Those that are kept, oldest first, with their numbers.
+    pub fn iter(&self) -> impl Iterator<Item = (u64, &T)> {
+        self.kept.iter().zip(self.first..).filter_map(|(thing, number)| Some((number, thing.as_ref()?)))
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,37 @@
+//! An emulator of whole fleets in simulated time, round the real engine and module.
+//!
+//! A [`Scenario`] says what there is, what comes and what goes wrong; [`run`] plays it with the real engine or a
+//! rival ([`Policy`]) in the balancers. An auditor that trusts nobody's word holds the four rules against each
+//! request. One scenario, policy and seed give one result, to the byte, wherever it runs. Nothing here does
+//! input or output.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod agenda;
+mod audit;
+mod measure;
+mod mind;
+mod nodo;
+mod random;
+mod rivals;
+mod scenario;
+mod units;
+mod world;
+
+pub use agenda::{Agenda, Numbered};
+pub use audit::{Auditor, Breach, Rule};
+pub use measure::{Counts, End, Latencies, Outcome, Step};
+pub use mind::{BoxedMind, Mind, Policy, Ticket};
+pub use nodo::{Nodo, Taken};
+pub use random::{Actor, Dist, stream};
+pub use rivals::{Limit, Pick, Retries, Rival, Style};
+pub use scenario::*;
+pub use units::Span;
+pub use woadstall_engine as engine;
+pub use world::{EPOCH, World, Wrap};
+
+/// Plays a scenario to its end.
+pub fn run(scenario: &Scenario, policy: Policy, seed: u64) -> End {
+    World::new(scenario, policy, seed).run()
+}
--- /dev/null
+++ b/crates/lab/src/measure.rs
@@ -0,0 +1,345 @@
+//! What a run was worth: worth served over worth offered, and over what a fluid bound allows.
+
+use crate::audit::{Breach, Rule};
+use crate::scenario::Scenario;
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use woadstall_engine::Time;
+
+/// What became of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served within its class's aim.
+    OnTime,
+    /// Served later.
+    Late,
+    /// Refused to the end.
+    Refused,
+    /// Failed.
+    Failed,
+}
+
+/// Counts of calls, attempts and worth.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Counts {
+    /// Calls that callers wished for.
+    pub offered: u64,
+    /// Requests at balancers, repeats by callers included.
+    pub requests: u64,
+    /// Served within the aim.
+    pub on_time: u64,
+    /// Served later.
+    pub late: u64,
+    /// Refused to the end.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Attempts at nodos, those of all tiers.
+    pub attempts: u64,
+    /// Those that were not the first of their request.
+    pub repeats: u64,
+    /// Those that crossed zones.
+    pub crossings: u64,
+    /// Worth of what was offered.
+    pub worth_offered: f64,
+    /// Worth of what was served.
+    pub worth: f64,
+}
+
+/// A step of the timeline.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Step {
+    /// When it ended, in seconds.
+    pub until: f64,
+    /// What was counted in it.
+    pub counts: Counts,
+    /// Latency of what was served, in milliseconds.
+    pub p50_ms: f64,
+    /// The same.
+    pub p99_ms: f64,
+    /// What each tier's nodos could do, in workers of sound warm ones.
+    pub speed: Vec<f64>,
+    /// Requests and attempts that were open at its end.
+    pub open: (u64, u64),
+    /// Attempts that went to each host.
+    pub hosts: Vec<u32>,
+    /// Lines that balancers logged, by what they are of. Each balancer tells of a matter every 5 s at most.
+    pub lines: BTreeMap<String, u64>,
+}
+
+/// Latencies of what was served, in milliseconds.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Latencies {
+    /// The mean.
+    pub mean: f64,
+    /// The median.
+    pub p50: f64,
+    /// Nine in ten are shorter.
+    pub p90: f64,
+    /// 99 in a hundred are.
+    pub p99: f64,
+    /// 999 in a thousand are.
+    pub p999: f64,
+    /// The longest.
+    pub max: f64,
+}
+
+/// All that a run shows.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct End {
+    /// Calls that came after the warm-up.
+    pub counts: Counts,
+    /// Worth served over worth offered.
+    pub served: f64,
+    /// Worth that the fluid bound allows over worth offered.
+    pub bound: f64,
+    /// Worth served over what the bound allows.
+    pub score: f64,
+    /// Latencies.
+    pub latency: Latencies,
+    /// Breaches of each rule.
+    pub breaches: BTreeMap<Rule, u64>,
+    /// The first of them in full.
+    pub first_breaches: Vec<Breach>,
+    /// Most requests that one nodo held.
+    pub longest_queue: u32,
+    /// Lines that balancers logged.
+    pub log_lines: u64,
+    /// Events that happened.
+    pub events: u64,
+    /// The timeline.
+    pub steps: Vec<Step>,
+    /// The story of the call that was followed: when, in nanoseconds, and what.
+    pub story: Vec<(Time, String)>,
+}
+
+impl End {
+    /// Breaches in all.
+    pub fn broken(&self) -> u64 {
+        self.breaches.values().sum()
+    }
+}
+
+/// Counts while a run goes on.
+pub(crate) struct Meter {
+    /// Worth, late part, aim, deadline and mean work of each class.
+    classes: Vec<(f64, f64, Time, Time, f64)>,
+    all: Counts,
+    latency: Histogram<u64>,
+    /// Sum of the latencies, in nanoseconds.
+    took: f64,
+    longest_queue: u32,
+    step: Step,
+    step_latency: Histogram<u64>,
+    steps: Vec<Step>,
+    /// Calls of each class in a step, from the warm-up on.
+    came: Vec<u64>,
+    all_came: Vec<Vec<u64>>,
+    step_length: Time,
+    hosts: usize,
+    multiple: Vec<f64>,
+    log_lines: u64,
+}
+
+fn histogram() -> Histogram<u64> {
+    // From a microsecond to an hour, to two digits; the bounds are sound, so this does not fail.
+    Histogram::new_with_bounds(1, 3_600_000_000, 2).unwrap_or_else(|_| unreachable!("sound bounds"))
+}
+
+impl Meter {
+    pub fn new(scenario: &Scenario) -> Self {
+        let classes = scenario.class.iter().map(|class| {
+            (class.worth, class.late_worth, class.aim.0, class.deadline.0, class.service.mean())
+        });
+        // How many requests of a tier one call of a caller makes.
+        let mut multiple = vec![0.0; scenario.tier.len()];
+        let (mut at, mut times) = (0, 1.0);
+        loop {
+            multiple[at] = times;
+            let Some(calls) = &scenario.tier[at].calls else { break };
+            let Some(next) = scenario.tier(&calls.tier) else { break };
+            (at, times) = (next, times * calls.mean);
+        }
+        Self {
+            came: vec![0; scenario.class.len()],
+            classes: classes.collect(),
+            all: Counts::default(),
+            latency: histogram(),
+            took: 0.0,
+            longest_queue: 0,
+            step: Step::default(),
+            step_latency: histogram(),
+            steps: Vec::new(),
+            all_came: Vec::new(),
+            step_length: scenario.step.0,
+            hosts: scenario.tier.iter().map(|tier| tier.nodos as usize).sum(),
+            multiple,
+            log_lines: 0,
+        }
+    }
+
+    pub fn offered(&mut self, _now: Time, class: usize, measured: bool) {
+        let worth = self.classes[class].0;
+        let counts = &mut self.step.counts;
+        (counts.offered, counts.worth_offered) = (counts.offered + 1, counts.worth_offered + worth);
+        if measured {
+            (self.all.offered, self.all.worth_offered) =
+                (self.all.offered + 1, self.all.worth_offered + worth);
+            self.came[class] += 1;
+        }
+    }
+
+    pub fn asked(&mut self, _now: Time, _tries: u32) {
+        self.step.counts.requests += 1;
+    }
+
+    pub fn sent(&mut self, _now: Time, attempt: u32, crosses: bool, host: u32) {
+        let counts = &mut self.step.counts;
+        counts.attempts += 1;
+        counts.repeats += u64::from(attempt > 0);
+        counts.crossings += u64::from(crosses);
+        let (hosts, host) = (&mut self.step.hosts, host as usize);
+        if hosts.len() <= host {
+            hosts.resize(self.hosts.max(host + 1), 0);
+        }
+        hosts[host] += 1;
+    }
+
+    pub fn ended(&mut self, _now: Time, class: usize, outcome: Outcome, took: Time, measured: bool) {
+        let (worth, late_worth, ..) = self.classes[class];
+        let count = |counts: &mut Counts| match outcome {
+            Outcome::OnTime => (counts.on_time, counts.worth) = (counts.on_time + 1, counts.worth + worth),
+            Outcome::Late => {
+                (counts.late, counts.worth) = (counts.late + 1, counts.worth + worth * late_worth);
+            }
+            Outcome::Refused => counts.refused += 1,
+            Outcome::Failed => counts.failed += 1,
+        };
+        count(&mut self.step.counts);
+        let served = matches!(outcome, Outcome::OnTime | Outcome::Late);
+        if served {
+            self.step_latency.saturating_record(took / 1_000);
+        }
+        if measured {
+            count(&mut self.all);
+            if served {
+                self.latency.saturating_record(took / 1_000);
+                self.took += took as f64;
+            }
+        }
+    }
+
+    pub fn queued(&mut self, held: u32) {
+        self.longest_queue = self.longest_queue.max(held);
+    }
+
+    /// Counts a line by its first word, which tells what it is of.
+    pub fn log_line(&mut self, line: &str) {
+        self.log_lines += 1;
+        let topic = line.split(' ').next().unwrap_or_default();
+        *self.step.lines.entry(topic.to_owned()).or_default() += 1;
+    }
+
+    pub fn step(&mut self, now: Time, speed: &[f64], requests: usize, attempts: usize) {
+        let mut step = std::mem::take(&mut self.step);
+        step.until = now as f64 / 1e9;
+        let ms = |part: f64| self.step_latency.value_at_quantile(part) as f64 / 1e3;
+        (step.p50_ms, step.p99_ms) = (ms(0.5), ms(0.99));
+        step.speed = speed.to_vec();
+        step.open = (requests as u64, attempts as u64);
+        self.step_latency.reset();
+        self.steps.push(step);
+        self.all_came.push(std::mem::replace(&mut self.came, vec![0; self.classes.len()]));
+    }
+
+    /// What can be served at most where work is a fluid: in each step the nodos' speed goes to the calls of the
+    /// highest worth for their work, of a class to the oldest that are still in their aim, then to late ones.
+    /// Queues within a step, the chance of arrivals and lost work are left out, so it is above what can be done.
+    fn bound(&self) -> f64 {
+        let mut waiting: Vec<VecDeque<(usize, f64)>> = vec![VecDeque::new(); self.classes.len()];
+        let mut order: Vec<(usize, bool)> =
+            (0..self.classes.len()).flat_map(|class| [(class, false), (class, true)]).collect();
+        let worth_of = |&(class, late): &(usize, bool)| {
+            let (worth, late_worth, _, _, work) = self.classes[class];
+            worth * if late { late_worth } else { 1.0 } / work
+        };
+        order.sort_by(|a, b| worth_of(b).total_cmp(&worth_of(a)));
+        let mut worth = 0.0;
+        // Until the last are past their time, the speed of the last step goes on.
+        let longest = self.classes.iter().map(|class| class.3 / self.step_length + 2).max().unwrap_or(0);
+        for at in 0..self.steps.len() + longest as usize {
+            let step = &self.steps[at.min(self.steps.len() - 1)];
+            let least = step.speed.iter().zip(&self.multiple).filter(|(_, multiple)| **multiple > 0.0);
+            let least = least.map(|(speed, multiple)| speed / multiple).fold(f64::MAX, f64::min);
+            let mut room = least * self.step_length as f64;
+            for (class, waiting) in waiting.iter_mut().enumerate() {
+                let came = self.all_came.get(at).map_or(0, |came| came[class]);
+                waiting.push_back((at, came as f64));
+                let deadline = (self.classes[class].3 / self.step_length) as usize + 1;
+                while waiting.front().is_some_and(|(came, _)| came + deadline < at) {
+                    waiting.pop_front();
+                }
+            }
+            for (class, late) in &order {
+                let (each, late_worth, aim, _, work) = self.classes[*class];
+                let within = (aim / self.step_length) as usize + 1;
+                let each = if *late { each * late_worth } else { each };
+                for (came, left) in
+                    waiting[*class].iter_mut().filter(|(came, _)| *late == (came + within < at))
+                {
+                    let _ = came;
+                    let done = left.min(room / work);
+                    *left -= done;
+                    room -= done * work;
+                    worth += done * each;
+                }
+            }
+        }
+        worth
+    }
+
+    pub fn end(
+        self,
+        (counts, first_breaches): ([u64; 5], Vec<Breach>),
+        events: u64,
+        story: Vec<(Time, String)>,
+    ) -> End {
+        let bound = if self.steps.is_empty() { 0.0 } else { self.bound() };
+        let mut all = self.all;
+        // Of these it is not known which belong to calls of the warm-up.
+        for step in &self.steps {
+            all.requests += step.counts.requests;
+            all.attempts += step.counts.attempts;
+            all.repeats += step.counts.repeats;
+            all.crossings += step.counts.crossings;
+        }
+        let part = |worth: f64, of: f64| if of > 0.0 { worth / of } else { 1.0 };
+        let ms = |part: f64| self.latency.value_at_quantile(part) as f64 / 1e3;
+        End {
+            served: part(all.worth, all.worth_offered),
+            bound: part(bound, all.worth_offered).min(1.0),
+            score: part(all.worth, bound.min(all.worth_offered)),
+            latency: Latencies {
+                mean: self.took / (all.on_time + all.late).max(1) as f64 / 1e6,
+                p50: ms(0.5),
+                p90: ms(0.9),
+                p99: ms(0.99),
+                p999: ms(0.999),
+                max: self.latency.max() as f64 / 1e3,
+            },
+            breaches: Rule::ALL.into_iter().zip(counts).collect(),
+            first_breaches,
+            longest_queue: self.longest_queue,
+            log_lines: self.log_lines,
+            events,
+            counts: all,
+            steps: self.steps,
+            story,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/nodo.rs
@@ -0,0 +1,224 @@
+//! A nodo: workers, a queue, a cold start, and what can be wrong with it. Handed its time and its randomness.
+
+use crate::random::{Dist, chance};
+use crate::scenario::{Order, Tier};
+use crate::units::SECOND;
+use rand_chacha::ChaCha8Rng;
+use std::collections::VecDeque;
+use woadstall_engine::Time;
+
+/// Rule 4 looks at what came within this time.
+pub const WINDOW: Time = 3 * SECOND;
+
+/// What is wrong with a nodo at present.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ills {
+    /// It works so many times slower.
+    pub slow: f64,
+    /// Part of the requests that get errors, and the class if it is but one.
+    pub errors: Vec<(f64, Option<usize>)>,
+    /// Part of the answers that are lost.
+    pub lost: f64,
+    /// Part of the connections that break.
+    pub resets: f64,
+    /// It takes requests and says nothing.
+    pub silent: bool,
+    /// It turns everything away.
+    pub full: bool,
+    /// Delays to and from it are so many times longer.
+    pub far: f64,
+}
+
+impl Default for Ills {
+    fn default() -> Self {
+        Self { slow: 1.0, errors: Vec::new(), lost: 0.0, resets: 0.0, silent: false, full: false, far: 1.0 }
+    }
+}
+
+/// A nodo, over all its processes.
+#[derive(Debug)]
+pub struct Nodo {
+    /// Its name.
+    pub name: String,
+    /// Its tier.
+    pub tier: usize,
+    /// Its zone.
+    pub zone: u8,
+    /// Its cell.
+    pub cell: u16,
+    /// The number of its address.
+    pub host: u32,
+    /// A process of it is running.
+    pub alive: bool,
+    /// It is told to the balancers as draining.
+    pub draining: bool,
+    /// Which of its processes is running, or ran last.
+    pub process: u32,
+    /// When that started; `None` if it was warm from the start.
+    pub started: Option<Time>,
+    /// What is wrong with it.
+    pub ills: Ills,
+    /// Its random numbers.
+    pub rng: ChaCha8Rng,
+    workers: u32,
+    busy: u32,
+    room: u32,
+    order: Order,
+    start_capacity: f64,
+    ramp: Time,
+    tip: f64,
+    queue: VecDeque<u64>,
+    /// When requests came lately, while it was cold.
+    came: VecDeque<Time>,
+}
+
+/// What becomes of a request that reaches a nodo.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// It is worked on.
+    Begun,
+    /// It waits.
+    Queued,
+    /// It is turned away.
+    Full,
+}
+
+impl Nodo {
+    /// A nodo of a tier, warm or cold.
+    pub fn new(name: String, tier: usize, like: &Tier, place: (u8, u16, u32), rng: ChaCha8Rng) -> Self {
+        let (zone, cell, host) = place;
+        Self {
+            name,
+            tier,
+            zone,
+            cell,
+            host,
+            alive: true,
+            draining: false,
+            process: 0,
+            started: like.cold.then_some(0),
+            ills: Ills::default(),
+            rng,
+            workers: like.workers,
+            busy: 0,
+            room: like.queue,
+            order: like.order,
+            start_capacity: like.start_capacity,
+            ramp: like.ramp.0,
+            tip: like.tip_multiple,
+            queue: VecDeque::new(),
+            came: VecDeque::new(),
+        }
+    }
+
+    /// A new process, cold.
+    pub fn boot(&mut self, now: Time) {
+        (self.alive, self.draining, self.started) = (true, false, Some(now));
+        self.process += 1;
+        self.clear();
+    }
+
+    /// Its process dies, with all that it was at.
+    pub fn die(&mut self) {
+        self.alive = false;
+        self.clear();
+    }
+
+    fn clear(&mut self) {
+        self.busy = 0;
+        self.queue.clear();
+        self.came.clear();
+    }
+
+    /// Requests that it holds.
+    pub fn held(&self) -> u32 {
+        self.busy + self.queue.len() as u32
+    }
+
+    /// Requests that it works on at a time.
+    pub fn workers(&self) -> u32 {
+        self.workers
+    }
+
+    /// Part of its speed that it has while cold.
+    pub fn warmth(&self, now: Time) -> f64 {
+        let Some(started) = self.started else { return 1.0 };
+        let age = now.saturating_sub(started) as f64 / self.ramp.max(1) as f64;
+        (self.start_capacity + (1.0 - self.start_capacity) * age).min(1.0)
+    }
+
+    /// What it can do at present, in workers of a sound warm one.
+    pub fn speed(&self, now: Time) -> f64 {
+        match self.alive && !self.ills.silent && !self.ills.full {
+            true => f64::from(self.workers) * self.warmth(now) / self.ills.slow,
+            false => 0.0,
+        }
+    }
+
+    /// A request has come. Room in the queue is that of requests that still wait.
+    pub fn take(&mut self, request: u64) -> Taken {
+        if self.ills.full {
+            Taken::Full
+        } else if self.busy < self.workers {
+            self.busy += 1;
+            Taken::Begun
+        } else if self.queue.len() < self.room as usize {
+            self.queue.push_back(request);
+            Taken::Queued
+        } else {
+            Taken::Full
+        }
+    }
+
+    /// How long it takes for a request that it begins now.
+    pub fn service(&mut self, now: Time, service: &Dist) -> Time {
+        let work = service.draw(&mut self.rng);
+        (work * self.ills.slow / self.warmth(now)).clamp(1.0, 1e18) as Time
+    }
+
+    /// A worker is free: the next request that still waits, if there is one.
+    pub fn next(&mut self, mut waits: impl FnMut(u64) -> bool) -> Option<u64> {
+        loop {
+            let next = match self.order {
+                Order::Fifo => self.queue.pop_front(),
+                Order::Lifo => self.queue.pop_back(),
+            };
+            match next {
+                Some(request) if waits(request) => return Some(request),
+                Some(_) => {}
+                None => {
+                    self.busy = self.busy.saturating_sub(1);
+                    return None;
+                }
+            }
+        }
+    }
+
+    /// Whether this request is to get an error.
+    pub fn errs(&mut self, class: usize) -> bool {
+        let share = self.ills.errors.iter().filter(|(_, only)| only.is_none_or(|only| only == class));
+        let share: f64 = share.map(|(share, _)| share).sum();
+        chance(&mut self.rng, share)
+    }
+
+    /// Counts a request that came while it was cold. Tells the part of what pushes it over that came within the
+    /// window, if that is over 1; `capacity` is the requests a second that it can do when warm.
+    pub fn count_cold(&mut self, now: Time, capacity: f64) -> Option<f64> {
+        let started = self.started?;
+        if now >= started + self.ramp + WINDOW {
+            return None;
+        }
+        while self.came.front().is_some_and(|&at| at + WINDOW <= now) {
+            self.came.pop_front();
+        }
+        self.came.push_back(now);
+        // What it can do in a whole window, also where its process is younger than that.
+        let from = now.saturating_sub(WINDOW).max(started);
+        let warm = |at: Time| self.warmth(at);
+        let steps = 6;
+        let sum: f64 = (0..steps).map(|step| warm(from + WINDOW * (2 * step + 1) / (2 * steps))).sum();
+        let can = capacity * sum / steps as f64 * WINDOW as f64 / 1e9;
+        let part = self.came.len() as f64 / (self.tip * can).max(1.0);
+        (part > 1.0).then_some(part)
+    }
+}
--- /dev/null
+++ b/crates/lab/src/rivals.rs
@@ -0,0 +1,518 @@
+//! Rivals on the same wire, written from their public descriptions. Each is a way to pick a server, with or
+//! without an ejection of outliers, a limit of what is in flight, and a rule for retries. What they share, they
+//! share in [`Rival`]: the list, the calls, the time limits. None of them ever repeats work that must not run
+//! twice, so that they are compared by what they serve.
+
+use crate::mind::{Mind, Ticket};
+use crate::units::{MS, SECOND};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use woadstall_engine::decisions::{Effect, Settings};
+use woadstall_engine::{
+    Call, Command, Ended, Entry, Input, Lifecycle, Outcome, Peer, RequestId, Send, ServerId, Time, Verdict,
+};
+
+/// How a server is picked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pick {
+    /// Any, each as likely.
+    Random,
+    /// One after the other.
+    RoundRobin,
+    /// Of two drawn at random the one with fewer calls in flight (Mitzenmacher, "The Power of Two Choices in
+    /// Randomized Load Balancing", 2001).
+    TwoChoices,
+    /// The one with the fewest calls in flight; the first in turn among equals.
+    LeastConnections,
+    /// Of two drawn at random the one with the lower peak-sensitive moving average of the latency times its
+    /// calls in flight (Finagle's documentation, "Power of Two Choices (P2C) + Peak EWMA").
+    PeakEwma,
+    /// Ribbon's zone avoidance and availability filter, with round robin ("Deep Dive into Ribbon"): its
+    /// thresholds as the article has them, its breaker as Ribbon's wiki describes it (three connection failures
+    /// or time-outs in a row, an open time that doubles up to 30 s).
+    Ribbon,
+}
+
+/// What limits the calls in flight from one balancer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Limit {
+    /// Nothing.
+    None,
+    /// One more while the limit is used and all goes well, a tenth less on each failure (TCP's rule; Netflix
+    /// concurrency-limits, `AIMDLimit`).
+    Aimd,
+    /// The limit follows the ratio of the least latency to the present one (Netflix concurrency-limits,
+    /// `Gradient2Limit`).
+    Gradient,
+}
+
+/// When a call that failed is tried again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Retries {
+    /// Never.
+    Never,
+    /// Always, as often as the settings allow.
+    Fixed,
+    /// While a token bucket lasts, into which each call puts a fifth (gRPC A6, "retryThrottling"; Finagle's
+    /// `RetryBudget`).
+    Budget,
+}
+
+/// A rival.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Style {
+    /// How a server is picked.
+    pub pick: Pick,
+    /// Servers that fail five times in a row are left out for 30 s, a tenth of them at most (Envoy's
+    /// documentation, "Outlier detection", consecutive 5xx).
+    pub ejects: bool,
+    /// What limits the calls in flight.
+    pub limit: Limit,
+    /// When a call is tried again.
+    pub retries: Retries,
+}
+
+const PICKS: [(&str, Pick); 6] = [
+    ("random", Pick::Random),
+    ("round-robin", Pick::RoundRobin),
+    ("two-choices", Pick::TwoChoices),
+    ("least-connections", Pick::LeastConnections),
+    ("peak-ewma", Pick::PeakEwma),
+    ("ribbon", Pick::Ribbon),
+];
+
+impl fmt::Display for Style {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let name = PICKS.iter().find(|(_, pick)| *pick == self.pick).map_or("", |(name, _)| name);
+        f.write_str(name)?;
+        f.write_str(if self.ejects { "+outlier" } else { "" })?;
+        f.write_str(match self.limit {
+            Limit::None => "",
+            Limit::Aimd => "+aimd",
+            Limit::Gradient => "+gradient",
+        })?;
+        f.write_str(match self.retries {
+            Retries::Never => "",
+            Retries::Fixed => "+retries",
+            Retries::Budget => "+budget",
+        })
+    }
+}
+
+impl FromStr for Style {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let mut parts = text.split('+');
+        let name = parts.next().unwrap_or_default();
+        let Some((_, pick)) = PICKS.iter().find(|(known, _)| *known == name) else {
+            let known: Vec<_> = PICKS.iter().map(|(known, _)| *known).collect();
+            return Err(format!("there is no policy {name:?}; there are woadstall, {}", known.join(", ")));
+        };
+        let mut style = Self { pick: *pick, ejects: false, limit: Limit::None, retries: Retries::Never };
+        for part in parts {
+            match part {
+                "outlier" => style.ejects = true,
+                "aimd" => style.limit = Limit::Aimd,
+                "gradient" => style.limit = Limit::Gradient,
+                "retries" => style.retries = Retries::Fixed,
+                "budget" => style.retries = Retries::Budget,
+                _ => {
+                    return Err(format!(
+                        "there is no addition {part:?}; there are outlier, aimd, gradient, retries, budget"
+                    ));
+                }
+            }
+        }
+        Ok(style)
+    }
+}
+
+/// Ejection: failures in a row, how long, and the part of the servers at most.
+const EJECT: (u32, Time, f64) = (5, 30 * SECOND, 0.1);
+/// Ribbon's breaker: failures in a row, first open time, and the longest.
+const TRIP: (u32, Time, Time) = (3, 10 * SECOND, 30 * SECOND);
+/// Ribbon's zone tests: load per server, and part of the servers that is tripped.
+const ZONE: (f64, f64) = (0.6, 0.2);
+/// Time over which the peak-sensitive average decays.
+const DECAY: f64 = 10e9;
+/// What a retry budget earns by each call, and holds at most.
+const BUDGET: (f64, f64) = (0.2, 10.0);
+/// Advice on when to come back, for what is refused by a limit.
+const ADVICE: Time = 200 * MS;
+
+#[derive(Clone, Debug)]
+struct Server {
+    id: ServerId,
+    address: Option<SocketAddr>,
+    boot_ms: u64,
+    zone: usize,
+    ready: bool,
+    in_flight: u32,
+    /// Failures in a row, how often it was left out, and until when it is.
+    failures: u32,
+    trips: u32,
+    out_until: Time,
+    cost: f64,
+    cost_at: Time,
+}
+
+struct Open {
+    ticket: Ticket,
+    class: usize,
+    deadline: Time,
+    attempts: u32,
+    most: u32,
+    /// The server of the attempt out, and when it was sent.
+    out: Option<(usize, Time)>,
+    last: Option<usize>,
+    may_have_run: bool,
+}
+
+/// See the module's documentation.
+pub struct Rival {
+    style: Style,
+    settings: Settings,
+    rng: ChaCha8Rng,
+    by_name: BTreeMap<String, usize>,
+    servers: Vec<Server>,
+    ready: Vec<usize>,
+    cursor: usize,
+    open: HashMap<RequestId, Open>,
+    commands: VecDeque<Command<Ticket, ()>>,
+    tokens: f64,
+    limit: f64,
+    in_flight: u32,
+    /// Short and long averages of the latency.
+    latency: (f64, f64),
+}
+
+impl Rival {
+    /// One that knows no server yet.
+    pub fn new(style: Style, settings: Settings, seed: u64, _now: Time) -> Self {
+        Self {
+            style,
+            settings,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            by_name: BTreeMap::new(),
+            servers: Vec::new(),
+            ready: Vec::new(),
+            cursor: 0,
+            open: HashMap::new(),
+            commands: VecDeque::new(),
+            tokens: BUDGET.1,
+            limit: 20.0,
+            in_flight: 0,
+            latency: (0.0, 0.0),
+        }
+    }
+
+    fn on_listed(&mut self, entries: &[Entry], all: bool) {
+        if all {
+            self.servers.iter_mut().for_each(|server| server.ready = false);
+        }
+        for entry in entries {
+            let next = self.servers.len();
+            let at = *self.by_name.entry(entry.name.clone()).or_insert(next);
+            if at == next {
+                self.servers.push(Server {
+                    id: ServerId(next as u32 + 1),
+                    address: None,
+                    boot_ms: 0,
+                    zone: 0,
+                    ready: false,
+                    in_flight: 0,
+                    failures: 0,
+                    trips: 0,
+                    out_until: 0,
+                    cost: 0.0,
+                    cost_at: 0,
+                });
+            }
+            let server = &mut self.servers[at];
+            let ready = entry.lifecycle == Lifecycle::Ready;
+            if !ready || server.boot_ms != entry.boot_ms || server.address != entry.address {
+                self.commands.push_back(Command::Retire(server.id));
+            }
+            if server.boot_ms != entry.boot_ms {
+                (server.failures, server.trips, server.out_until, server.cost) = (0, 0, 0, 0.0);
+            }
+            (server.address, server.boot_ms, server.ready) = (entry.address, entry.boot_ms, ready);
+            server.zone = entry.zone.map_or(0, |zone| usize::from(zone.0));
+            if entry.lifecycle == Lifecycle::Gone {
+                self.by_name.remove(&entry.name);
+            }
+        }
+        let servers = &self.servers;
+        self.ready =
+            (0..servers.len()).filter(|&at| servers[at].ready && servers[at].address.is_some()).collect();
+        // Copies that start together must not all begin with the same server.
+        if all && !self.ready.is_empty() {
+            self.cursor = self.rng.random_range(..self.ready.len());
+        }
+    }
+
+    fn on_call(&mut self, now: Time, call: Call<Ticket>) {
+        let Call { id, request: ticket, class, deadline, attempts: most, .. } = call;
+        let refused =
+            |retry_after| Command::Answer { request: ticket, verdict: Verdict::Refused(retry_after) };
+        if deadline <= now || most == 0 {
+            return self.commands.push_back(refused(0));
+        }
+        self.tokens = (self.tokens + BUDGET.0).min(BUDGET.1);
+        if self.style.limit != Limit::None && f64::from(self.in_flight) >= self.limit {
+            return self.commands.push_back(refused(ADVICE.min(self.settings.max_retry_after)));
+        }
+        let most = most.min(self.settings.max_attempts);
+        let open =
+            Open { ticket, class, deadline, attempts: 0, most, out: None, last: None, may_have_run: false };
+        self.open.insert(id, open);
+        self.attempt(now, id);
+    }
+
+    fn attempt(&mut self, now: Time, id: RequestId) {
+        let last = self.open.get(&id).and_then(|open| open.last);
+        let picked = self.pick(now, last);
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(at) = picked else { return self.give_up(id) };
+        let server = &mut self.servers[at];
+        let Some(address) = server.address else { return self.give_up(id) };
+        server.in_flight += 1;
+        self.in_flight += 1;
+        (open.out, open.last) = (Some((at, now)), Some(at));
+        let (attempt, until) = (open.attempts, open.deadline);
+        open.attempts += 1;
+        let to = Peer { server: server.id, address, boot_ms: server.boot_ms };
+        self.commands.push_back(Command::Send(Send { id, attempt, to, until, left: until - now }));
+    }
+
+    fn give_up(&mut self, id: RequestId) {
+        let Some(open) = self.open.remove(&id) else { return };
+        let safe = self.settings.classes.get(open.class).is_some_and(|class| class.effect == Effect::Safe);
+        let verdict = match safe || !open.may_have_run {
+            true => Verdict::Refused(ADVICE.min(self.settings.max_retry_after)),
+            false => Verdict::Failed,
+        };
+        self.commands.push_back(Command::Answer { request: open.ticket, verdict });
+    }
+
+    fn on_ended(&mut self, now: Time, id: RequestId, attempt: u32, ended: &Ended<()>) {
+        let Some(open) = self.open.get_mut(&id).filter(|open| open.attempts == attempt + 1) else { return };
+        let Some((at, sent)) = open.out.take() else { return };
+        let (class, outcome, deadline) = (open.class, ended.outcome, open.deadline);
+        open.may_have_run |= !outcome.never_ran();
+        let (may_have_run, attempts, most) = (open.may_have_run, open.attempts, open.most);
+        self.learn(now, at, now - sent, outcome);
+        if ended.answer.is_some() {
+            let Some(open) = self.open.remove(&id) else { return };
+            let answer = Command::Answer { request: open.ticket, verdict: Verdict::Served(()) };
+            return self.commands.push_back(answer);
+        }
+        let safe = self.settings.classes.get(class).is_some_and(|class| class.effect == Effect::Safe);
+        let granted = match self.style.retries {
+            Retries::Never => false,
+            Retries::Fixed => true,
+            Retries::Budget => self.tokens >= 1.0,
+        };
+        if granted && (safe || !may_have_run) && attempts < most && now < deadline {
+            self.tokens -= 1.0;
+            self.attempt(now, id);
+        } else {
+            self.give_up(id);
+        }
+    }
+
+    fn learn(&mut self, now: Time, at: usize, took: Time, outcome: Outcome) {
+        self.in_flight -= 1;
+        let ribbon = self.style.pick == Pick::Ribbon;
+        let out = self.ready.iter().filter(|&&at| self.servers[at].out_until > now).count();
+        let most_out = (EJECT.2 * self.ready.len() as f64).max(1.0) as usize;
+        let server = &mut self.servers[at];
+        server.in_flight = server.in_flight.saturating_sub(1);
+        let connection = matches!(outcome, Outcome::ConnectFailed | Outcome::Timeout | Outcome::Reset);
+        let failed = connection || outcome == Outcome::Error;
+        match outcome {
+            Outcome::Ok | Outcome::Declined => (server.failures, server.trips) = (0, 0),
+            _ if if ribbon { connection } else { failed } => server.failures += 1,
+            _ => {}
+        }
+        if ribbon && server.failures >= TRIP.0 {
+            let open_for = (TRIP.1 << server.trips.min(4)).min(TRIP.2);
+            (server.out_until, server.trips) = (now + open_for, server.trips + 1);
+        } else if self.style.ejects && server.failures >= EJECT.0 && out < most_out {
+            server.trips += 1;
+            (server.out_until, server.failures) = (now + EJECT.1 * Time::from(server.trips), 0);
+        }
+        let took = took as f64;
+        if matches!(outcome, Outcome::Ok | Outcome::Timeout | Outcome::Error) {
+            let age = now.saturating_sub(server.cost_at) as f64;
+            let weight = (-age / DECAY).exp();
+            // A peak counts at once, and fades.
+            server.cost =
+                if took > server.cost { took } else { server.cost * weight + took * (1.0 - weight) };
+            server.cost_at = now;
+        }
+        match self.style.limit {
+            Limit::None => {}
+            Limit::Aimd if failed || outcome == Outcome::Full => self.limit = (0.9 * self.limit).max(1.0),
+            Limit::Aimd if f64::from(self.in_flight + 1) * 2.0 > self.limit => self.limit += 1.0 / self.limit,
+            Limit::Aimd => {}
+            Limit::Gradient if matches!(outcome, Outcome::Ok | Outcome::Timeout) => {
+                let (short, long) = &mut self.latency;
+                *short = if *short == 0.0 { took } else { *short + 0.1 * (took - *short) };
+                *long = if *long == 0.0 { took } else { *long + 0.002 * (took - *long) };
+                *long = if *long / *short > 2.0 { *long * 0.95 } else { *long };
+                let gradient = (1.5 * *long / *short).clamp(0.5, 1.0);
+                if f64::from(self.in_flight + 1) * 2.0 > self.limit {
+                    let next = self.limit * gradient + self.limit.sqrt();
+                    self.limit = (0.8 * self.limit + 0.2 * next).clamp(4.0, 10_000.0);
+                }
+            }
+            Limit::Gradient if outcome == Outcome::Full => self.limit = (0.9 * self.limit).max(4.0),
+            Limit::Gradient => {}
+        }
+    }
+
+    fn pick(&mut self, now: Time, not: Option<usize>) -> Option<usize> {
+        let count = self.ready.len();
+        if count == 0 {
+            return None;
+        }
+        if self.style.pick == Pick::Ribbon {
+            return self.pick_ribbon(now, not);
+        }
+        let usable =
+            |this: &Self, at: usize| this.servers[at].out_until <= now && (Some(at) != not || count == 1);
+        match self.style.pick {
+            Pick::RoundRobin | Pick::Ribbon => self.in_turn(count, |this, at| usable(this, at)),
+            Pick::LeastConnections => {
+                let start = self.cursor;
+                self.cursor = (start + 1) % count;
+                let turn = (start..start + count).map(|at| self.ready[at % count]);
+                turn.filter(|&at| usable(self, at)).min_by_key(|&at| self.servers[at].in_flight)
+            }
+            Pick::Random | Pick::TwoChoices | Pick::PeakEwma => {
+                let one = self.draw(usable)?;
+                if self.style.pick == Pick::Random {
+                    return Some(one);
+                }
+                let two = self.draw(usable)?;
+                let cost = |at: usize| {
+                    let server = &self.servers[at];
+                    let calls = f64::from(server.in_flight) + 1.0;
+                    match self.style.pick {
+                        // What is not known yet is dear while a call is out at it.
+                        Pick::PeakEwma if server.cost == 0.0 && server.in_flight > 0 => 1e12 * calls,
+                        Pick::PeakEwma => {
+                            let age = now.saturating_sub(server.cost_at) as f64;
+                            server.cost * (-age / DECAY).exp() * calls
+                        }
+                        _ => calls,
+                    }
+                };
+                Some(if cost(two) < cost(one) { two } else { one })
+            }
+        }
+        .or_else(|| self.in_turn(count, |_, _| true))
+    }
+
+    /// One that will do, drawn at random; after some draws in vain the next in turn.
+    fn draw(&mut self, usable: impl Fn(&Self, usize) -> bool) -> Option<usize> {
+        for _ in 0..8 {
+            let at = self.ready[self.rng.random_range(..self.ready.len())];
+            if usable(self, at) {
+                return Some(at);
+            }
+        }
+        self.in_turn(self.ready.len(), usable)
+    }
+
+    fn in_turn(&mut self, tries: usize, usable: impl Fn(&Self, usize) -> bool) -> Option<usize> {
+        for _ in 0..tries {
+            self.cursor = (self.cursor + 1) % self.ready.len();
+            let at = self.ready[self.cursor];
+            if usable(self, at) {
+                return Some(at);
+            }
+        }
+        None
+    }
+
+    fn pick_ribbon(&mut self, now: Time, not: Option<usize>) -> Option<usize> {
+        #[derive(Clone, Copy, Default)]
+        struct Zone {
+            servers: u32,
+            tripped: u32,
+            in_flight: u32,
+        }
+        let mut zones = vec![Zone::default(); self.settings.zones];
+        for &at in &self.ready {
+            let server = &self.servers[at];
+            if let Some(zone) = zones.get_mut(server.zone) {
+                zone.servers += 1;
+                zone.tripped += u32::from(server.out_until > now);
+                zone.in_flight += server.in_flight;
+            }
+        }
+        let load = |zone: &Zone| f64::from(zone.in_flight) / f64::from((zone.servers - zone.tripped).max(1));
+        let bad = |zone: &Zone| {
+            load(zone) >= ZONE.0 || f64::from(zone.tripped) >= ZONE.1 * f64::from(zone.servers.max(1))
+        };
+        let own = usize::from(self.settings.zone.0);
+        let home = zones.get(own).is_some_and(|zone| zone.servers >= 2 && !bad(zone));
+        let from: Vec<usize> = if home {
+            vec![own]
+        } else {
+            let there = |zone: &usize| zones[*zone].tripped < zones[*zone].servers;
+            let mut left: Vec<usize> = (0..zones.len()).filter(there).collect();
+            let worst = left.iter().copied().filter(|&zone| bad(&zones[zone]));
+            let worst = worst.max_by(|&a, &b| load(&zones[a]).total_cmp(&load(&zones[b])));
+            if left.len() > 1 {
+                left.retain(|&zone| Some(zone) != worst);
+            }
+            left
+        };
+        let one = if from.is_empty() { None } else { Some(from[self.rng.random_range(..from.len())]) };
+        let usable = |this: &Self, at: usize| {
+            let server = &this.servers[at];
+            Some(server.zone) == one && server.out_until <= now && Some(at) != not
+        };
+        let count = self.ready.len();
+        self.in_turn(count, usable).or_else(|| self.in_turn(1, |_, _| true))
+    }
+}
+
+impl Mind for Rival {
+    fn handle(&mut self, now: Time, input: Input<'_, Ticket, ()>) {
+        match input {
+            Input::Listed { entries, all } => self.on_listed(entries, all),
+            Input::Call(call) => self.on_call(now, call),
+            Input::Gone(id) => {
+                if let Some(Open { attempts, out: Some((at, _)), .. }) = self.open.remove(&id) {
+                    self.learn(now, at, 0, Outcome::Cancelled);
+                    if self.settings.may_cancel {
+                        self.commands.push_back(Command::Withdraw { id, attempt: attempts - 1 });
+                    }
+                }
+            }
+            Input::Ended { id, attempt, ended } => self.on_ended(now, id, attempt, &ended),
+            Input::ListFailed | Input::Started { .. } | Input::Probed(..) | Input::Tick => {}
+        }
+    }
+
+    fn next_command(&mut self) -> Option<Command<Ticket, ()>> {
+        self.commands.pop_front()
+    }
+
+    fn wake_at(&self) -> Option<Time> {
+        None // an attempt's own time limit is the request's
+    }
+
+    fn open(&self) -> usize {
+        self.open.len()
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/audit.rs
@@ -0,0 +1,297 @@
+//! The auditor finds what a spoilt balancer does, and finds nothing where none is spoilt.
+
+mod common;
+
+use common::small;
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex};
+use woadstall_emulator::engine::{Command, Input, Lifecycle, Peer, RequestId, Time};
+use woadstall_emulator::{End, Mind, Policy, Rule, Scenario, Ticket, World};
+
+type Boxed = Box<dyn Mind + Send>;
+
+/// What a saboteur does.
+#[derive(Clone, Copy, PartialEq)]
+enum Does {
+    Nothing,
+    SendsTwice,
+    SendsToTheDrained,
+    FloodsTheCold,
+    AnswersTwice,
+    NeverAnswers,
+}
+
+/// A mind that goes wrong.
+struct Saboteur {
+    mind: Boxed,
+    does: Does,
+    now: Time,
+    more: VecDeque<Command<Ticket, ()>>,
+    classes: HashMap<RequestId, usize>,
+    peers: HashMap<String, Peer>,
+    drained: Option<(String, Time)>,
+    cold: Option<String>,
+    done: u32,
+}
+
+const SECOND: Time = 1_000_000_000;
+const EXTRA: u32 = 1_000;
+const UNSAFE: usize = 1;
+
+impl Mind for Saboteur {
+    fn handle(&mut self, now: Time, input: Input<'_, Ticket, ()>) {
+        self.now = now;
+        match &input {
+            Input::Call(call) => drop(self.classes.insert(call.id, call.class)),
+            Input::Listed { entries, .. } => {
+                for entry in *entries {
+                    let address = entry.address.unwrap();
+                    let server = woadstall_emulator::engine::ServerId(0);
+                    self.peers.insert(entry.name.clone(), Peer { server, address, boot_ms: entry.boot_ms });
+                    match entry.lifecycle {
+                        Lifecycle::Draining => self.drained = Some((entry.name.clone(), now)),
+                        Lifecycle::Ready if entry.boot_ms > 0 => self.cold = Some(entry.name.clone()),
+                        _ => {}
+                    }
+                }
+            }
+            // The module knows nothing of the attempt that was made up.
+            Input::Ended { attempt, .. } if *attempt >= EXTRA => return,
+            _ => {}
+        }
+        self.mind.handle(now, input);
+    }
+
+    fn next_command(&mut self) -> Option<Command<Ticket, ()>> {
+        if let Some(more) = self.more.pop_front() {
+            return Some(more);
+        }
+        let mut command = self.mind.next_command()?;
+        match (&mut command, self.does) {
+            (Command::Send(send), Does::SendsTwice) if self.classes.get(&send.id) == Some(&UNSAFE) => {
+                let again = woadstall_emulator::engine::Send { attempt: send.attempt + EXTRA, ..*send };
+                self.more.push_back(Command::Send(again));
+            }
+            (Command::Send(send), Does::SendsToTheDrained) => {
+                if let Some((name, since)) = &self.drained
+                    && self.now > since + SECOND + SECOND / 1_000
+                {
+                    (send.to.address, send.to.boot_ms) = (self.peers[name].address, self.peers[name].boot_ms);
+                }
+            }
+            (Command::Send(send), Does::FloodsTheCold) => {
+                if let Some(name) = &self.cold {
+                    (send.to.address, send.to.boot_ms) = (self.peers[name].address, self.peers[name].boot_ms);
+                }
+            }
+            (Command::Answer { request, .. }, Does::AnswersTwice | Does::NeverAnswers) => {
+                self.done += 1;
+                if self.done == 100 && self.does == Does::NeverAnswers {
+                    return self.next_command();
+                }
+                if self.done == 100 {
+                    let verdict = woadstall_emulator::engine::Verdict::Failed;
+                    self.more.push_back(Command::Answer { request: *request, verdict });
+                }
+            }
+            _ => {}
+        }
+        Some(command)
+    }
+
+    fn wake_at(&self) -> Option<Time> {
+        self.mind.wake_at()
+    }
+
+    fn open(&self) -> usize {
+        self.mind.open()
+    }
+}
+
+fn sabotaged(scenario: &Scenario, does: Does) -> End {
+    let wrap = |mind: Boxed| -> Boxed {
+        Box::new(Saboteur {
+            mind,
+            does,
+            now: 0,
+            more: VecDeque::new(),
+            classes: HashMap::new(),
+            peers: HashMap::new(),
+            drained: None,
+            cold: None,
+            done: 0,
+        })
+    };
+    let mut world = World::new(scenario, Policy::Woadstall, 7);
+    world.wrap_minds(&wrap);
+    world.run()
+}
+
+const ROLL: &str = "[[fault]]\nat = \"1 s\"\nuntil = \"7 s\"\npart = 0.4\nwhat = \"roll\"\n";
+
+fn broken(end: &End) -> Vec<Rule> {
+    end.breaches.iter().filter(|(_, count)| **count > 0).map(|(rule, _)| *rule).collect()
+}
+
+#[test]
+fn five_saboteurs_five_breaches() {
+    let scenario = small(ROLL);
+    let rules = |does| broken(&sabotaged(&scenario, does));
+    assert_eq!(rules(Does::Nothing), []);
+    assert_eq!(rules(Does::SendsTwice), [Rule::NoEffectTwice]);
+    assert_eq!(rules(Does::SendsToTheDrained), [Rule::Drained]);
+    // The module backs off from what is full, whoever that really is: it takes a larger crowd.
+    let mut crowd = scenario.clone();
+    crowd.callers[0].load = woadstall_emulator::Load::Constant(1_500.0);
+    assert_eq!(broken(&sabotaged(&crowd, Does::Nothing)), []);
+    assert_eq!(broken(&sabotaged(&crowd, Does::FloodsTheCold)), [Rule::Cold]);
+    assert_eq!(rules(Does::AnswersTwice), [Rule::OneAnswer]);
+    // It is not over at the end either.
+    assert_eq!(rules(Does::NeverAnswers), [Rule::OneAnswer, Rule::Conservation]);
+}
+
+/// A breach names its call, and the call has a story.
+#[test]
+fn a_breach_leads_to_its_story() {
+    let scenario = small("");
+    let end = sabotaged(&scenario, Does::SendsTwice);
+    let breach = end.first_breaches.first().unwrap();
+    let mut world = World::new(&scenario, Policy::Woadstall, 7);
+    world.follow(breach.call.unwrap());
+    let story = world.run().story;
+    let text: Vec<_> = story.iter().map(|(_, text)| text.as_str()).collect();
+    assert!(text[0].contains("reaches balancer"), "{text:?}");
+    assert!(text.iter().any(|line| line.contains("sends attempt 0")), "{text:?}");
+    assert!(text.last().unwrap().contains("its caller has"), "{text:?}");
+    assert!(story.windows(2).all(|pair| pair[0].0 <= pair[1].0));
+}
+
+/// What one mind was told and said.
+type Recorded = Arc<Mutex<Vec<(Time, String, String)>>>;
+
+struct Recorder {
+    mind: Boxed,
+    tape: Recorded,
+}
+
+impl Mind for Recorder {
+    fn handle(&mut self, now: Time, input: Input<'_, Ticket, ()>) {
+        self.tape.lock().unwrap().push((now, format!("{input:?}"), String::new()));
+        self.mind.handle(now, input);
+    }
+
+    fn next_command(&mut self) -> Option<Command<Ticket, ()>> {
+        let command = self.mind.next_command()?;
+        self.tape.lock().unwrap().last_mut().unwrap().2 += &format!("{command:?}");
+        Some(command)
+    }
+
+    fn wake_at(&self) -> Option<Time> {
+        self.mind.wake_at()
+    }
+
+    fn open(&self) -> usize {
+        self.mind.open()
+    }
+}
+
+/// A second engine beside the first, told the same, which must say the same.
+struct Twin {
+    mind: Boxed,
+    twin: woadstall_emulator::engine::Engine<Ticket, ()>,
+    compared: Arc<Mutex<usize>>,
+}
+
+impl Mind for Twin {
+    fn handle(&mut self, now: Time, input: Input<'_, Ticket, ()>) {
+        use woadstall_emulator::engine::Ended;
+        let copy = match &input {
+            Input::Listed { entries, all } => Input::Listed { entries, all: *all },
+            Input::Call(call) => {
+                let (id, class, tenant, work) = (call.id, call.class, call.tenant, call.work);
+                let (request, deadline, attempts) = (call.request, call.deadline, call.attempts);
+                let call =
+                    woadstall_emulator::engine::Call { id, request, class, tenant, work, deadline, attempts };
+                Input::Call(call)
+            }
+            Input::Gone(id) => Input::Gone(*id),
+            Input::Ended { id, attempt, ended } => {
+                let ended = Ended { outcome: ended.outcome, answer: ended.answer, load: ended.load };
+                Input::Ended { id: *id, attempt: *attempt, ended }
+            }
+            Input::Tick => Input::Tick,
+            other => unreachable!("the emulator does not tell this: {other:?}"),
+        };
+        self.twin.handle(now, copy);
+        self.mind.handle(now, input);
+    }
+
+    fn next_command(&mut self) -> Option<Command<Ticket, ()>> {
+        let command = self.mind.next_command();
+        assert_eq!(command, self.twin.next_command());
+        *self.compared.lock().unwrap() += usize::from(command.is_some());
+        command
+    }
+
+    fn wake_at(&self) -> Option<Time> {
+        assert_eq!(self.mind.wake_at(), self.twin.wake_at());
+        self.mind.wake_at()
+    }
+
+    fn open(&self) -> usize {
+        self.mind.open()
+    }
+}
+
+/// The engine in the emulator is the engine: told the same inputs at the same times, another one gives the same
+/// commands.
+#[test]
+fn a_run_told_again_gives_the_same_commands() {
+    use woadstall_emulator::engine::Engine;
+    let scenario = small(ROLL);
+    let compared = Arc::new(Mutex::new(0));
+    let wrap = |_: Boxed| -> Boxed {
+        let engine = || Engine::new(scenario.settings(0, 0), 5, 0).unwrap();
+        Box::new(Twin { mind: Box::new(engine()), twin: engine(), compared: compared.clone() })
+    };
+    let mut world = World::new(&scenario, Policy::Woadstall, 3);
+    world.wrap_minds(&wrap);
+    assert_eq!(world.run().broken(), 0);
+    assert!(*compared.lock().unwrap() > 3_000);
+}
+
+/// Same seed, same bytes; another seed, others. Also what each mind is told, in threads.
+#[test]
+fn one_seed_one_result() {
+    let scenario = small(ROLL);
+    let run = |seed| {
+        let tape = Recorded::default();
+        let wrap = |mind: Boxed| -> Boxed { Box::new(Recorder { mind, tape: tape.clone() }) };
+        let mut world = World::new(&scenario, Policy::Woadstall, seed);
+        world.wrap_minds(&wrap);
+        let end = world.run();
+        let tape = std::mem::take(&mut *tape.lock().unwrap());
+        (format!("{end:?}"), tape)
+    };
+    let alone = run(1);
+    let threads = std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..4).map(|_| scope.spawn(|| run(1))).collect();
+        threads.into_iter().map(|thread| thread.join().unwrap()).collect::<Vec<_>>()
+    });
+    assert!(threads.iter().all(|other| *other == alone));
+    assert_ne!(run(2).0, alone.0);
+}
+
+/// An actor more does not change what the others draw: the same calls come at the same times.
+#[test]
+fn actors_draw_for_themselves() {
+    let offered = |scenario: &Scenario| {
+        let end = woadstall_emulator::run(scenario, Policy::Woadstall, 1);
+        end.steps.iter().map(|step| step.counts.offered).collect::<Vec<_>>()
+    };
+    let fewer = small("");
+    let mut more = fewer.clone();
+    more.tier[0].nodos += 1;
+    more.tier[0].balancers += 2;
+    assert_eq!(offered(&fewer), offered(&more));
+}
--- /dev/null
+++ b/crates/lab/tests/scenarios.rs
@@ -0,0 +1,134 @@
+//! Scenarios: what is refused, the library, and the corners.
+
+mod common;
+
+use common::{SMALL, small};
+use woadstall_emulator::{Policy, Scenario, run};
+
+fn refused(from: &str, to: &str) -> String {
+    assert!(SMALL.contains(from), "{from}");
+    Scenario::read(&SMALL.replace(from, to)).unwrap_err().to_string()
+}
+
+/// The error names the key, and where the text is at fault, the line.
+#[test]
+fn faults_are_named() {
+    let names = |from, to, part: &str| {
+        let error = refused(from, to);
+        assert!(error.contains(part), "{to}: {error}");
+    };
+    names("time = \"8 s\"", "time = \"8 parsecs\"", "line 3");
+    names("time = \"8 s\"", "time = \"8 parsecs\"", "parsecs");
+    names("time = \"8 s\"", "time = 8", "with its unit");
+    names("time = \"8 s\"", "time = \"90 days\"", "longer than a week");
+    names("nodos = 6", "nodes = 6", "nodes");
+    names("nodos = 6", "nodos = -6", "line 33");
+    names("nodos = 6", "nodos = 6000000", "at most");
+    names("balancers = 3", "balancers = 0", "balancers");
+    names("constant = 200.0", "constant = -200.0", "a rate is -200");
+    names("constant = 200.0", "constant = 1e9", "calls, of");
+    names("constant = 200.0", "constant = nan", "a rate is NaN");
+    names("look = 1.0", "glance = 1.0", "there is no class glance");
+    names("name = \"post\"", "name = \"look\"", "there twice");
+    names("window = \"3 s\"", "", "`window` is missing");
+    names("worth = 2.0", "worth = -1.0", "`worth` is -1");
+    names("aim = \"300 ms\"", "aim = \"3 s\"", "nor `deadline` shorter");
+    names("exponential = \"20 ms\"", "pareto = { mean = \"20 ms\", shape = 1.0 }", "no mean");
+    names("exponential = \"20 ms\"", "measured = []", "`measured` is empty");
+    names("zones = [\"a\", \"b\"]", "zones = []", "`zones` is empty");
+    let circle = "calls = { tier = \"other\", mean = 2.0 }\n[[tier]]\nname = \"other\"\nbalancers = 1\n\
+                  nodos = 1\ncalls = { tier = \"only\", mean = 1.0 }\n";
+    names("workers = 2", &format!("workers = 2\n{circle}"), "goes in a circle");
+    let fault = |what: &str| Scenario::read(&format!("{SMALL}[[fault]]\nat = \"1 s\"\n{what}")).unwrap_err();
+    assert!(fault("what = \"cut-to\"").to_string().contains("`zone` is missing"));
+    assert!(fault("what = { slow = 0.0 }").to_string().contains("not from 0.01"));
+    assert!(fault("until = \"1 s\"\nwhat = \"silent\"").to_string().contains("not after"));
+    assert!(fault("zone = \"c\"\nwhat = \"silent\"").to_string().contains("no zone c"));
+    assert!(fault("what = \"explode\"").to_string().contains("explode"));
+}
+
+#[test]
+fn policies_are_named() {
+    for name in ["woadstall", "random", "peak-ewma+outlier+gradient+budget", "ribbon+retries"] {
+        assert_eq!(name.parse::<Policy>().unwrap().to_string(), name);
+    }
+    assert!("best".parse::<Policy>().unwrap_err().contains("ribbon"));
+    assert!("random+luck".parse::<Policy>().unwrap_err().contains("outlier"));
+}
+
+/// No nodos, one, no load, nothing reachable, callers that vanish with their balancer, clocks that differ: a
+/// sound end, and no rule broken.
+#[test]
+fn corners_end_well() {
+    let mut none = small("");
+    none.tier[0].nodos = 0;
+    let end = run(&none, Policy::Woadstall, 1);
+    assert_eq!((end.broken(), end.counts.on_time, end.counts.refused), (0, 0, end.counts.offered));
+    let mut one = small("");
+    (one.tier[0].nodos, one.tier[0].workers) = (1, 16);
+    let end = run(&one, Policy::Woadstall, 1);
+    assert!(end.broken() == 0 && end.served > 0.95, "{} {:?}", end.served, end.first_breaches);
+    let idle = Scenario::read(&SMALL.replace("constant = 200.0", "constant = 0.0")).unwrap();
+    let end = run(&idle, Policy::Woadstall, 1);
+    assert_eq!((end.broken(), end.counts.offered), (0, 0));
+    let cut = |zone: &str| format!("[[fault]]\nat = \"0 s\"\nzone = \"{zone}\"\nwhat = \"silent\"\n");
+    let end = run(&small(&(cut("a") + &cut("b"))), Policy::Woadstall, 1);
+    assert_eq!((end.broken(), end.counts.on_time + end.counts.late), (0, 0), "{:?}", end.first_breaches);
+    let dying = "[[fault]]\nat = \"2 s\"\nuntil = \"4 s\"\nwhat = { restart = { stale = \"1 s\" } }\n";
+    let end = run(&small(dying), Policy::Woadstall, 1);
+    assert_eq!(end.broken(), 0, "{:?}", end.first_breaches);
+    assert!(end.counts.failed > 50, "nobody is there for two seconds");
+    let mut clocks = small("[[fault]]\nat = \"2 s\"\nuntil = \"4 s\"\npart = 0.5\nwhat = { kill = {} }\n");
+    (clocks.clocks.offset, clocks.clocks.drift) = (woadstall_emulator::Span(1_000_000_000), 0.001);
+    let end = run(&clocks, Policy::Woadstall, 1);
+    assert_eq!(end.broken(), 0, "{:?}", end.first_breaches);
+}
+
+/// Faults show: each does something to the fleet without balancing to speak of.
+#[test]
+fn faults_hurt() {
+    let served = |fault: &str| {
+        let fault = format!("[[fault]]\nat = \"0 s\"\npart = 0.5\nwhat = {fault}\n");
+        let fault = if fault.contains("cut") { fault + "zone = \"a\"\n" } else { fault };
+        run(&small(&fault), "random".parse().unwrap(), 1).served
+    };
+    let sound = run(&small(""), "random".parse().unwrap(), 1).served;
+    assert!(sound > 0.97, "{sound}");
+    for fault in [
+        "{ kill = {} }",
+        "{ slow = 20.0 }",
+        "{ errors = { share = 0.9 } }",
+        "{ errors = { share = 1.0, class = \"pay\" } }",
+        "{ lost = 0.9 }",
+        "{ resets = 0.9 }",
+        "\"silent\"",
+        "\"full\"",
+        "\"cut-to\"",
+        "\"cut-from\"",
+        "{ slow-link = 2000.0 }",
+    ] {
+        let with = served(fault);
+        assert!(with < sound - 0.05, "{fault}: {with}");
+    }
+}
+
+/// Every scenario of the library is sound, and the module keeps the rules in each, shortened.
+#[test]
+fn the_library_is_sound() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../scenarios");
+    let files = std::fs::read_dir(folder).unwrap().map(|file| file.unwrap().path());
+    let files: Vec<_> = files.filter(|path| path.extension().is_some_and(|end| end == "toml")).collect();
+    assert!(files.len() >= 13, "{}", files.len());
+    for file in files {
+        let text = std::fs::read_to_string(&file).unwrap();
+        let mut scenario = Scenario::read(&text).unwrap_or_else(|error| panic!("{file:?}: {error}"));
+        assert_eq!(file.file_stem().unwrap().to_str(), Some(scenario.name.as_str()));
+        if scenario.tier[0].nodos > 1_000 {
+            continue; // long even when optimized
+        }
+        scenario.time.0 = scenario.time.0.min(45_000_000_000);
+        let end = run(&scenario, Policy::Woadstall, 1);
+        assert_eq!(end.broken(), 0, "{}: {:?}", scenario.name, end.first_breaches);
+        assert!(end.score > 0.7, "{}: {}", scenario.name, end.score);
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/theory.rs
@@ -0,0 +1,128 @@
+//! Queueing theory holds in the emulator, where it can be known what should come out.
+
+use woadstall_emulator::{Policy, Scenario, run};
+
+/// One queue with so many workers and callers at random, no network, nothing that decides.
+fn queue(service: &str, workers: u32, load: f64, calls: f64) -> Scenario {
+    let rate = load * f64::from(workers) * 100.0; // a hundred requests a second for each worker
+    let text = format!(
+        r#"
+name = "queue"
+time = "{:.0} s"
+warm-up = "{:.0} s"
+step = "100 s"
+zones = ["a"]
+
+[[class]]
+name = "work"
+effect = "safe"
+aim = "1 h"
+deadline = "1 h"
+service = {service}
+
+[[tier]]
+name = "only"
+balancers = 1
+nodos = 1
+workers = {workers}
+queue = 1000000
+
+[[callers]]
+name = "all"
+classes = {{ work = 1.0 }}
+load = {{ constant = {rate} }}
+
+[network]
+within = "0 s"
+
+[limits]
+idle = "1 h"
+"#,
+        calls / rate * 1.02,
+        calls / rate * 0.02
+    );
+    Scenario::read(&text).unwrap()
+}
+
+/// Mean wait of the waiting ones and those that need not, in milliseconds: time in the system less the work.
+fn wait(service: &str, workers: u32, load: f64, calls: f64) -> f64 {
+    let scenario = queue(service, workers, load, calls);
+    let end = run(&scenario, "random".parse().unwrap(), 11);
+    assert_eq!(end.broken(), 0, "{:?}", end.first_breaches);
+    end.latency.mean - 10.0
+}
+
+const EXPONENTIAL: &str = "{ exponential = \"10 ms\" }";
+const CONSTANT: &str = "{ constant = \"10 ms\" }";
+
+/// Chance that a call waits (Erlang C).
+fn erlang_c(workers: u32, load: f64) -> f64 {
+    let offered = load * f64::from(workers);
+    // By the recursion for Erlang B, which stays within floats.
+    let b = (1..=workers).fold(1.0, |b, n| offered * b / (f64::from(n) + offered * b));
+    b / (1.0 - load * (1.0 - b))
+}
+
+/// M/M/1: load over (1 - load) times the work; M/D/1: half of that (Pollaczek and Khinchine); M/M/c: Erlang C.
+fn expected(service: &str, workers: u32, load: f64) -> f64 {
+    let wait = erlang_c(workers, load) / (f64::from(workers) * (1.0 - load)) * 10.0;
+    if service == CONSTANT { wait / 2.0 } else { wait }
+}
+
+fn holds(cases: &[(&str, u32, f64, f64)]) {
+    std::thread::scope(|scope| {
+        for &(service, workers, load, calls) in cases {
+            scope.spawn(move || {
+                let (is, should) = (wait(service, workers, load, calls), expected(service, workers, load));
+                let off = (is / should - 1.0).abs();
+                assert!(
+                    off < 0.02,
+                    "{service}, {workers} workers, load {load}: {is:.3} ms, theory {should:.3}"
+                );
+            });
+        }
+    });
+}
+
+#[test]
+fn waiting_times_are_those_of_theory() {
+    holds(&[
+        (EXPONENTIAL, 1, 0.5, 600e3),
+        (EXPONENTIAL, 1, 0.8, 2_500e3),
+        (EXPONENTIAL, 2, 0.5, 1_200e3),
+        (EXPONENTIAL, 4, 0.8, 2_500e3),
+        (CONSTANT, 1, 0.5, 400e3),
+        (CONSTANT, 1, 0.8, 800e3),
+    ]);
+}
+
+/// The same at 0.95, where chance takes millions of calls to even out:
+/// `cargo test --release -p woadstall-emulator --test theory -- --ignored`.
+#[test]
+#[ignore = "a minute"]
+fn waiting_times_at_high_load() {
+    holds(&[(EXPONENTIAL, 1, 0.95, 40e6), (EXPONENTIAL, 4, 0.95, 40e6), (CONSTANT, 1, 0.95, 20e6)]);
+}
+
+/// Servers with one queue each, at a load of 0.9: choosing the shorter of two queues (Mitzenmacher) lets the
+/// largest grow with the logarithm of the logarithm of their number, choosing one with the logarithm.
+#[test]
+fn two_choices_keep_the_largest_queue_short() {
+    let largest = |policy: &str, nodos: u32| {
+        let mut scenario = queue(EXPONENTIAL, 1, 0.9, 1e4);
+        scenario.tier[0].nodos = nodos;
+        scenario.callers[0].load = woadstall_emulator::Load::Constant(90.0 * f64::from(nodos));
+        scenario.time = woadstall_emulator::Span(5_000_000_000);
+        scenario.warm_up = woadstall_emulator::Span(1_000_000_000);
+        scenario.step = woadstall_emulator::Span(5_000_000_000);
+        let policy: Policy = policy.parse().unwrap();
+        f64::from(run(&scenario, policy, 3).longest_queue)
+    };
+    let (one, two) = ("random", "two-choices");
+    let (few_one, many_one) = (largest(one, 100), largest(one, 4_000));
+    let (few_two, many_two) = (largest(two, 100), largest(two, 4_000));
+    // ln(4000) - ln(100) over -ln(0.9) is 35 more; ln ln of both differ by 0.6, over ln 2 by less than 1.
+    assert!(many_one - few_one > 15.0, "{few_one} {many_one}");
+    assert!(many_two - few_two <= 2.0, "{few_two} {many_two}");
+    assert!(many_two < 10.0 && many_one > 4.0 * many_two, "{many_one} {many_two}");
+}
