woadstall-load: the lab's scenarios on real sockets, with the emulator's own nodos

Need: the model is worth what real sockets say of it. Callers at a set rate, counted from when each call was due; stand-in nodos whose decisions are the emulator's; daemons or plug-ins between; rows of the lab's form.

--- a/crates/lab-cli/src/compare.rs
+++ b/crates/lab-cli/src/compare.rs
@@ -1,12 +1,12 @@
 //! Two sides compared, paired by scenario and seed: the mean difference with a bootstrap interval.
 
-use crate::grid::Set;
-use crate::rows::Row;
 use clap::ValueEnum;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 use std::collections::BTreeMap;
+use woadstall_lab::grid::Set;
+use woadstall_lab::rows::Row;
 
 /// Resamples of the bootstrap.
 const RESAMPLES: usize = 10_000;
--- a/crates/lab-cli/src/grid.rs
+++ b/crates/lab-cli/src/grid.rs
@@ -19,25 +19,35 @@
 /// One run.
 #[derive(Clone)]
 pub struct Job {
+    /// What is played.
     pub scenario: Scenario,
+    /// As in its key.
     pub digest: String,
+    /// What was set in it.
     pub set: Set,
+    /// Who decides.
     pub policy: Policy,
+    /// Of all random numbers.
     pub seed: u64,
 }
 
 /// What tells runs apart.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize, Serialize)]
 pub struct Key {
+    /// The scenario's name.
     pub scenario: String,
     /// Of the scenario with what is set: 16 digits of its SHA-256.
     pub digest: String,
+    /// What was set in it.
     pub set: Set,
+    /// Who decided.
     pub policy: String,
+    /// Of all random numbers.
     pub seed: u64,
 }
 
 impl Job {
+    /// What tells its row from others.
     pub fn key(&self) -> Key {
         Key {
             scenario: self.scenario.name.clone(),
--- a/crates/lab-cli/src/main.rs
+++ b/crates/lab-cli/src/main.rs
@@ -6,15 +6,11 @@
 #![forbid(unsafe_code)]
 
 mod compare;
-mod grid;
 mod report;
-mod rows;
 mod sweep;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use compare::Figure;
-use grid::{Set, Source};
-use rows::Row;
 use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -22,6 +18,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use tracing::{error, info, warn};
 use woadstall_emulator::{End, Policy, World};
+use woadstall_lab::grid::{self, Set, Source};
+use woadstall_lab::rows::{self, Row};
 
 #[derive(Parser)]
 #[command(version, about = "Experiments over emulated fleets, round the real engine and module")]
--- a/crates/lab-cli/src/report.rs
+++ b/crates/lab-cli/src/report.rs
@@ -1,11 +1,11 @@
 //! Results as one HTML file that opens without a network: tables, and plots as SVG within it.
 
 use crate::compare::{Figure, interval};
-use crate::rows::Row;
 use plotters::prelude::*;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use woadstall_emulator::Step;
+use woadstall_lab::rows::Row;
 
 const SIZE: (u32, u32) = (760, 240);
 /// Rows of a heat map at most: more hosts share one.
--- a/crates/lab-cli/src/rows.rs
+++ b/crates/lab-cli/src/rows.rs
@@ -13,14 +13,32 @@
 /// One run and its result.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Row {
+    /// Of the form of rows.
     pub version: u32,
     /// The commit that the program was built from.
     pub commit: String,
+    /// What tells it from others.
     #[serde(flatten)]
     pub key: Key,
+    /// On real sockets: how late the tool itself was.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lag: Option<Lag>,
+    /// The result.
     pub end: End,
 }
 
+/// How late a tool on real sockets began its calls. They are counted from when they were due all the same.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Lag {
+    /// Calls that it began more than 5 ms late.
+    pub late: u64,
+    /// Of so many.
+    pub calls: u64,
+    /// The worst, in milliseconds.
+    pub worst_ms: f64,
+}
+
 impl Row {
     /// Runs a job. Without its timeline a row has some hundred bytes.
     pub fn run(job: &Job, timeline: bool) -> Self {
@@ -28,7 +46,12 @@
         if !timeline {
             end.steps.clear();
         }
-        Self { version: VERSION, commit: env!("WOADSTALL_COMMIT").to_owned(), key: job.key(), end }
+        Self::new(job.key(), end, None)
+    }
+
+    /// A row of a result.
+    pub fn new(key: Key, end: End, lag: Option<Lag>) -> Self {
+        Self { version: VERSION, commit: env!("WOADSTALL_COMMIT").to_owned(), key, lag, end }
     }
 
     /// As a line, without its end.
--- a/crates/lab-cli/src/sweep.rs
+++ b/crates/lab-cli/src/sweep.rs
@@ -1,7 +1,5 @@
 //! Many runs on all cores, their rows in order and whole, whenever it is cut short.
 
-use crate::grid::Job;
-use crate::rows::{self, Row};
 use indicatif::{ProgressBar, ProgressStyle};
 use std::collections::BTreeMap;
 use std::fs::OpenOptions;
@@ -9,6 +7,8 @@
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc;
+use woadstall_lab::grid::Job;
+use woadstall_lab::rows::{self, Row};
 
 /// How a sweep ended.
 #[derive(Debug, PartialEq, Eq)]
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -21,10 +21,10 @@
 
 pub use agenda::{Agenda, Numbered};
 pub use audit::{Auditor, Breach, Rule};
-pub use measure::{Counts, End, Latencies, Outcome, Step};
+pub use measure::{Counts, End, Latencies, Meter, Outcome, Step};
 pub use mind::{BoxedMind, Mind, Policy, Ticket};
-pub use nodo::{Nodo, Taken};
-pub use random::{Actor, Dist, stream};
+pub use nodo::{Ills, Nodo, Taken};
+pub use random::{Actor, Dist, chance, gap, sample, stream};
 pub use rivals::{Limit, Pick, Retries, Rival, Style};
 pub use scenario::*;
 pub use units::Span;
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -60,6 +60,8 @@
     pub p50_ms: f64,
     /// The same.
     pub p99_ms: f64,
+    /// Latencies of what was served: microseconds, and how many there were of about that.
+    pub latencies: Vec<(u64, u64)>,
     /// What each tier's nodos could do, in workers of sound warm ones.
     pub speed: Vec<f64>,
     /// Requests and attempts that were open at its end.
@@ -125,8 +127,8 @@
     }
 }
 
-/// Counts while a run goes on.
-pub(crate) struct Meter {
+/// Counts while a run goes on, simulated or on sockets. Times are nanoseconds from its start.
+pub struct Meter {
     /// Worth, late part, aim, deadline and mean work of each class.
     classes: Vec<(f64, f64, Time, Time, f64)>,
     all: Counts,
@@ -152,6 +154,7 @@
 }
 
 impl Meter {
+    /// Nothing is counted yet.
     pub fn new(scenario: &Scenario) -> Self {
         let classes = scenario.class.iter().map(|class| {
             (class.worth, class.late_worth, class.aim.0, class.deadline.0, class.service.mean())
@@ -183,6 +186,7 @@
         }
     }
 
+    /// A caller wishes for something; `measured`: after the warm-up.
     pub fn offered(&mut self, _now: Time, class: usize, measured: bool) {
         let worth = self.classes[class].0;
         let counts = &mut self.step.counts;
@@ -194,10 +198,12 @@
         }
     }
 
+    /// It asks a balancer, for the so manieth time.
     pub fn asked(&mut self, _now: Time, _tries: u32) {
         self.step.counts.requests += 1;
     }
 
+    /// A balancer sends an attempt to a host.
     pub fn sent(&mut self, _now: Time, attempt: u32, crosses: bool, host: u32) {
         let counts = &mut self.step.counts;
         counts.attempts += 1;
@@ -210,6 +216,7 @@
         hosts[host] += 1;
     }
 
+    /// A call is over, so long after it came.
     pub fn ended(&mut self, _now: Time, class: usize, outcome: Outcome, took: Time, measured: bool) {
         let (worth, late_worth, ..) = self.classes[class];
         let count = |counts: &mut Counts| match outcome {
@@ -234,6 +241,7 @@
         }
     }
 
+    /// A nodo holds so many requests.
     pub fn queued(&mut self, held: u32) {
         self.longest_queue = self.longest_queue.max(held);
     }
@@ -245,11 +253,14 @@
         *self.step.lines.entry(topic.to_owned()).or_default() += 1;
     }
 
+    /// A step of the timeline ends: what each tier can do, and what is open.
     pub fn step(&mut self, now: Time, speed: &[f64], requests: usize, attempts: usize) {
         let mut step = std::mem::take(&mut self.step);
         step.until = now as f64 / 1e9;
         let ms = |part: f64| self.step_latency.value_at_quantile(part) as f64 / 1e3;
         (step.p50_ms, step.p99_ms) = (ms(0.5), ms(0.99));
+        let recorded = self.step_latency.iter_recorded();
+        step.latencies = recorded.map(|value| (value.value_iterated_to(), value.count_at_value())).collect();
         step.speed = speed.to_vec();
         step.open = (requests as u64, attempts as u64);
         self.step_latency.reset();
@@ -303,6 +314,7 @@
         worth
     }
 
+    /// The result, from the auditor's findings.
     pub fn end(
         self,
         (counts, first_breaches): ([u64; 5], Vec<Breach>),
--- a/crates/lab/src/nodo.rs
+++ b/crates/lab/src/nodo.rs
@@ -56,6 +56,8 @@
     pub process: u32,
     /// When that started; `None` if it was warm from the start.
     pub started: Option<Time>,
+    /// It fell over, and whoever runs it has not seen to that yet.
+    pub toppled: bool,
     /// What is wrong with it.
     pub ills: Ills,
     /// Its random numbers.
@@ -97,6 +99,7 @@
             draining: false,
             process: 0,
             started: like.cold.then_some(0),
+            toppled: false,
             ills: Ills::default(),
             rng,
             workers: like.workers,
--- a/crates/lab/src/rivals.rs
+++ b/crates/lab/src/rivals.rs
@@ -329,8 +329,6 @@
     fn learn(&mut self, now: Time, at: usize, took: Time, outcome: Outcome) {
         self.in_flight -= 1;
         let ribbon = self.style.pick == Pick::Ribbon;
-        let out = self.ready.iter().filter(|&&at| self.servers[at].out_until > now).count();
-        let most_out = (EJECT.2 * self.ready.len() as f64).max(1.0) as usize;
         let server = &mut self.servers[at];
         server.in_flight = server.in_flight.saturating_sub(1);
         let connection = matches!(outcome, Outcome::ConnectFailed | Outcome::Timeout | Outcome::Reset);
@@ -343,10 +341,10 @@
         if ribbon && server.failures >= TRIP.0 {
             let open_for = (TRIP.1 << server.trips.min(4)).min(TRIP.2);
             (server.out_until, server.trips) = (now + open_for, server.trips + 1);
-        } else if self.style.ejects && server.failures >= EJECT.0 && out < most_out {
-            server.trips += 1;
-            (server.out_until, server.failures) = (now + EJECT.1 * Time::from(server.trips), 0);
+        } else if self.style.ejects && server.failures >= EJECT.0 {
+            self.eject(now, at);
         }
+        let server = &mut self.servers[at];
         let took = took as f64;
         if matches!(outcome, Outcome::Ok | Outcome::Timeout | Outcome::Error) {
             let age = now.saturating_sub(server.cost_at) as f64;
@@ -377,6 +375,16 @@
         }
     }
 
+    /// Leaves a server out for a while, unless too many are.
+    fn eject(&mut self, now: Time, at: usize) {
+        let out = self.ready.iter().filter(|&&at| self.servers[at].out_until > now).count();
+        if (out as f64) < (EJECT.2 * self.ready.len() as f64).max(1.0) {
+            let server = &mut self.servers[at];
+            server.trips += 1;
+            (server.out_until, server.failures) = (now + EJECT.1 * Time::from(server.trips), 0);
+        }
+    }
+
     fn pick(&mut self, now: Time, not: Option<usize>) -> Option<usize> {
         let count = self.ready.len();
         if count == 0 {
--- /dev/null
+++ b/crates/load/src/callers.rs
@@ -0,0 +1,296 @@
+//! The callers: at a set rate, whatever the answers take, or a crowd that waits for them. Latencies count from
+//! when a call was due, not from when this program came to it, so that its own slowness is not left out.
+
+use crate::judge::Judge;
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use rand::RngExt;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, sleep_until, timeout};
+use tower_service::Service;
+use woadstall_emulator::engine::Verdict;
+use woadstall_emulator::{Actor, Again, CallEffect, Load, Meter, Outcome, Scenario, chance, gap, stream};
+use woadstall_lab::rows::Lag;
+use woadstall_standin::grpc::message;
+use woadstall_tower::Balance;
+
+/// A call that begins later than this is counted as late.
+const LATE: Duration = Duration::from_millis(5);
+/// A caller waits so much longer than its time before it is sure that no answer comes.
+const PATIENCE: Duration = Duration::from_millis(250);
+
+/// Whom callers ask.
+#[derive(Clone)]
+pub enum By {
+    /// Daemons, over HTTP/1.1; the zone of each.
+    Daemons(Vec<(SocketAddr, u8)>),
+    /// Plug-ins in this process, over gRPC; the zone of each.
+    Plugins(Vec<(Balance, u8)>),
+}
+
+/// All callers of a scenario.
+pub struct Callers {
+    scenario: Arc<Scenario>,
+    judge: Arc<Judge>,
+    by: By,
+    client: Client<HttpConnector, Full<Bytes>>,
+    start: Instant,
+    seed: u64,
+    /// What was counted.
+    pub meter: Mutex<Meter>,
+    numbers: AtomicU64,
+    lag: Mutex<(Lag, Duration)>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Callers {
+    /// None has called yet.
+    pub fn new(scenario: Arc<Scenario>, judge: Arc<Judge>, by: By, seed: u64, start: Instant) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new()).build(connector);
+        let meter = Mutex::new(Meter::new(&scenario));
+        let (numbers, lag) = (AtomicU64::new(0), Mutex::default());
+        Self { scenario, judge, by, client, start, seed, meter, numbers, lag }
+    }
+
+    /// How late calls were begun.
+    pub fn lag(&self) -> Lag {
+        lock(&self.lag).0.clone()
+    }
+
+    fn now(&self) -> u64 {
+        self.start.elapsed().as_nanos() as u64
+    }
+
+    fn instant(&self, at: u64) -> tokio::time::Instant {
+        (self.start + Duration::from_nanos(at)).into()
+    }
+
+    /// Has all groups call until the scenario's time is over and the last have their answers.
+    pub async fn run(self: Arc<Self>) {
+        let mut groups = JoinSet::new();
+        for group in 0..self.scenario.callers.len() {
+            match self.scenario.callers[group].load {
+                Load::Closed { callers, think } => {
+                    for one in 0..callers {
+                        groups.spawn(self.clone().one_of_crowd(group, one, think.0));
+                    }
+                }
+                _ => drop(groups.spawn(self.clone().open_loop(group))),
+            }
+        }
+        while groups.join_next().await.is_some() {}
+    }
+
+    async fn open_loop(self: Arc<Self>, group: usize) {
+        // The same draws as in the lab, so that the same calls come at the same times.
+        let mut arrivals = stream(self.seed, Actor::Arrivals, group as u32);
+        let mut habits = stream(self.seed, Actor::Habits, group as u32);
+        let load = &self.scenario.callers[group].load;
+        let (most, mut at, mut calls) = (load.most(), 0_u64, JoinSet::new());
+        if most <= 0.0 {
+            return;
+        }
+        loop {
+            at = at.saturating_add(gap(&mut arrivals, most));
+            if at >= self.scenario.time.0 {
+                break;
+            }
+            if !chance(&mut arrivals, load.rate(at) / most) {
+                continue;
+            }
+            sleep_until(self.instant(at)).await;
+            let seed = habits.random();
+            calls.spawn(self.clone().call(group, at, seed));
+            while calls.try_join_next().is_some() {}
+        }
+        while calls.join_next().await.is_some() {}
+    }
+
+    async fn one_of_crowd(self: Arc<Self>, group: usize, one: u32, think: u64) {
+        let mut habits = stream(self.seed, Actor::Habits, (group as u32) << 16 | one);
+        sleep(Duration::from_nanos((habits.random::<f64>() * think as f64) as u64)).await;
+        while self.now() < self.scenario.time.0 {
+            let seed = habits.random();
+            self.clone().call(group, self.now(), seed).await;
+            sleep(Duration::from_nanos(gap(&mut habits, 1e9 / think.max(1) as f64))).await;
+        }
+    }
+
+    /// One call, with all its tries.
+    async fn call(self: Arc<Self>, group: usize, due: u64, seed: u64) {
+        let began = self.now();
+        {
+            let late = Duration::from_nanos(began.saturating_sub(due));
+            let mut lag = lock(&self.lag);
+            lag.0.calls += 1;
+            lag.0.late += u64::from(late > LATE);
+            lag.0.worst_ms = lag.0.worst_ms.max(late.as_secs_f64() * 1e3);
+        }
+        let mut rng = stream(seed, Actor::Habits, 0);
+        let callers = &self.scenario.callers[group];
+        let mix =
+            callers.classes.iter().filter_map(|(name, share)| Some((*share, self.scenario.class(name)?)));
+        let mix: Vec<(f64, usize)> = mix.collect();
+        let mut drawn = rng.random::<f64>() * mix.iter().map(|(share, _)| share).sum::<f64>();
+        let class = mix.iter().find(|(share, _)| {
+            drawn -= share;
+            drawn < 0.0
+        });
+        let class = class.or(mix.last()).map_or(0, |(_, class)| *class);
+        let known = &self.scenario.class[class];
+        let (number, deadline) = (self.numbers.fetch_add(1, Ordering::Relaxed), due + known.deadline.0);
+        let measured = due >= self.scenario.warm_up.0;
+        lock(&self.meter).offered(due, class, measured);
+        let mut tries = 0;
+        let outcome = loop {
+            tries += 1;
+            let now = self.now();
+            lock(&self.meter).asked(now, tries);
+            let left = Duration::from_nanos(deadline.saturating_sub(now));
+            let id = format!("{number:010x}-{tries}");
+            let draw = rng.random::<u64>();
+            let verdict = self.ask(group, class, number, &id, tries, left, draw).await;
+            let ended = self.now();
+            match verdict {
+                Verdict::Served(()) if ended <= due + known.aim.0 => break Outcome::OnTime,
+                Verdict::Served(()) if ended <= deadline + PATIENCE.as_nanos() as u64 => break Outcome::Late,
+                Verdict::Served(()) => break Outcome::Failed,
+                _ => {}
+            }
+            let may = matches!(verdict, Verdict::Refused(_)) || known.effect != CallEffect::Unsafe;
+            let wait = match callers.again {
+                Again::Never => None,
+                Again::AtOnce { most } => (tries < most).then_some(0),
+                Again::After { wait, most } => (tries < most).then_some(wait.0),
+                Again::Backoff { first, cap, most } => (tries < most).then(|| {
+                    let wait = (first.0 << (tries - 1).min(20)).min(cap.0);
+                    wait / 2 + (rng.random::<f64>() * (wait / 2) as f64) as u64
+                }),
+            };
+            let heeds = chance(&mut rng, callers.heeds_advice);
+            let advice = if let Verdict::Refused(after) = verdict { after * u64::from(heeds) } else { 0 };
+            match wait.filter(|_| may).map(|wait| wait.max(advice)) {
+                Some(wait) if ended + wait < deadline => sleep(Duration::from_nanos(wait)).await,
+                _ if matches!(verdict, Verdict::Refused(_)) => break Outcome::Refused,
+                _ => break Outcome::Failed,
+            }
+        };
+        let now = self.now();
+        lock(&self.meter).ended(now, class, outcome, now.saturating_sub(due), measured);
+    }
+
+    #[allow(clippy::too_many_arguments)] // all of them make one request
+    async fn ask(
+        &self,
+        group: usize,
+        class: usize,
+        number: u64,
+        id: &str,
+        tries: u32,
+        left: Duration,
+        draw: u64,
+    ) -> Verdict<()> {
+        let (known, callers) = (&self.scenario.class[class], &self.scenario.callers[group]);
+        let method = if known.effect == CallEffect::Safe { Method::GET } else { Method::POST };
+        let mut request = Request::builder().header("x-call-id", id).header("x-call-class", &known.name);
+        request = request.header("x-budget", format!("{:.6}", left.as_secs_f64()));
+        if let Some(tenant) = &callers.tenant {
+            request = request.header("x-caller", tenant);
+        }
+        if known.effect == CallEffect::Keyed {
+            request = request.header("idempotency-key", format!("{number:032x}"));
+        }
+        if tries > 1 {
+            request = request.header("x-again", "1");
+        }
+        let sent = Instant::now();
+        let answer = match &self.by {
+            By::Daemons(daemons) => {
+                let at = choose(daemons, self.zone_of(group, draw), draw);
+                let request = request.method(method).uri(format!("http://{at}/{}", known.name));
+                let body = Full::new(Bytes::new());
+                match request.body(body) {
+                    Ok(request) => timeout(left + PATIENCE, self.by_daemon(request)).await,
+                    Err(_) => return Verdict::Failed,
+                }
+            }
+            By::Plugins(plugins) => {
+                let balance = choose(plugins, self.zone_of(group, draw), draw);
+                let request = request.method(Method::POST).uri(format!("/load.Nodo/{}", known.name));
+                let request = request.header("content-type", "application/grpc");
+                match request.body(Full::new(message(b"work"))) {
+                    Ok(request) => timeout(left + PATIENCE, by_plugin(balance, request)).await,
+                    Err(_) => return Verdict::Failed,
+                }
+            }
+        };
+        self.judge.late(id, sent.elapsed().saturating_sub(left), answer.is_ok());
+        let verdict = answer.unwrap_or(Verdict::Failed);
+        if let Verdict::Refused(_) = verdict {
+            self.judge.refused(id, known.effect);
+        }
+        verdict
+    }
+
+    fn zone_of(&self, group: usize, draw: u64) -> u8 {
+        let zone = self.scenario.zone(&self.scenario.callers[group].zone).unwrap_or(None);
+        zone.unwrap_or(((draw >> 32) as usize % self.scenario.zones.len()) as u8)
+    }
+
+    async fn by_daemon(&self, request: Request<Full<Bytes>>) -> Verdict<()> {
+        let Ok(answer) = self.client.request(request).await else { return Verdict::Failed };
+        let status = answer.status();
+        let after =
+            answer.headers().get("retry-after").and_then(|value| value.to_str().ok()?.parse::<f64>().ok());
+        if answer.into_body().collect().await.is_err() {
+            return Verdict::Failed;
+        }
+        match status {
+            StatusCode::OK => Verdict::Served(()),
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                Verdict::Refused((after.unwrap_or(0.0).clamp(0.0, 3600.0) * 1e9) as u64)
+            }
+            _ => Verdict::Failed,
+        }
+    }
+}
+
+async fn by_plugin(mut balance: Balance, request: Request<Full<Bytes>>) -> Verdict<()> {
+    let Ok(answer) = balance.call(request).await;
+    let (head, body) = answer.into_parts();
+    let Ok(body) = body.collect().await else { return Verdict::Failed };
+    let trailers = body.trailers().unwrap_or(&head.headers);
+    let text =
+        |name: &str| trailers.get(name).or(head.headers.get(name)).and_then(|value| value.to_str().ok());
+    match text("grpc-status") {
+        Some("0") => Verdict::Served(()),
+        Some("14") => {
+            let pushback = text("grpc-retry-pushback-ms").and_then(|ms| ms.parse::<u64>().ok());
+            Verdict::Refused(pushback.unwrap_or(0).min(3_600_000) * 1_000_000)
+        }
+        _ => Verdict::Failed,
+    }
+}
+
+/// One of a zone, or any where the zone has none.
+fn choose<T: Clone>(all: &[(T, u8)], zone: u8, draw: u64) -> T {
+    let there: Vec<&T> = all.iter().filter(|(_, other)| *other == zone).map(|(one, _)| one).collect();
+    let draw = draw as u32 as usize;
+    match there.is_empty() {
+        true => all[draw % all.len()].0.clone(),
+        false => there[draw % there.len()].clone(),
+    }
+}
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,177 @@
+//! The lab's scenarios on real sockets of this machine: callers at a set rate, stand-in nodos with the same faults,
+//! and daemons or plug-ins between them. Results have the form of the lab's rows.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod callers;
+mod fleet;
+mod judge;
+mod settings;
+
+pub use settings::check;
+
+use callers::{By, Callers};
+use fleet::Fleet;
+use judge::Judge;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError, mpsc};
+use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
+use tokio::time::{interval_at, sleep};
+use woadstall::net::Daemon;
+use woadstall::net::config::Config;
+use woadstall_emulator::{End, Scenario};
+use woadstall_lab::rows::Lag;
+use woadstall_tower::Balance;
+
+/// What callers go through.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Path {
+    /// Daemons, each on a thread of its own, over HTTP/1.1.
+    Daemon,
+    /// Plug-ins, over gRPC.
+    Plugin,
+    /// What listens at these addresses already, over HTTP/1.1. Nodos and faults are its own.
+    Target(Vec<SocketAddr>),
+}
+
+impl Path {
+    /// As the rows name it.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Daemon => "real-daemon",
+            Self::Plugin => "real-plugin",
+            Self::Target(_) => "real-target",
+        }
+    }
+}
+
+/// A daemon on a thread of its own, as it is when it runs alone. It stops when this is dropped.
+struct Alone {
+    address: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+impl Alone {
+    fn start(config: Config) -> Result<Self, String> {
+        let (stop, stopped) = oneshot::channel();
+        let (tell, told) = mpsc::channel();
+        let thread = std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let runtime = match runtime {
+                Ok(runtime) => runtime,
+                Err(error) => return drop(tell.send(Err(error.to_string()))),
+            };
+            runtime.block_on(async {
+                match Daemon::start(config).await {
+                    Ok(daemon) => {
+                        drop(tell.send(Ok(daemon.address())));
+                        stopped.await.ok();
+                        daemon.stop().await.ok();
+                    }
+                    Err(error) => drop(tell.send(Err(error))),
+                }
+            });
+        });
+        let address = told.recv().map_err(|_| "a daemon did not start".to_owned())??;
+        Ok(Self { address, stop: Some(stop), thread: Some(thread) })
+    }
+}
+
+impl Drop for Alone {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        self.thread.take().map(std::thread::JoinHandle::join);
+    }
+}
+
+/// Plays a scenario. It stops by itself once its time and the longest deadline are over.
+pub async fn run(scenario: Scenario, path: Path, seed: u64) -> Result<(End, Lag), String> {
+    check(&scenario)?;
+    let (scenario, start) = (Arc::new(scenario), Instant::now() + Duration::from_millis(300));
+    let judge = Arc::new(Judge::new(start));
+    let (mut daemons, mut fleet) = (Vec::new(), None);
+    let by = match &path {
+        Path::Target(addresses) => By::Daemons(addresses.iter().map(|address| (*address, 0)).collect()),
+        Path::Daemon | Path::Plugin => {
+            let started = Fleet::start(scenario.clone(), judge.clone(), seed, start).await;
+            let started = Arc::new(started.map_err(|error| format!("nodos: {error}"))?);
+            let (targets, discovery) = (started.targets(), started.discovery_at);
+            fleet = Some(started);
+            let configs = (0..scenario.tier[0].balancers).map(|number| {
+                let zone = (number as usize % scenario.zones.len()) as u8;
+                (settings::config(&scenario, number, seed, discovery, &targets), zone)
+            });
+            if path == Path::Daemon {
+                let mut listening = Vec::new();
+                for (config, zone) in configs {
+                    let daemon = Alone::start(Config::parse(&config.to_string(), None, None)?)?;
+                    listening.push((daemon.address, zone));
+                    daemons.push(daemon);
+                }
+                By::Daemons(listening)
+            } else {
+                let mut plugins = Vec::new();
+                for (config, zone) in configs {
+                    plugins.push((plugin(&scenario, &config, discovery)?, zone));
+                }
+                By::Plugins(plugins)
+            }
+        }
+    };
+    let callers = Arc::new(Callers::new(scenario.clone(), judge.clone(), by, seed, start));
+    let script = fleet.clone().map(|fleet| tokio::spawn(fleet.play()).abort_handle());
+    let steps = tokio::spawn(steps(scenario.clone(), callers.clone(), fleet.clone(), start)).abort_handle();
+    sleep(start.saturating_duration_since(Instant::now())).await;
+    callers.clone().run().await;
+    steps.abort();
+    script.into_iter().for_each(|script| script.abort());
+    // Nodos may still be at what was given up on; what runs then counts against the rules as well.
+    let longest = scenario.class.iter().map(|class| class.deadline.0).max().unwrap_or(0);
+    sleep(Duration::from_nanos(longest.min(5_000_000_000))).await;
+    daemons.clear();
+    let lag = callers.lag();
+    let meter = std::mem::replace(
+        &mut *callers.meter.lock().unwrap_or_else(PoisonError::into_inner),
+        woadstall_emulator::Meter::new(&scenario),
+    );
+    Ok((meter.end(judge.findings(), 0, Vec::new()), lag))
+}
+
+fn plugin(scenario: &Scenario, config: &serde_json::Value, discovery: SocketAddr) -> Result<Balance, String> {
+    let settings = config["settings"].to_string();
+    let known = serde_json::from_value(config["known"].clone()).map_err(|error| error.to_string())?;
+    let mut builder = Balance::builder().settings(settings.as_bytes()).map_err(|error| error.to_string())?;
+    for class in &scenario.class {
+        builder = builder.method(format!("/load.Nodo/{}", class.name), &class.name);
+    }
+    builder.known(known).discovery(discovery).build().map_err(|error| error.to_string())
+}
+
+/// Counts what nodos saw, step by step.
+async fn steps(scenario: Arc<Scenario>, callers: Arc<Callers>, fleet: Option<Arc<Fleet>>, start: Instant) {
+    let step = Duration::from_nanos(scenario.step.0);
+    let (queue, mut next) = (Mutex::new(0), start + step);
+    // Often enough to see a queue, cheap enough not to be seen.
+    let mut look = interval_at(start.into(), Duration::from_millis(20).min(step));
+    loop {
+        look.tick().await;
+        let held = fleet.as_ref().map_or(0, |fleet| fleet.most_held());
+        let mut most = queue.lock().unwrap_or_else(PoisonError::into_inner);
+        *most = held.max(*most);
+        if Instant::now() < next {
+            continue;
+        }
+        let (speed, attempts) = fleet.as_ref().map_or((0.0, Vec::new()), |fleet| fleet.look());
+        let now = start.elapsed().as_nanos() as u64;
+        let mut meter = callers.meter.lock().unwrap_or_else(PoisonError::into_inner);
+        for (host, attempts) in attempts.iter().enumerate() {
+            (0..*attempts).for_each(|_| meter.sent(now, 0, false, host as u32));
+        }
+        meter.queued(std::mem::take(&mut *most));
+        meter.step(now, &[speed], 0, 0);
+        next += step;
+    }
+}
