--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -184,6 +184,14 @@
         sleep_until((self.start + Duration::from_nanos(at)).into()).await;
     }
 
+    /// One without an end goes on after the last call: what is still open must not be served.
+    async fn end_of(&self, fault: &Fault) {
+        match fault.until {
+            Some(until) => self.wait(until.0).await,
+            None => std::future::pending().await,
+        }
+    }
+
     async fn fault(self: Arc<Self>, at: usize) {
         let fault = &self.scenario.fault[at];
         let zone = self.scenario.zone(&fault.zone).unwrap_or(None);
@@ -192,14 +200,17 @@
             (0..self.nodos.len() as u32).filter(|&nodo| there(&self.nodos[nodo as usize])).collect();
         let hit = sample(&mut stream(self.seed, Actor::Fault, at as u32), &nodos, fault.part);
         let until = fault.until.unwrap_or(self.scenario.time).0;
-        self.wait(fault.at.0).await;
+        // What is wrong from the start is so before the first call.
+        if fault.at.0 > 0 {
+            self.wait(fault.at.0).await;
+        }
         match &fault.what {
             What::Kill { .. } => {
                 hit.iter().for_each(|&nodo| self.nodos[nodo as usize].kill());
                 let notices = self.scenario.padron.notices.0;
                 self.wait(fault.at.0 + notices.min(until - fault.at.0)).await;
                 hit.iter().for_each(|&nodo| self.list(nodo, "gone"));
-                self.wait(until).await;
+                self.end_of(fault).await;
                 for &nodo in &hit {
                     self.boot(nodo).await;
                 }
@@ -223,7 +234,7 @@
             }
             _ => {
                 hit.iter().for_each(|&nodo| self.nodos[nodo as usize].ail(fault, true));
-                self.wait(until).await;
+                self.end_of(fault).await;
                 hit.iter().for_each(|&nodo| self.nodos[nodo as usize].ail(fault, false));
             }
         }
