The demo plays a scenario by both paths; lossy networks, few sockets, wrong lists and clocks

Need: demo and measure had callers, nodos and percentiles of their own beside the lab's; and the model had no lost messages, limits on connections, lists that are wrong or clocks that step.

With one connection a balancer 50 calls a second are served and the rest is refused at once, with 2% of messages lost 85% and more is served; no rule broken.

--- a/crates/lab-cli/src/main.rs
+++ b/crates/lab-cli/src/main.rs
@@ -110,6 +110,9 @@
         results: Vec<PathBuf>,
         #[arg(long)]
         out: PathBuf,
+        /// Write each plot as an SVG file of its own into this folder, too.
+        #[arg(long)]
+        svg: Option<PathBuf>,
     },
     /// Tell the story of one call of a run: its number is in a breach.
     Explain {
@@ -208,9 +211,16 @@
             let worse = |row: &compare::Difference| row.is_sure() && (row.difference < 0.0) == better;
             Ok(u8::from(fail_worse && differences.iter().any(worse)))
         }
-        Command::Report { results, out } => {
+        Command::Report { results, out, svg } => {
             let rows = results.iter().map(|path| rows::read(path)).collect::<Result<Vec<_>, _>>()?.concat();
-            write(&out, &report::page(&rows)?)?;
+            let page = report::page(&rows)?;
+            write(&out, &page)?;
+            if let Some(folder) = svg {
+                std::fs::create_dir_all(&folder).map_err(|error| format!("{}: {error}", folder.display()))?;
+                for (number, plot) in report::svgs(&page).enumerate() {
+                    write(&folder.join(format!("plot-{:03}.svg", number + 1)), plot)?;
+                }
+            }
             Ok(0)
         }
         Command::Explain { scenario, call, with, seed, policy } => {
--- a/crates/lab-cli/src/report.rs
+++ b/crates/lab-cli/src/report.rs
@@ -210,3 +210,12 @@
     }
     html + "</table>\n"
 }
+
+/// The plots of a page, each an SVG file as it is.
+pub fn svgs(page: &str) -> impl Iterator<Item = &str> {
+    const END: &str = "</svg>";
+    page.match_indices("<svg").filter_map(|(from, _)| {
+        let end = page[from..].find(END)?;
+        page.get(from..from + end + END.len())
+    })
+}
--- a/crates/lab-cli/tests/cli.rs
+++ b/crates/lab-cli/tests/cli.rs
@@ -66,6 +66,12 @@
     let page = std::fs::read_to_string(folder.join("tiny.html")).unwrap();
     assert!(page.matches("<svg").count() >= 8 && page.ends_with("</html>\n"));
     assert!(!page.contains("src=") && !page.contains("href="), "it opens without a network");
+    let rows = ["--seeds", "1", "--timeline", "--out", "time.jsonl"];
+    assert_eq!(lab(&folder, &[&["sweep", "tiny.toml"], &rows[..]].concat()).status.code(), Some(0));
+    let output = lab(&folder, &["report", "time.jsonl", "--out", "time.html", "--svg", "plots"]);
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output.stderr));
+    let plot = std::fs::read_to_string(folder.join("plots/plot-008.svg")).unwrap();
+    assert!(plot.starts_with("<svg") && plot.ends_with("</svg>") && plot.contains("xmlns"));
     let output = lab(&folder, &["run", "tiny.toml", "--json", "--seed", "2", "--set", "time=2 s"]);
     let row: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
     assert_eq!((&row["seed"], &row["set"]["time"]), (&2.into(), &"2 s".into()));
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -381,6 +381,8 @@
     pub idle: Span,
     /// How long a connection may take to come up.
     pub connect: Span,
+    /// Connections to nodos that a balancer may have open, over HTTP/1.1; 0 for as many as it likes.
+    pub sockets: u32,
     /// Upstreams speak HTTP/2: many attempts on one connection.
     pub http2: bool,
     /// What a crossing of zones costs, as part of a request's worth.
@@ -397,6 +399,7 @@
             most_advice: Span(SECOND),
             idle: Span(10 * SECOND),
             connect: Span(250 * MS),
+            sockets: 0,
             http2: false,
             cross_price: 0.02,
             over_quota_worth: 0.2,
@@ -414,11 +417,15 @@
     pub across: Span,
     /// Up to this part more, evenly.
     pub jitter: f64,
+    /// Part of the messages, either way, that is lost without a word.
+    pub loss: f64,
+    /// Part of the requests whose connection breaks on their way.
+    pub resets: f64,
 }
 
 impl Default for Network {
     fn default() -> Self {
-        Self { within: Span(250_000), across: Span(MS), jitter: 0.5 }
+        Self { within: Span(250_000), across: Span(MS), jitter: 0.5, loss: 0.0, resets: 0.0 }
     }
 }
 
@@ -513,6 +520,10 @@
     SlowLink(f64),
     /// The padron tells nothing.
     PadronSilent,
+    /// The padron lists nodos as gone that are well.
+    PadronWrong,
+    /// Balancers' clocks step forward.
+    ClockStep(Span),
     /// Balancers restart: they know the list that they had so long ago.
     Restart {
         /// How old it is.
@@ -622,6 +633,8 @@
             return Err(format!("`callers`: {calls:.0} calls, of {MOST_CALLS:.0} that one run may have"));
         }
         number("network.jitter", self.network.jitter, 0.0, 100.0)?;
+        number("network.loss", self.network.loss, 0.0, 1.0)?;
+        number("network.resets", self.network.resets, 0.0, 1.0)?;
         number("clocks.drift", self.clocks.drift, 0.0, 0.1)?;
         number("limits.cross-price", self.limits.cross_price, 0.0, 1.0)?;
         number("limits.over-quota-worth", self.limits.over_quota_worth, 0.0, 1.0)?;
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -108,6 +108,8 @@
     out: bool,
     /// Something of it is under way, waits or is worked on.
     there: bool,
+    /// It has a connection.
+    socket: bool,
     /// Calls to the next tier that are not answered, and whether one went wrong.
     calls: u32,
     spoilt: bool,
@@ -134,6 +136,8 @@
     padron: ChaCha8Rng,
     seeds: ChaCha8Rng,
     links: Vec<Links>,
+    /// Connections that are open, idle or not, over HTTP/1.1.
+    open: u32,
     /// The host of each server that it has sent to, by its own number for it.
     hosts: Vec<u32>,
     planned: Time,
@@ -294,6 +298,7 @@
                     padron: stream(self.seed, Actor::Padron, number),
                     seeds: clock,
                     links: Vec::new(),
+                    open: 0,
                     hosts: Vec::new(),
                     planned: Time::MAX,
                     alive: true,
@@ -669,14 +674,15 @@
                 self.forget_request(request);
             }
             Command::CloseIdle(server) => {
-                if let Some(links) = self.links_to(at, server) {
-                    links.idle = 0;
-                }
+                let closed = self.links_to(at, server).map(|links| std::mem::take(&mut links.idle));
+                self.closed(at, closed.unwrap_or(0));
             }
             Command::Retire(server) => {
-                if let Some(links) = self.links_to(at, server) {
-                    *links = Links { epoch: links.epoch + 1, idle: 0, ..*links };
-                }
+                let closed = self.links_to(at, server).map(|links| {
+                    links.epoch += 1;
+                    std::mem::take(&mut links.idle)
+                });
+                self.closed(at, closed.unwrap_or(0));
             }
             // No scenario allows probes, and the padron pushes.
             Command::Probe(_) | Command::Watch => {}
@@ -702,6 +708,29 @@
         balancer.links.get_mut(host as usize)
     }
 
+    /// So many connections of a balancer are closed.
+    fn closed(&mut self, at: usize, count: u16) {
+        let balancer = &mut self.balancers[at];
+        balancer.open = balancer.open.saturating_sub(u32::from(count));
+    }
+
+    /// Whether a balancer may open one more connection, if need be after closing the one idle for longest.
+    fn may_open(&mut self, at: usize) -> bool {
+        let most = self.scenario.limits.sockets;
+        if most == 0 || self.scenario.limits.http2 || self.balancers[at].open < most {
+            return true;
+        }
+        let idle = self.balancers[at].links.iter_mut().filter(|links| links.idle > 0);
+        match idle.min_by_key(|links| links.idle_since) {
+            Some(links) => {
+                links.idle -= 1;
+                self.closed(at, 1);
+                true
+            }
+            None => false,
+        }
+    }
+
     fn host_of(address: SocketAddr) -> u32 {
         match address {
             SocketAddr::V4(address) => u32::from(*address.ip()) & 0x00ff_ffff,
@@ -746,7 +775,9 @@
         }
         balancer.hosts[server] = host;
         let links = &mut balancer.links[host as usize];
+        let mut closed = 0;
         if links.process != process {
+            closed = links.idle;
             *links = Links { epoch: links.epoch + 1, process, idle: 0, idle_since: 0 };
         }
         let http2 = self.scenario.limits.http2;
@@ -755,9 +786,14 @@
         if kept && !http2 {
             links.idle -= 1;
         } else if !fresh {
-            links.idle = 0;
+            closed += std::mem::take(&mut links.idle);
         }
         let epoch = links.epoch;
+        self.closed(at, closed);
+        let has_socket = kept || self.may_open(at);
+        if !kept && has_socket {
+            self.balancers[at].open += 1;
+        }
         let attempt = Attempt {
             request,
             number: send.attempt,
@@ -768,6 +804,7 @@
             epoch,
             out: true,
             there: true,
+            socket: has_socket,
             calls: 0,
             spoilt: false,
             sent: now,
@@ -781,10 +818,17 @@
         self.tell_story(wish, || text);
         let until = self.balancers[at].world(send.until);
         self.agenda.at(until, Event::Until(number));
+        if !has_socket {
+            self.lose(number);
+            return self.agenda.after(0, Event::Back { attempt: number, outcome: Outcome::Moot });
+        }
         let way = self.delay(at, nodo);
+        let network = &self.scenario.network;
+        let rng = &mut self.balancers[at].network;
+        let (lost, reset) = (chance(rng, network.loss), chance(rng, network.resets));
         let connect = if kept { 0 } else { 2 * way };
         let alive = self.nodos[nodo].alive;
-        let cut = self.is_cut(at, nodo, true) || !kept && self.is_cut(at, nodo, false);
+        let cut = lost || self.is_cut(at, nodo, true) || !kept && self.is_cut(at, nodo, false);
         // A list may name a process that is no longer there; what listens at its address takes the request.
         match (alive, cut) {
             (_, true) if !kept => {
@@ -798,6 +842,11 @@
                 self.lose(number);
                 self.agenda.after(2 * way, Event::Back { attempt: number, outcome });
             }
+            (true, false) if reset => {
+                self.lose(number);
+                let outcome = Outcome::Reset;
+                self.agenda.after(connect + way, Event::Back { attempt: number, outcome });
+            }
             (true, false) => self.agenda.after(connect + way, Event::Reach(number)),
         }
     }
@@ -845,6 +894,7 @@
         let (request, at, tries) = (attempt.request, attempt.balancer as usize, attempt.number);
         let (host, process, epoch, nodo) =
             (attempt.host as usize, attempt.process, attempt.epoch, attempt.nodo as usize);
+        let socket = attempt.socket;
         let took = self.agenda.now() - attempt.sent;
         let mut wish = 0;
         if let Some(known) = self.requests.get_mut(request) {
@@ -854,6 +904,7 @@
         let whole = matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::Declined);
         let now = self.agenda.now();
         let http2 = self.scenario.limits.http2;
+        let mut kept = false;
         if let Some(links) = self.balancers[at].links.get_mut(host)
             && whole
             && links.epoch == epoch
@@ -862,6 +913,10 @@
         {
             links.idle = if http2 { 1 } else { links.idle.saturating_add(1) };
             links.idle_since = now;
+            kept = true;
+        }
+        if socket && !kept {
+            self.closed(at, 1);
         }
         self.tell_story(wish, || {
             format!("balancer {at} has {outcome:?} for attempt {tries} after {:.1} ms", took as f64 / 1e6)
@@ -957,7 +1012,8 @@
     fn answer(&mut self, number: u64, outcome: Outcome) {
         let Some(attempt) = self.attempts.get(number) else { return };
         let (at, nodo) = (attempt.balancer as usize, attempt.nodo as usize);
-        if self.is_cut(at, nodo, false) {
+        let lost = chance(&mut self.balancers[at].network, self.scenario.network.loss);
+        if lost || self.is_cut(at, nodo, false) {
             return self.lose(number);
         }
         let way = self.delay(at, nodo);
@@ -1259,6 +1315,21 @@
                     self.spread();
                 }
             }
+            What::PadronWrong => {
+                let lifecycle = if begins { Lifecycle::Gone } else { Lifecycle::Ready };
+                for &nodo in &nodos {
+                    let there = &self.nodos[nodo as usize];
+                    if there.alive && !there.draining {
+                        self.change(nodo, lifecycle);
+                    }
+                }
+            }
+            What::ClockStep(step) if begins => {
+                for &balancer in &balancers {
+                    self.balancers[balancer as usize].ahead += step.0 as i64;
+                }
+            }
+            What::ClockStep(_) => {}
             What::CutTo | What::CutFrom => {
                 let cut = (zone.unwrap_or(0), fault.what == What::CutTo);
                 match begins {
@@ -1359,6 +1430,7 @@
         }
         balancer.life += 1;
         balancer.links.clear();
+        balancer.open = 0;
         balancer.hosts.clear();
         balancer.words.clear();
         balancer.planned = Time::MAX;
--- a/crates/lab/tests/scenarios.rs
+++ b/crates/lab/tests/scenarios.rs
@@ -84,6 +84,41 @@
     assert_eq!(end.broken(), 0, "{:?}", end.first_breaches);
 }
 
+/// A padron that is wrong, clocks that step, messages that vanish, hardly any sockets: no rule is broken, and what
+/// can be served is.
+#[test]
+fn what_balancers_cannot_help_breaks_no_rule() {
+    let with = |fault: &str, change: &dyn Fn(&mut Scenario)| {
+        let mut scenario =
+            small(&format!("[[fault]]\nat = \"2 s\"\nuntil = \"5 s\"\npart = 0.5\nwhat = {fault}\n"));
+        change(&mut scenario);
+        let end = run(&scenario, Policy::Woadstall, 1);
+        assert_eq!(end.broken(), 0, "{fault}: {:?}", end.first_breaches);
+        end
+    };
+    let served = with("\"padron-wrong\"", &|scenario| scenario.tier[0].nodos = 12).served;
+    assert!(served > 0.97, "{served}: half the nodos are enough");
+    // What is under way when a clock steps is given up; the rest goes on.
+    let served = with("{ clock-step = \"3 s\" }", &|_| {}).served;
+    assert!(served > 0.9, "{served}");
+    let lossy = with("\"padron-wrong\"", &|scenario| {
+        scenario.fault.clear();
+        (scenario.network.loss, scenario.network.resets) = (0.02, 0.02);
+    });
+    assert!(lossy.served > 0.85 && lossy.counts.failed > 20, "{} {:?}", lossy.served, lossy.counts);
+    let few = |sockets| {
+        let end = with("\"padron-wrong\"", &|scenario| {
+            scenario.fault.clear();
+            scenario.limits.sockets = sockets;
+        });
+        (end.served, end.counts.refused)
+    };
+    let (enough, one) = (few(16), few(1));
+    assert!(enough.0 > 0.97, "{enough:?}");
+    // One connection a balancer can end fifty calls a second, three of them 150 of 200.
+    assert!(one.0 < 0.85 && one.1 > 200, "{one:?}");
+}
+
 /// Faults show: each does something to the fleet without balancing to speak of.
 #[test]
 fn faults_hurt() {
--- a/crates/load/src/callers.rs
+++ b/crates/load/src/callers.rs
@@ -9,6 +9,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use rand::RngExt;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -34,8 +35,13 @@
     Daemons(Vec<(SocketAddr, u8)>),
     /// Plug-ins in this process, over gRPC; the zone of each.
     Plugins(Vec<(Balance, u8)>),
+    /// Both, each call by the one or the other.
+    Both(Box<By>, Box<By>),
 }
 
+/// What callers heard, by path and class.
+pub type Tally = BTreeMap<(&'static str, String, &'static str), u64>;
+
 /// All callers of a scenario.
 pub struct Callers {
     scenario: Arc<Scenario>,
@@ -47,7 +53,8 @@
     /// What was counted.
     pub meter: Mutex<Meter>,
     numbers: AtomicU64,
-    lag: Mutex<(Lag, Duration)>,
+    lag: Mutex<Lag>,
+    tally: Mutex<Tally>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -61,13 +68,18 @@
         connector.set_nodelay(true);
         let client = Client::builder(TokioExecutor::new()).build(connector);
         let meter = Mutex::new(Meter::new(&scenario));
-        let (numbers, lag) = (AtomicU64::new(0), Mutex::default());
-        Self { scenario, judge, by, client, start, seed, meter, numbers, lag }
+        let (numbers, lag, tally) = (AtomicU64::new(0), Mutex::default(), Mutex::default());
+        Self { scenario, judge, by, client, start, seed, meter, numbers, lag, tally }
     }
 
     /// How late calls were begun.
     pub fn lag(&self) -> Lag {
-        lock(&self.lag).0.clone()
+        lock(&self.lag).clone()
+    }
+
+    /// What callers heard to each of their requests.
+    pub fn tally(&self) -> Tally {
+        lock(&self.tally).clone()
     }
 
     fn now(&self) -> u64 {
@@ -135,9 +147,9 @@
         {
             let late = Duration::from_nanos(began.saturating_sub(due));
             let mut lag = lock(&self.lag);
-            lag.0.calls += 1;
-            lag.0.late += u64::from(late > LATE);
-            lag.0.worst_ms = lag.0.worst_ms.max(late.as_secs_f64() * 1e3);
+            lag.calls += 1;
+            lag.late += u64::from(late > LATE);
+            lag.worst_ms = lag.worst_ms.max(late.as_secs_f64() * 1e3);
         }
         let mut rng = stream(seed, Actor::Habits, 0);
         let callers = &self.scenario.callers[group];
@@ -217,28 +229,41 @@
             request = request.header("x-again", "1");
         }
         let sent = Instant::now();
-        let answer = match &self.by {
+        let by = match &self.by {
+            By::Both(one, other) => {
+                if draw & 1 == 0 {
+                    one
+                } else {
+                    other
+                }
+            }
+            only => only,
+        };
+        let zone = self.zone_of(group, draw);
+        let (path, answer) = match by {
             By::Daemons(daemons) => {
-                let at = choose(daemons, self.zone_of(group, draw), draw);
+                let at = choose(daemons, zone, draw);
                 let request = request.method(method).uri(format!("http://{at}/{}", known.name));
-                let body = Full::new(Bytes::new());
-                match request.body(body) {
-                    Ok(request) => timeout(left + PATIENCE, self.by_daemon(request)).await,
-                    Err(_) => return Verdict::Failed,
-                }
+                let Ok(request) = request.body(Full::new(Bytes::new())) else { return Verdict::Failed };
+                ("daemon", timeout(left + PATIENCE, self.by_daemon(request)).await)
             }
             By::Plugins(plugins) => {
-                let balance = choose(plugins, self.zone_of(group, draw), draw);
+                let balance = choose(plugins, zone, draw);
                 let request = request.method(Method::POST).uri(format!("/load.Nodo/{}", known.name));
                 let request = request.header("content-type", "application/grpc");
-                match request.body(Full::new(message(b"work"))) {
-                    Ok(request) => timeout(left + PATIENCE, by_plugin(balance, request)).await,
-                    Err(_) => return Verdict::Failed,
-                }
+                let Ok(request) = request.body(Full::new(message(b"work"))) else { return Verdict::Failed };
+                ("plug-in", timeout(left + PATIENCE, by_plugin(balance, request)).await)
             }
+            By::Both(..) => return Verdict::Failed, // both of both are not both
         };
         self.judge.late(id, sent.elapsed().saturating_sub(left), answer.is_ok());
         let verdict = answer.unwrap_or(Verdict::Failed);
+        let heard = match verdict {
+            Verdict::Served(()) => "served",
+            Verdict::Refused(_) => "refused",
+            Verdict::Failed => "failed",
+        };
+        *lock(&self.tally).entry((path, known.name.clone(), heard)).or_default() += 1;
         if let Verdict::Refused(_) = verdict {
             self.judge.refused(id, known.effect);
         }
@@ -287,6 +312,7 @@
 
 /// One of a zone, or any where the zone has none.
 fn choose<T: Clone>(all: &[(T, u8)], zone: u8, draw: u64) -> T {
+    let draw = draw >> 1; // its last bit has chosen the path
     let there: Vec<&T> = all.iter().filter(|(_, other)| *other == zone).map(|(one, _)| one).collect();
     let draw = draw as u32 as usize;
     match there.is_empty() {
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -54,7 +54,22 @@
     boot_ms: u64,
     listed: &'static str,
     drained: Option<Instant>,
+    /// Requests that came since the last look.
     attempts: u32,
+    seen: Seen,
+}
+
+/// What a nodo has seen.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// Its name.
+    pub name: String,
+    /// Requests that came.
+    pub came: u64,
+    /// Requests that it has worked on to their end.
+    pub ran: u64,
+    /// Requests that it has turned away as full.
+    pub turned_away: u64,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -80,7 +95,9 @@
             let zone = (number as usize % scenario.zones.len()) as u8;
             let place = (zone, (number % u32::from(tier.cells)) as u16, number);
             let rng = stream(seed, Actor::Nodo, number);
-            let nodo = Nodo::new(format!("{}-{number}", tier.name), 0, tier, place, rng);
+            let name = format!("{}-{number}", tier.name);
+            let seen = Seen { name: name.clone(), ..Seen::default() };
+            let nodo = Nodo::new(name, 0, tier, place, rng);
             let boot_ms = if tier.cold { unix_ms() } else { 0 };
             let brain = Brain {
                 nodo,
@@ -90,6 +107,7 @@
                 listed: "in_service",
                 drained: None,
                 attempts: 0,
+                seen,
             };
             let socketed = Arc::new(Socketed {
                 address: listener.local_addr()?,
@@ -148,6 +166,11 @@
         (speed, attempts)
     }
 
+    /// What each nodo has seen so far.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.nodos.iter().map(|nodo| lock(&nodo.brain).seen.clone()).collect()
+    }
+
     /// Most requests that a nodo holds now.
     pub fn most_held(&self) -> u32 {
         self.nodos.iter().map(|nodo| lock(&nodo.brain).nodo.held()).max().unwrap_or(0)
@@ -330,6 +353,7 @@
     fn arrive(&self, class: usize) -> Arrival {
         let (now, mut brain) = (self.now(), lock(&self.brain));
         brain.attempts += 1;
+        brain.seen.came += 1;
         if let Some(since) = brain.drained {
             self.judge.drained(&brain.nodo.name, since.elapsed());
         }
@@ -353,7 +377,10 @@
         let number = brain.next;
         brain.next += 1;
         match brain.nodo.take(number) {
-            Taken::Full => Arrival::Full,
+            Taken::Full => {
+                brain.seen.turned_away += 1;
+                Arrival::Full
+            }
             Taken::Begun => Arrival::Taken(number, None),
             Taken::Queued => {
                 let (sender, turn) = oneshot::channel();
@@ -392,7 +419,8 @@
         sleep(Duration::from_nanos(took)).await;
         drop(held);
         if let Some(id) = text("x-call-id") {
-            let brain = lock(&self.brain);
+            let mut brain = lock(&self.brain);
+            brain.seen.ran += 1;
             let group = match known.group {
                 CallGroup::All => 0,
                 CallGroup::Zone => u32::from(brain.nodo.zone),
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -9,6 +9,8 @@
 mod judge;
 mod settings;
 
+pub use callers::Tally;
+pub use fleet::Seen;
 pub use settings::check;
 
 use callers::{By, Callers};
@@ -32,6 +34,8 @@
     Daemon,
     /// Plug-ins, over gRPC.
     Plugin,
+    /// Both beside each other, each call by the one or the other.
+    Both,
     /// What listens at these addresses already, over HTTP/1.1. Nodos and faults are its own.
     Target(Vec<SocketAddr>),
 }
@@ -42,6 +46,7 @@
         match self {
             Self::Daemon => "real-daemon",
             Self::Plugin => "real-plugin",
+            Self::Both => "real-both",
             Self::Target(_) => "real-target",
         }
     }
@@ -87,37 +92,49 @@
     }
 }
 
+/// All that a run on sockets shows.
+#[derive(Debug)]
+pub struct Played {
+    /// The result, of the lab's form.
+    pub end: End,
+    /// How late the tool itself was.
+    pub lag: Lag,
+    /// What callers heard, by path and class.
+    pub tally: Tally,
+    /// What each nodo saw; none where they were not started here.
+    pub nodos: Vec<Seen>,
+}
+
 /// Plays a scenario. It stops by itself once its time and the longest deadline are over.
-pub async fn run(scenario: Scenario, path: Path, seed: u64) -> Result<(End, Lag), String> {
+pub async fn run(scenario: Scenario, path: Path, seed: u64) -> Result<Played, String> {
     check(&scenario)?;
     let (scenario, start) = (Arc::new(scenario), Instant::now() + Duration::from_millis(300));
     let judge = Arc::new(Judge::new(start));
     let (mut daemons, mut fleet) = (Vec::new(), None);
     let by = match &path {
         Path::Target(addresses) => By::Daemons(addresses.iter().map(|address| (*address, 0)).collect()),
-        Path::Daemon | Path::Plugin => {
+        Path::Daemon | Path::Plugin | Path::Both => {
             let started = Fleet::start(scenario.clone(), judge.clone(), seed, start).await;
             let started = Arc::new(started.map_err(|error| format!("nodos: {error}"))?);
             let (targets, discovery) = (started.targets(), started.discovery_at);
             fleet = Some(started);
-            let configs = (0..scenario.tier[0].balancers).map(|number| {
+            let (mut listening, mut plugins) = (Vec::new(), Vec::new());
+            for number in 0..scenario.tier[0].balancers {
                 let zone = (number as usize % scenario.zones.len()) as u8;
-                (settings::config(&scenario, number, seed, discovery, &targets), zone)
-            });
-            if path == Path::Daemon {
-                let mut listening = Vec::new();
-                for (config, zone) in configs {
+                let config = settings::config(&scenario, number, seed, discovery, &targets);
+                if path != Path::Plugin {
                     let daemon = Alone::start(Config::parse(&config.to_string(), None, None)?)?;
                     listening.push((daemon.address, zone));
                     daemons.push(daemon);
                 }
-                By::Daemons(listening)
-            } else {
-                let mut plugins = Vec::new();
-                for (config, zone) in configs {
+                if path != Path::Daemon {
                     plugins.push((plugin(&scenario, &config, discovery)?, zone));
                 }
-                By::Plugins(plugins)
+            }
+            match path {
+                Path::Daemon => By::Daemons(listening),
+                Path::Plugin => By::Plugins(plugins),
+                _ => By::Both(Box::new(By::Daemons(listening)), Box::new(By::Plugins(plugins))),
             }
         }
     };
@@ -137,7 +154,8 @@
         &mut *callers.meter.lock().unwrap_or_else(PoisonError::into_inner),
         woadstall_emulator::Meter::new(&scenario),
     );
-    Ok((meter.end(judge.findings(), 0, Vec::new()), lag))
+    let nodos = fleet.map_or(Vec::new(), |fleet| fleet.seen());
+    Ok(Played { end: meter.end(judge.findings(), 0, Vec::new()), lag, tally: callers.tally(), nodos })
 }
 
 fn plugin(scenario: &Scenario, config: &serde_json::Value, discovery: SocketAddr) -> Result<Balance, String> {
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -19,7 +19,7 @@
 use woadstall_emulator::End;
 use woadstall_lab::grid::{self, Key, Set, Source};
 use woadstall_lab::rows::{Lag, Row};
-use woadstall_load::{Path, run};
+use woadstall_load::{Path, Played, run};
 
 /// Part of the calls that may begin late before the figures are doubted.
 const LATE_PART: f64 = 0.01;
@@ -31,7 +31,7 @@
 )]
 struct Arguments {
     scenario: PathBuf,
-    /// What callers go through: daemons over HTTP/1.1 or plug-ins over gRPC, started here.
+    /// What callers go through: daemons over HTTP/1.1, plug-ins over gRPC, or both, started here.
     #[arg(long, value_enum, default_value_t = Through::Daemon)]
     through: Through,
     /// Addresses of daemons that run already, on this machine; then nothing is started here.
@@ -61,6 +61,7 @@
 enum Through {
     Daemon,
     Plugin,
+    Both,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
@@ -93,6 +94,7 @@
     let path = match (arguments.target.as_slice(), arguments.through) {
         ([], Through::Daemon) => Path::Daemon,
         ([], Through::Plugin) => Path::Plugin,
+        ([], Through::Both) => Path::Both,
         (targets, _) if targets.iter().all(|target| target.ip().is_loopback()) => {
             Path::Target(targets.to_vec())
         }
@@ -108,7 +110,7 @@
     info!(scenario = key.scenario, through = key.policy, "for {:.0} s", scenario.time.seconds());
     let started = SystemTime::now();
     let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
-    let (end, lag) = runtime.block_on(run(scenario, path, arguments.seed))?;
+    let Played { end, lag, .. } = runtime.block_on(run(scenario, path, arguments.seed))?;
     let row = Row::new(key, end, Some(lag.clone()));
     if let Some(out) = &arguments.out {
         let file = OpenOptions::new().create(true).append(true).open(out);
--- a/crates/load/src/settings.rs
+++ b/crates/load/src/settings.rs
@@ -19,7 +19,8 @@
     for (at, fault) in scenario.fault.iter().enumerate() {
         let name = match fault.what {
             What::CutTo | What::CutFrom | What::SlowLink(_) => "cuts and slow links",
-            What::PadronSilent => "a silent padron",
+            What::PadronSilent | What::PadronWrong => "a silent or wrong padron",
+            What::ClockStep(_) => "clocks that step",
             What::Restart { .. } | What::Stall => "restarts and stalls of balancers",
             What::Replace => "replaced nodos",
             _ => continue,
--- a/crates/load/tests/load.rs
+++ b/crates/load/tests/load.rs
@@ -1,9 +1,10 @@
 //! The load tool against daemons and plug-ins, on loopback.
 
+use std::collections::BTreeSet;
 use std::process::{Command, Output};
 use woadstall_emulator::{CallEffect, Load, Policy, Scenario, Span, What};
 use woadstall_lab::rows;
-use woadstall_load::{Path, check, run};
+use woadstall_load::{Path, Played, check, run};
 
 const MS: u64 = 1_000_000;
 
@@ -27,15 +28,16 @@
 async fn a_nodo_dies_and_comes_back_by_both_paths() {
     let scenario = short();
     let lab = woadstall_emulator::run(&scenario, Policy::Woadstall, 4);
-    for path in [Path::Daemon, Path::Plugin] {
-        let (end, lag) = run(scenario.clone(), path.clone(), 4).await.unwrap();
+    for path in [Path::Daemon, Path::Plugin, Path::Both] {
+        let Played { end, lag, tally, nodos } = run(scenario.clone(), path.clone(), 4).await.unwrap();
         assert_eq!(end.broken(), 0, "{path:?}: {:?}", end.first_breaches);
         assert_eq!(end.counts.offered, lab.counts.offered, "{path:?}");
         assert!(lag.calls >= end.counts.offered);
         assert!(end.served > 0.9, "{path:?}: {}", end.served);
         assert!(end.steps.iter().any(|step| !step.latencies.is_empty()));
-        let ran: u64 =
-            end.steps.iter().map(|step| step.hosts.iter().map(|n| u64::from(*n)).sum::<u64>()).sum();
+        let paths: BTreeSet<&str> = tally.keys().map(|(path, ..)| *path).collect();
+        assert_eq!(paths.len(), if path == Path::Both { 2 } else { 1 }, "{paths:?}");
+        let ran: u64 = nodos.iter().map(|nodo| nodo.ran).sum();
         assert!(ran * 2 > end.counts.offered, "{path:?}: nodos saw {ran}");
     }
 }
@@ -54,7 +56,7 @@
     (fault.at, fault.until, fault.part) = (Span(0), None, 1.0);
     for what in [What::Silent, What::Lost(1.0)] {
         scenario.fault[0].what = what.clone();
-        let (end, _) = run(scenario.clone(), Path::Daemon, 2).await.unwrap();
+        let end = run(scenario.clone(), Path::Daemon, 2).await.unwrap().end;
         assert_eq!(end.broken(), 0, "{what:?}: {:?}", end.first_breaches);
         assert_eq!(end.counts.on_time + end.counts.late, 0, "{what:?}");
         assert_eq!(end.counts.refused + end.counts.failed, end.counts.offered, "{what:?}");
@@ -66,7 +68,7 @@
     let mut scenario = short();
     assert_eq!(check(&scenario), Ok(()));
     scenario.fault[0].what = What::PadronSilent;
-    assert!(check(&scenario).unwrap_err().contains("fault 1: a silent padron"));
+    assert!(check(&scenario).unwrap_err().contains("fault 1: a silent or wrong padron"));
     scenario.fault.clear();
     scenario.tier[0].nodos = 5_000;
     assert!(check(&scenario).unwrap_err().contains("at most 200 nodos"));
--- a/crates/measure/src/daemon.rs
+++ b/crates/measure/src/daemon.rs
@@ -78,7 +78,7 @@
         latencies.extend(some);
         failed += bad;
     }
-    Ok(Figures::new(latencies, failed, cpu(peer.id()) - used, started.elapsed()))
+    Ok(Figures::new(&latencies, failed, cpu(peer.id()) - used, started.elapsed()))
 }
 
 /// The floor, the daemon as it was and as it is, in turns.
--- a/crates/measure/src/load.rs
+++ b/crates/measure/src/load.rs
@@ -1,5 +1,6 @@
 //! What is measured: latencies, and the CPU time of a process.
 
+use hdrhistogram::Histogram;
 use std::time::Duration;
 
 /// How long a round takes, and how many there are.
@@ -24,16 +25,20 @@
 }
 
 impl Figures {
-    pub fn new(mut latencies: Vec<u32>, failed: u64, cpu: Duration, took: Duration) -> Self {
-        latencies.sort_unstable();
+    /// Latencies are in nanoseconds.
+    pub fn new(latencies: &[u32], failed: u64, cpu: Duration, took: Duration) -> Self {
         let calls = latencies.len() as u64;
-        let at = |part: f64| latencies.get((part * calls as f64) as usize).copied().unwrap_or(0);
+        // To three digits; it grows with what it is given.
+        let mut histogram =
+            Histogram::<u64>::new(3).unwrap_or_else(|_| unreachable!("three digits are allowed"));
+        latencies.iter().for_each(|&nanos| histogram.saturating_record(nanos.into()));
+        let at = |part: f64| histogram.value_at_quantile(part) as f64 / 1e3;
         Self {
             calls,
             failed,
             cpu: cpu.as_secs_f64() * 1e6 / calls.max(1) as f64,
-            p50: f64::from(at(0.5)) / 1e3,
-            p99: f64::from(at(0.99)) / 1e3,
+            p50: at(0.5),
+            p99: at(0.99),
             seconds: took.as_secs_f64(),
         }
     }
--- a/crates/measure/src/plugin.rs
+++ b/crates/measure/src/plugin.rs
@@ -239,7 +239,7 @@
             latencies.extend(some);
             failed += bad;
         }
-        Ok::<_, Fault>(Figures::new(latencies, failed, used, took))
+        Ok::<_, Fault>(Figures::new(&latencies, failed, used, took))
     })?;
     let Figures { calls, failed, cpu, p50, p99, seconds } = figures;
     println!("{}", serde_json::json!([calls, failed, cpu, p50, p99, seconds]));
