--- a/crates/lab-cli/src/report.rs
+++ b/crates/lab-cli/src/report.rs
@@ -30,6 +30,7 @@
             let mut chart = ChartBuilder::on(&area)
                 .caption(title, ("sans-serif", 15))
                 .margin(6)
+                .margin_right(22)
                 .x_label_area_size(26)
                 .y_label_area_size(54)
                 .build_cartesian_2d(0.0..until, 0.0..most)?;
@@ -41,6 +42,7 @@
                 chart.draw_series(series)?.label(name).legend(legend);
             }
             let mut legend = chart.configure_series_labels();
+            legend.position(SeriesLabelPosition::UpperLeft);
             legend.background_style(WHITE.mix(0.8)).border_style(BLACK.mix(0.3)).draw()?;
             area.present()?;
             Ok(())
@@ -71,6 +73,7 @@
             let mut chart = ChartBuilder::on(&area)
                 .caption(format!("{title} (darkest: {most:.0} a step)"), ("sans-serif", 15))
                 .margin(6)
+                .margin_right(22)
                 .x_label_area_size(26)
                 .y_label_area_size(54)
                 .build_cartesian_2d(0.0..until, 0.0..rows as f64)?;
