--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -367,6 +367,32 @@
     },
 }
 
+impl Again {
+    /// How long a caller waits before it asks again after so many tries; `None` if it does not. `draw` gives a
+    /// number from 0 to 1.
+    pub fn wait(&self, tries: u32, draw: impl FnOnce() -> f64) -> Option<u64> {
+        match *self {
+            Self::Never => None,
+            Self::AtOnce { most } => (tries < most).then_some(0),
+            Self::After { wait, most } => (tries < most).then_some(wait.0),
+            Self::Backoff { first, cap, most } => (tries < most).then(|| {
+                let wait = first.0.saturating_mul(1 << tries.saturating_sub(1).min(20)).min(cap.0);
+                wait / 2 + (draw() * (wait / 2) as f64) as u64
+            }),
+        }
+    }
+}
+
+/// One of some that have shares, by a number from 0 to 1.
+pub fn by_share(mix: &[(f64, usize)], draw: f64) -> Option<usize> {
+    let mut left = draw * mix.iter().map(|(share, _)| share).sum::<f64>();
+    let drawn = mix.iter().find(|(share, _)| {
+        left -= share;
+        left < 0.0
+    });
+    drawn.or(mix.last()).map(|(_, one)| *one)
+}
+
 /// What balancers may do.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -9,7 +9,7 @@
 use crate::mind::{BoxedMind, Policy, Ticket};
 use crate::nodo::{Ills, Nodo, Taken};
 use crate::random::{Actor, chance, gap, sample, stream};
-use crate::scenario::{Again, CallEffect, CallGroup, Fault, Load, Scenario, What};
+use crate::scenario::{CallEffect, CallGroup, Fault, Load, Scenario, What, by_share};
 use crate::units::{MS, SECOND};
 use rand::{Rng, RngExt};
 use rand_chacha::ChaCha8Rng;
@@ -435,13 +435,7 @@
     fn wish(&mut self, group: usize, one_of_crowd: bool) {
         let now = self.agenda.now();
         let mix = &self.mixes[group];
-        let total: f64 = mix.iter().map(|(share, _)| share).sum();
-        let mut drawn = self.habits[group].random::<f64>() * total;
-        let class = mix.iter().find(|(share, _)| {
-            drawn -= share;
-            drawn < 0.0
-        });
-        let class = class.or(mix.last()).map_or(0, |&(_, class)| class);
+        let class = by_share(mix, self.habits[group].random::<f64>()).unwrap_or(0);
         let wish = Wish {
             class,
             group: Some(group as u32),
@@ -555,15 +549,7 @@
             let may = matches!(verdict, Verdict::Refused(_)) || effect != CallEffect::Unsafe;
             let callers = &self.scenario.callers[group];
             let rng = &mut self.habits[group];
-            let wait = match callers.again {
-                Again::Never => None,
-                Again::AtOnce { most } => (tries < most).then_some(0),
-                Again::After { wait, most } => (tries < most).then_some(wait.0),
-                Again::Backoff { first, cap, most } => (tries < most).then(|| {
-                    let wait = (first.0 << (tries - 1).min(20)).min(cap.0);
-                    wait / 2 + (rng.random::<f64>() * (wait / 2) as f64) as Time
-                }),
-            };
+            let wait = callers.again.wait(tries, || rng.random::<f64>());
             let advice = match verdict {
                 Verdict::Refused(after) if chance(rng, callers.heeds_advice) => *after,
                 _ => 0,
--- a/crates/load/src/callers.rs
+++ b/crates/load/src/callers.rs
@@ -18,7 +18,7 @@
 use tokio::time::{sleep, sleep_until, timeout};
 use tower_service::Service;
 use woadstall_emulator::engine::Verdict;
-use woadstall_emulator::{Actor, Again, CallEffect, Load, Meter, Outcome, Scenario, chance, gap, stream};
+use woadstall_emulator::{Actor, CallEffect, Load, Meter, Outcome, Scenario, by_share, chance, gap, stream};
 use woadstall_lab::rows::Lag;
 use woadstall_standin::grpc::message;
 use woadstall_tower::Balance;
@@ -156,12 +156,7 @@
         let mix =
             callers.classes.iter().filter_map(|(name, share)| Some((*share, self.scenario.class(name)?)));
         let mix: Vec<(f64, usize)> = mix.collect();
-        let mut drawn = rng.random::<f64>() * mix.iter().map(|(share, _)| share).sum::<f64>();
-        let class = mix.iter().find(|(share, _)| {
-            drawn -= share;
-            drawn < 0.0
-        });
-        let class = class.or(mix.last()).map_or(0, |(_, class)| *class);
+        let class = by_share(&mix, rng.random::<f64>()).unwrap_or(0);
         let known = &self.scenario.class[class];
         let (number, deadline) = (self.numbers.fetch_add(1, Ordering::Relaxed), due + known.deadline.0);
         let measured = due >= self.scenario.warm_up.0;
@@ -183,15 +178,7 @@
                 _ => {}
             }
             let may = matches!(verdict, Verdict::Refused(_)) || known.effect != CallEffect::Unsafe;
-            let wait = match callers.again {
-                Again::Never => None,
-                Again::AtOnce { most } => (tries < most).then_some(0),
-                Again::After { wait, most } => (tries < most).then_some(wait.0),
-                Again::Backoff { first, cap, most } => (tries < most).then(|| {
-                    let wait = (first.0 << (tries - 1).min(20)).min(cap.0);
-                    wait / 2 + (rng.random::<f64>() * (wait / 2) as f64) as u64
-                }),
-            };
+            let wait = callers.again.wait(tries, || rng.random::<f64>());
             let heeds = chance(&mut rng, callers.heeds_advice);
             let advice = if let Verdict::Refused(after) = verdict { after * u64::from(heeds) } else { 0 };
             match wait.filter(|_| may).map(|wait| wait.max(advice)) {
