One serving loop for the stand-ins, one form of log lines for the lab's commands

Need: the load tool's nodos repeated the stand-in nodo's loop over connections, and the two commands their set-up of tracing.

Change: serve_process in the stand-ins, used by both; woadstall_lab::log.

--- a/crates/lab-cli/src/main.rs
+++ b/crates/lab-cli/src/main.rs
@@ -9,9 +9,8 @@
 mod report;
 mod sweep;
 
-use clap::{Args, Parser, Subcommand, ValueEnum};
+use clap::{Args, Parser, Subcommand};
 use compare::Figure;
-use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -19,6 +18,7 @@
 use tracing::{error, info, warn};
 use woadstall_emulator::{End, Policy, World};
 use woadstall_lab::grid::{self, Set, Source};
+use woadstall_lab::log::Log;
 use woadstall_lab::rows::{self, Row};
 
 #[derive(Parser)]
@@ -31,12 +31,6 @@
     command: Command,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
-enum Log {
-    Text,
-    Json,
-}
-
 #[derive(Subcommand)]
 enum Command {
     /// Play a scenario once, and print what came of it.
@@ -147,13 +141,7 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    let filter = tracing_subscriber::EnvFilter::try_from_env("WOADSTALL_LOG");
-    let filter = filter.unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
-    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
-    match arguments.log {
-        Log::Json => log.json().init(),
-        Log::Text => log.with_target(false).with_ansi(std::io::stderr().is_terminal()).without_time().init(),
-    }
+    arguments.log.start();
     match act(arguments.command) {
         Ok(code) => ExitCode::from(code),
         Err(text) => {
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -7,8 +7,6 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper_util::rt::{TokioExecutor, TokioIo};
-use hyper_util::server::conn::auto;
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -23,6 +21,7 @@
 };
 use woadstall_standin::grpc::message;
 use woadstall_standin::http1::Discovery;
+use woadstall_standin::nodo::serve_process;
 
 /// How long a nodo that fell over takes to come back.
 const TOPPLED: Duration = Duration::from_secs(5);
@@ -323,30 +322,7 @@
     }
 
     fn serve(self: Arc<Self>, listener: TcpListener) -> JoinSet<()> {
-        let mut process = JoinSet::new();
-        process.spawn(async move {
-            // All of a process's connections end with it.
-            let mut connections = JoinSet::new();
-            loop {
-                tokio::select! {
-                    accepted = listener.accept() => {
-                        let Ok((tcp, _)) = accepted else { continue };
-                        tcp.set_nodelay(true).ok();
-                        let nodo = self.clone();
-                        connections.spawn(async move {
-                            let service = hyper::service::service_fn(move |request| {
-                                let nodo = nodo.clone();
-                                async move { nodo.answer(request).await }
-                            });
-                            let server = auto::Builder::new(TokioExecutor::new());
-                            server.serve_connection(TokioIo::new(tcp), service).await.ok();
-                        });
-                    }
-                    Some(_) = connections.join_next() => {}
-                }
-            }
-        });
-        process
+        serve_process(listener, move |request| self.clone().answer(request))
     }
 
     /// What the nodo makes of a request of a class.
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -18,6 +18,7 @@
 use tracing::{error, info, warn};
 use woadstall_emulator::End;
 use woadstall_lab::grid::{self, Key, Set, Source};
+use woadstall_lab::log::Log;
 use woadstall_lab::rows::{Lag, Row};
 use woadstall_load::{Path, Played, run};
 
@@ -64,21 +65,9 @@
     Both,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
-enum Log {
-    Text,
-    Json,
-}
-
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    let filter = tracing_subscriber::EnvFilter::try_from_env("WOADSTALL_LOG");
-    let filter = filter.unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
-    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
-    match arguments.log {
-        Log::Json => log.json().init(),
-        Log::Text => log.with_target(false).without_time().init(),
-    }
+    arguments.log.start();
     match act(&arguments) {
         Ok(code) => ExitCode::from(code),
         Err(text) => {
--- a/crates/standin/src/nodo.rs
+++ b/crates/standin/src/nodo.rs
@@ -147,21 +147,31 @@
 }
 
 fn serve(listener: TcpListener, inner: Arc<Inner>) -> JoinSet<()> {
+    serve_process(listener, move |request| {
+        let inner = inner.clone();
+        async move { Ok::<_, Infallible>(inner.answer(request).await) }
+    })
+}
+
+/// Serves HTTP/1.1 and HTTP/2 on a listener until what is returned is dropped: all of a process's connections end
+/// with it. An error of `answer` closes its connection.
+pub fn serve_process<F, A, B, E>(listener: TcpListener, answer: F) -> JoinSet<()>
+where
+    F: Fn(Request<Incoming>) -> A + Clone + Send + 'static,
+    A: Future<Output = Result<Response<B>, E>> + Send + 'static,
+    B: hyper::body::Body<Data = Bytes, Error = Infallible> + Send + 'static,
+    E: std::error::Error + Send + Sync + 'static,
+{
     let mut process = JoinSet::new();
     process.spawn(async move {
-        // All of a process's connections end with it.
         let mut connections = JoinSet::new();
         loop {
             tokio::select! {
                 accepted = listener.accept() => {
                     let Ok((tcp, _)) = accepted else { continue };
                     tcp.set_nodelay(true).ok();
-                    let inner = inner.clone();
+                    let service = hyper::service::service_fn(answer.clone());
                     connections.spawn(async move {
-                        let service = hyper::service::service_fn(move |request| {
-                            let inner = inner.clone();
-                            async move { Ok::<_, Infallible>(inner.answer(request).await) }
-                        });
                         let server = auto::Builder::new(TokioExecutor::new());
                         server.serve_connection(TokioIo::new(tcp), service).await.ok();
                     });
