No counts that nobody reads in the auditor, and no times that the meter did not use

Need: on reading the change once more: Auditor's cases counted attempts that nothing looked at, the meter and the rivals took times they ignored, the load tool's steps kept a local number behind a lock.

Change: these are gone; a comment stands where it belongs.

--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -69,7 +69,6 @@
     deadline: Time,
     answered: u32,
     refused: bool,
-    attempts: u32,
     out: u32,
     ran: u32,
     overdue: bool,
@@ -95,8 +94,8 @@
 
     /// A request reached a balancer. Its number is that of all requests, from 0.
     pub fn taken(&mut self, call: u64, effect: CallEffect, deadline: Time) -> u64 {
-        let (answered, refused, attempts, out, ran, overdue) = (0, false, 0, 0, 0, false);
-        self.cases.add(Case { call, effect, deadline, answered, refused, attempts, out, ran, overdue })
+        let (answered, refused, out, ran, overdue) = (0, false, 0, 0, false);
+        self.cases.add(Case { call, effect, deadline, answered, refused, out, ran, overdue })
     }
 
     /// A balancer answered. Its process stood still for `stalled` of late: that is not the program's doing.
@@ -182,7 +181,6 @@
                 format!("sent for request {request}, which is over"),
             );
         };
-        case.attempts += 1;
         case.out += 1;
         let (call, answered, late) = (case.call, case.answered, now.saturating_sub(case.deadline));
         if answered > 0 || late > GRACE {
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -187,7 +187,7 @@
     }
 
     /// A caller wishes for something; `measured`: after the warm-up.
-    pub fn offered(&mut self, _now: Time, class: usize, measured: bool) {
+    pub fn offered(&mut self, class: usize, measured: bool) {
         let worth = self.classes[class].0;
         let counts = &mut self.step.counts;
         (counts.offered, counts.worth_offered) = (counts.offered + 1, counts.worth_offered + worth);
@@ -198,13 +198,13 @@
         }
     }
 
-    /// It asks a balancer, for the so manieth time.
-    pub fn asked(&mut self, _now: Time, _tries: u32) {
+    /// It asks a balancer.
+    pub fn asked(&mut self) {
         self.step.counts.requests += 1;
     }
 
     /// A balancer sends an attempt to a host.
-    pub fn sent(&mut self, _now: Time, attempt: u32, crosses: bool, host: u32) {
+    pub fn sent(&mut self, attempt: u32, crosses: bool, host: u32) {
         let counts = &mut self.step.counts;
         counts.attempts += 1;
         counts.repeats += u64::from(attempt > 0);
@@ -217,7 +217,7 @@
     }
 
     /// A call is over, so long after it came.
-    pub fn ended(&mut self, _now: Time, class: usize, outcome: Outcome, took: Time, measured: bool) {
+    pub fn ended(&mut self, class: usize, outcome: Outcome, took: Time, measured: bool) {
         let (worth, late_worth, ..) = self.classes[class];
         let count = |counts: &mut Counts| match outcome {
             Outcome::OnTime => (counts.on_time, counts.worth) = (counts.on_time + 1, counts.worth + worth),
--- a/crates/lab/src/mind.rs
+++ b/crates/lab/src/mind.rs
@@ -59,7 +59,7 @@
                 Ok(engine) => Box::new(engine),
                 Err(error) => unreachable!("settings were checked with the scenario: {error}"),
             },
-            Self::Rival(style) => Box::new(Rival::new(style, settings, seed, now)),
+            Self::Rival(style) => Box::new(Rival::new(style, settings, seed)),
         }
     }
 }
--- a/crates/lab/src/rivals.rs
+++ b/crates/lab/src/rivals.rs
@@ -193,7 +193,7 @@
 
 impl Rival {
     /// One that knows no server yet.
-    pub fn new(style: Style, settings: Settings, seed: u64, _now: Time) -> Self {
+    pub fn new(style: Style, settings: Settings, seed: u64) -> Self {
         Self {
             style,
             settings,
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -449,7 +449,7 @@
             measured: now >= self.scenario.warm_up.0,
             seen: SmallVec::new(),
         };
-        self.meter.offered(now, class, wish.measured);
+        self.meter.offered(class, wish.measured);
         let wish = self.wishes.add(wish);
         self.ask(wish);
     }
@@ -476,8 +476,7 @@
                 self.nodos[nodo].rng.next_u64()
             }
         };
-        let now = self.agenda.now();
-        self.meter.asked(now, tries);
+        self.meter.asked();
         let Some(balancer) = self.balancer_for(tier, zone, draw) else {
             self.tell_story(wish, || "no balancer is there".to_owned());
             return self.answered_wish(wish, &Verdict::Failed);
@@ -575,7 +574,7 @@
         };
         match (group_at, parent) {
             (Some(group), _) => {
-                self.meter.ended(now, class, result, took, measured);
+                self.meter.ended(class, result, took, measured);
                 if one_of_crowd && let Load::Closed { think, .. } = self.scenario.callers[group].load {
                     let wait = gap(&mut self.habits[group], 1e9 / (think.0.max(1)) as f64);
                     self.agenda.after(wait, Event::Crowd(group as u32));
@@ -749,7 +748,7 @@
         known.attempts += 1;
         let wish = known.wish;
         let other_zone = self.balancers[at].zone != self.nodos[nodo].zone;
-        self.meter.sent(now, send.attempt, other_zone, host);
+        self.meter.sent(send.attempt, other_zone, host);
         let balancer = &mut self.balancers[at];
         if balancer.links.len() <= host as usize {
             balancer.links.resize(self.hosts.len().max(host as usize + 1), Links::default());
--- a/crates/load/src/callers.rs
+++ b/crates/load/src/callers.rs
@@ -160,13 +160,12 @@
         let known = &self.scenario.class[class];
         let (number, deadline) = (self.numbers.fetch_add(1, Ordering::Relaxed), due + known.deadline.0);
         let measured = due >= self.scenario.warm_up.0;
-        lock(&self.meter).offered(due, class, measured);
+        lock(&self.meter).offered(class, measured);
         let mut tries = 0;
         let outcome = loop {
             tries += 1;
-            let now = self.now();
-            lock(&self.meter).asked(now, tries);
-            let left = Duration::from_nanos(deadline.saturating_sub(now));
+            lock(&self.meter).asked();
+            let left = Duration::from_nanos(deadline.saturating_sub(self.now()));
             let id = format!("{number:010x}-{tries}");
             let draw = rng.random::<u64>();
             let verdict = self.ask(group, class, number, &id, tries, left, draw).await;
@@ -188,7 +187,7 @@
             }
         };
         let now = self.now();
-        lock(&self.meter).ended(now, class, outcome, now.saturating_sub(due), measured);
+        lock(&self.meter).ended(class, outcome, now.saturating_sub(due), measured);
     }
 
     #[allow(clippy::too_many_arguments)] // all of them make one request
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -374,7 +374,6 @@
         let class = self.scenario.class(text("x-call-class").unwrap_or(name)).unwrap_or(0);
         let known = &self.scenario.class[class];
         body.collect().await.map_err(|_| Broken)?;
-        // From here on a place is held, and given on whatever happens to this request.
         let (number, turn) = match self.arrive(class) {
             Arrival::Broken => return Err(Broken),
             Arrival::Silent => return std::future::pending().await,
@@ -383,6 +382,7 @@
             Arrival::Taken(number, turn) => (number, turn),
         };
         let process = lock(&self.brain).nodo.process;
+        // From here on a place is held, and given on whatever happens to this request.
         let mut held = Held { nodo: &self, process, number, begun: turn.is_none() };
         if let Some(turn) = turn {
             turn.await.map_err(|_| Broken)?;
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -17,7 +17,7 @@
 use fleet::Fleet;
 use judge::Judge;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError, mpsc};
+use std::sync::{Arc, PoisonError, mpsc};
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 use tokio::time::{interval_at, sleep};
@@ -171,14 +171,13 @@
 /// Counts what nodos saw, step by step.
 async fn steps(scenario: Arc<Scenario>, callers: Arc<Callers>, fleet: Option<Arc<Fleet>>, start: Instant) {
     let step = Duration::from_nanos(scenario.step.0);
-    let (queue, mut next) = (Mutex::new(0), start + step);
+    let (mut most, mut next) = (0, start + step);
     // Often enough to see a queue, cheap enough not to be seen.
     let mut look = interval_at(start.into(), Duration::from_millis(20).min(step));
     loop {
         look.tick().await;
         let held = fleet.as_ref().map_or(0, |fleet| fleet.most_held());
-        let mut most = queue.lock().unwrap_or_else(PoisonError::into_inner);
-        *most = held.max(*most);
+        most = held.max(most);
         if Instant::now() < next {
             continue;
         }
@@ -186,9 +185,9 @@
         let now = start.elapsed().as_nanos() as u64;
         let mut meter = callers.meter.lock().unwrap_or_else(PoisonError::into_inner);
         for (host, attempts) in attempts.iter().enumerate() {
-            (0..*attempts).for_each(|_| meter.sent(now, 0, false, host as u32));
+            (0..*attempts).for_each(|_| meter.sent(0, false, host as u32));
         }
-        meter.queued(std::mem::take(&mut *most));
+        meter.queued(std::mem::take(&mut most));
         meter.step(now, &[speed], 0, 0);
         next += step;
     }
