The load tool looks its classes up once, not at each call, by the lab's own code

Need: each call on sockets looked up the classes of its group by name again, which the lab's world did once with the same lines.

Change: Scenario::mix, called once a group by both.

--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -726,6 +726,12 @@
         self.class.iter().position(|class| class.name == name)
     }
 
+    /// The classes that a group of callers calls, by position, with the share of each.
+    pub fn mix(&self, callers: &Callers) -> Vec<(f64, usize)> {
+        let classes = callers.classes.iter();
+        classes.filter_map(|(name, share)| Some((*share, self.class(name)?))).collect()
+    }
+
     /// Position of a tier.
     pub fn tier(&self, name: &str) -> Option<usize> {
         self.tier.iter().position(|tier| tier.name == name)
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -241,9 +241,7 @@
             events: 0,
         };
         for callers in &scenario.callers {
-            let mix =
-                callers.classes.iter().filter_map(|(name, share)| Some((*share, scenario.class(name)?)));
-            world.mixes.push(mix.collect());
+            world.mixes.push(scenario.mix(callers));
             world.zones.push(scenario.zone(&callers.zone).unwrap_or(None));
             let tenant = callers.tenant.as_ref();
             let tenant = tenant.and_then(|name| scenario.tenant.iter().position(|known| known.name == *name));
--- a/crates/load/src/callers.rs
+++ b/crates/load/src/callers.rs
@@ -55,6 +55,8 @@
     numbers: AtomicU64,
     lag: Mutex<Lag>,
     tally: Mutex<Tally>,
+    /// The classes of each group.
+    mixes: Vec<Vec<(f64, usize)>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -69,7 +71,8 @@
         let client = Client::builder(TokioExecutor::new()).build(connector);
         let meter = Mutex::new(Meter::new(&scenario));
         let (numbers, lag, tally) = (AtomicU64::new(0), Mutex::default(), Mutex::default());
-        Self { scenario, judge, by, client, start, seed, meter, numbers, lag, tally }
+        let mixes = scenario.callers.iter().map(|callers| scenario.mix(callers)).collect();
+        Self { scenario, judge, by, client, start, seed, meter, numbers, lag, tally, mixes }
     }
 
     /// How late calls were begun.
@@ -153,10 +156,7 @@
         }
         let mut rng = stream(seed, Actor::Habits, 0);
         let callers = &self.scenario.callers[group];
-        let mix =
-            callers.classes.iter().filter_map(|(name, share)| Some((*share, self.scenario.class(name)?)));
-        let mix: Vec<(f64, usize)> = mix.collect();
-        let class = by_share(&mix, rng.random::<f64>()).unwrap_or(0);
+        let class = by_share(&self.mixes[group], rng.random::<f64>()).unwrap_or(0);
         let known = &self.scenario.class[class];
         let (number, deadline) = (self.numbers.fetch_add(1, Ordering::Relaxed), due + known.deadline.0);
         let measured = due >= self.scenario.warm_up.0;
