A second address: ready, figures, a drain of clients; listeners share the port

Ruled out: crashes and memory (1 of 48 MB).

After SIGTERM answers end their connections at once, and the backlog is emptied without waiting before the listener closes.

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -206,6 +206,11 @@
         }
     }
 
+    /// Listed servers that take work and are passed over by their breakers.
+    pub fn avoided(&self) -> usize {
+        self.pools.last().map_or(0, |all| all.tripped)
+    }
+
     // ---- Discovery ----
 
     fn on_list(&mut self, entries: &[ListEntry], whole: bool) {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -257,6 +257,11 @@
         self.members.len()
     }
 
+    /// How many of them take work and are avoided all the same.
+    pub fn avoided(&self) -> usize {
+        self.balancer.avoided()
+    }
+
     // ---- Membership ----
 
     fn on_listed(&mut self, entries: &[Entry], all: bool) {
--- a/crates/runtime/src/balance.rs
+++ b/crates/runtime/src/balance.rs
@@ -281,6 +281,12 @@
         self.shared.lock().engine.open()
     }
 
+    /// How many upstreams are listed, and how many of them are avoided.
+    pub fn upstreams(&self) -> (usize, usize) {
+        let locked = self.shared.lock();
+        (locked.engine.upstreams(), locked.engine.avoided())
+    }
+
     /// Has a request answered. Dropping the future means that its caller has left.
     pub async fn call(&self, ask: Ask, request: T::Request) -> Verdict<T::Answer> {
         let shared = &self.shared;
--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -16,7 +16,7 @@
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -94,10 +94,10 @@
 }
 
 impl Connection {
-    async fn open(address: SocketAddr, open: Arc<AtomicUsize>) -> io::Result<Self> {
+    async fn open(address: SocketAddr, open: Arc<AtomicUsize>, all: Arc<AtomicU64>) -> io::Result<Self> {
         let tcp = TcpStream::connect(address).await?;
         tcp.set_nodelay(true)?;
-        let (tcp, progress) = (Arc::new(tcp), Arc::new(Progress::default()));
+        let (tcp, progress) = (Arc::new(tcp), Arc::new(Progress { all, ..Progress::default() }));
         let socket = Socket { tcp: tcp.clone(), progress: progress.clone() };
         let builder = &mut Builder::new();
         let builder = builder.max_buf_size(READ_BUFFER);
@@ -129,6 +129,8 @@
     body_taken: AtomicBool,
     /// Its last byte is written: the upstream may run it from here on.
     written: AtomicBool,
+    /// Counts those of all connections.
+    all: Arc<AtomicU64>,
 }
 
 /// The body of a request, which notes when it was taken.
@@ -208,7 +210,9 @@
         // All that hyper had is written, and it had all.
         let offered: usize = parts.iter().map(|part| part.len()).sum();
         if done == offered && self.progress.body_taken.load(Ordering::Relaxed) {
-            self.progress.written.store(true, Ordering::Relaxed);
+            if !self.progress.written.swap(true, Ordering::Relaxed) {
+                self.progress.all.fetch_add(1, Ordering::Relaxed);
+            }
         }
         Poll::Ready(Ok(done))
     }
@@ -230,6 +234,7 @@
 pub struct Http1 {
     pool: Arc<Mutex<Pool>>,
     open: Arc<AtomicUsize>,
+    written: Arc<AtomicU64>,
     connect_timeout: Duration,
     most_body: usize,
     report_fields: Vec<String>,
@@ -245,6 +250,7 @@
         Self {
             pool: Arc::new(Mutex::new(pool)),
             open,
+            written: Arc::default(),
             connect_timeout: names.connect_timeout,
             most_body,
             report_fields: names.report_fields.clone(),
@@ -261,6 +267,11 @@
         self.open.load(Ordering::Relaxed)
     }
 
+    /// Requests that were written to their last byte, since the start.
+    pub fn written(&self) -> u64 {
+        self.written.load(Ordering::Relaxed)
+    }
+
     /// One request and its answer, on a kept connection or a new one. On the heap: each future that wraps it
     /// would hold it twice over.
     fn exchange(
@@ -269,13 +280,13 @@
         peer: Peer,
     ) -> Pin<Box<dyn Future<Output = Finished> + Send>> {
         let taken = lock(&self.pool).take(peer.server);
-        let (pool, open) = (self.pool.clone(), self.open.clone());
+        let (pool, open, all) = (self.pool.clone(), self.open.clone(), self.written.clone());
         let (connect_timeout, most_body) = (self.connect_timeout, self.most_body);
         Box::pin(async move {
             let Some((epoch, idle)) = taken else { return Outcome::Moot.into() };
             let connection = match idle {
                 Some(connection) => connection,
-                None => match timeout(connect_timeout, Connection::open(peer.address, open)).await {
+                None => match timeout(connect_timeout, Connection::open(peer.address, open, all)).await {
                     Ok(Ok(connection)) => connection,
                     // Our own lack of descriptors or ports says nothing of the upstream.
                     Ok(Err(error)) if is_local(&error) => return Outcome::Moot.into(),
@@ -476,7 +487,7 @@
             stream
         });
         let request = Request::new(Bytes::new());
-        let connection = Connection::open(address, Arc::default()).await.unwrap();
+        let connection = Connection::open(address, Arc::default(), Arc::default()).await.unwrap();
         let finished = exchange(request, connection, 1 << 10).await;
         (finished.connection.expect("a connection to use again"), peer.await.unwrap())
     }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -9,8 +9,8 @@
 use woadstall_settings::Names;
 
 /// Descriptors that are neither callers' nor upstreams': standard streams, listener, discovery, the runtime's,
-/// and callers taken only to be refused.
-const RESERVED: usize = 56;
+/// and callers taken only to be refused, and those at the second address.
+const RESERVED: usize = 64;
 /// Less memory than this, in MB, cannot serve anybody.
 const LEAST_MEMORY: usize = 8;
 /// Fewer descriptors than this cannot serve anybody.
@@ -20,6 +20,8 @@
 pub struct Config {
     /// Where callers connect.
     pub listen: SocketAddr,
+    /// Where operators call, if they can.
+    pub admin: Option<SocketAddr>,
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// Seed of the random numbers, new with each start.
@@ -48,6 +50,7 @@
 #[derive(Deserialize)]
 struct Raw {
     listen: Option<String>,
+    admin: Option<String>,
     discovery: Option<String>,
     seed: String,
     limits: RawLimits,
@@ -93,6 +96,7 @@
         let share = (sockets - RESERVED) / 2;
         Ok(Self {
             listen: address("listen", listen.or(raw.listen))?,
+            admin: variable("LB_ADMIN").or(raw.admin).map(|text| address("admin", Some(text))).transpose()?,
             discovery: address("discovery", discovery.or(raw.discovery))?,
             seed: u64::from_str_radix(&raw.seed, 16)
                 .map_err(|_| format!("`seed` is not a hexadecimal number: {:?}", raw.seed))?,
--- /dev/null
+++ b/src/net/figures.rs
@@ -0,0 +1,146 @@
+//! What operators read of a daemon that serves, in the text form of Prometheus.
+
+use hyper::StatusCode;
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+
+/// The figures since the start of this process.
+pub struct Figures {
+    registry: Registry,
+    ok: IntCounterVec,
+    shed: IntCounterVec,
+    errors: IntCounterVec,
+    tries: IntCounter,
+    active: IntGauge,
+    pool_size: IntGauge,
+    pool_ejected: IntGauge,
+    /// Configurations taken at SIGHUP.
+    pub applied: IntCounter,
+    /// Configurations turned down at SIGHUP.
+    pub rejected: IntCounter,
+}
+
+/// What changes without being counted at once.
+pub struct Now {
+    /// Attempts written to their last byte.
+    pub tries: u64,
+    /// Upstreams in the list.
+    pub listed: usize,
+    /// Those among them that are avoided.
+    pub avoided: usize,
+}
+
+impl Figures {
+    /// All at nothing, with these classes. The error is one line.
+    pub fn new(classes: &[String]) -> Result<Self, String> {
+        Self::register(classes).map_err(|error| format!("figures: {error}"))
+    }
+
+    fn register(classes: &[String]) -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let options = |name: &str, help: &str| Opts::new(format!("balancer_{name}"), help);
+        let by_kind = |name, help| {
+            let counter = IntCounterVec::new(options(name, help), &["kind"])?;
+            registry.register(Box::new(counter.clone()))?;
+            prometheus::Result::Ok(counter)
+        };
+        let counter = |name, help| {
+            let counter = IntCounter::with_opts(options(name, help))?;
+            registry.register(Box::new(counter.clone()))?;
+            prometheus::Result::Ok(counter)
+        };
+        let gauge = |name, help| {
+            let gauge = IntGauge::with_opts(options(name, help))?;
+            registry.register(Box::new(gauge.clone()))?;
+            prometheus::Result::Ok(gauge)
+        };
+        let figures = Self {
+            ok: by_kind("ok", "Requests served, by class.")?,
+            shed: by_kind("shed", "Requests refused, by class.")?,
+            errors: by_kind("errors", "Requests failed, by class.")?,
+            tries: counter("tries", "Attempts written whole to upstreams.")?,
+            active: gauge("active", "Requests taken and not yet ended.")?,
+            pool_size: gauge("pool_size", "Upstreams in the list.")?,
+            pool_ejected: gauge("pool_ejected", "Listed upstreams that are avoided at present.")?,
+            applied: counter("config_applied", "Configurations taken at SIGHUP.")?,
+            rejected: counter("config_rejected", "Configurations turned down at SIGHUP.")?,
+            registry,
+        };
+        figures.know(classes);
+        Ok(figures)
+    }
+
+    /// Shows classes from now on, also those that nobody has asked for.
+    pub fn know(&self, classes: &[String]) {
+        for class in classes {
+            for counter in [&self.ok, &self.shed, &self.errors] {
+                counter.with_label_values(&[class]);
+            }
+        }
+    }
+
+    /// A request of a class got its final answer.
+    pub fn answered(&self, class: &str, status: StatusCode) {
+        let counter = match status {
+            StatusCode::OK => &self.ok,
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => &self.shed,
+            _ => &self.errors,
+        };
+        counter.with_label_values(&[class]).inc();
+    }
+
+    /// A request is taken, until this is dropped.
+    pub fn taken(&self) -> Taken {
+        self.active.inc();
+        Taken(self.active.clone())
+    }
+
+    /// All as text.
+    pub fn text(&self, now: &Now) -> Result<String, String> {
+        self.tries.inc_by(now.tries.saturating_sub(self.tries.get()));
+        self.pool_size.set(now.listed as i64);
+        self.pool_ejected.set(now.avoided as i64);
+        TextEncoder::new().encode_to_string(&self.registry.gather()).map_err(|error| error.to_string())
+    }
+}
+
+/// A request that is taken and has not ended.
+pub struct Taken(IntGauge);
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn counts_what_callers_got_by_class() {
+        let figures = Figures::new(&["look".into(), "pay".into()]).unwrap();
+        let taken = figures.taken();
+        for status in [200, 200, 503, 429, 502, 404] {
+            figures.answered("look", StatusCode::from_u16(status).unwrap());
+        }
+        let now = Now { tries: 7, listed: 3, avoided: 1 };
+        let text = figures.text(&now).unwrap();
+        let lines = [
+            r#"balancer_ok{kind="look"} 2"#,
+            r#"balancer_shed{kind="look"} 2"#,
+            r#"balancer_errors{kind="look"} 2"#,
+            r#"balancer_ok{kind="pay"} 0"#,
+            "balancer_tries 7",
+            "balancer_active 1",
+            "balancer_pool_size 3",
+            "balancer_pool_ejected 1",
+            "balancer_config_applied 0",
+        ];
+        for line in lines {
+            assert!(text.lines().any(|there| there == line), "{line} is not in\n{text}");
+        }
+        drop(taken);
+        let text = figures.text(&now).unwrap();
+        assert!(text.contains("balancer_active 0") && text.contains("balancer_tries 7"), "{text}");
+    }
+}
--- a/src/net/gate.rs
+++ b/src/net/gate.rs
@@ -80,6 +80,11 @@
         (self.phase == Phase::Head).then_some((self.asked, self.since))
     }
 
+    /// Whether a part of a head has come: what is closed now was not yet a request, but its caller is writing.
+    pub fn has_begun(&self) -> bool {
+        self.phase == Phase::Head && !self.ahead.is_empty()
+    }
+
     /// Whether a whole request is owed for longer than this. One that has asked may rest between requests.
     pub fn overdue(&self, patience: Duration) -> bool {
         let rests =
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,11 +1,15 @@
 //! The daemon: callers' sockets on one side, the shared runtime and its connections on the other. Nothing here
 //! decides: the engine asks the decision module.
 
+mod admin;
 pub mod config;
+mod figures;
 mod gate;
 mod server;
 
 use config::Config;
+use figures::Figures;
+use socket2::{Domain, Protocol, Socket, Type};
 use std::fmt;
 use std::io::{self, Write};
 use std::net::SocketAddr;
@@ -39,9 +43,24 @@
     };
 }
 
+/// Connections that wait to be taken at most.
+const BACKLOG: i32 = 1024;
+
+/// Listens where another process of this program may listen too: its successor at an upgrade.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
 /// A daemon that serves, in the tokio runtime that it was started in.
 pub struct Daemon {
     address: SocketAddr,
+    figures: Arc<Figures>,
     discovery: watch::Sender<SocketAddr>,
     stop: watch::Sender<bool>,
     serving: JoinHandle<()>,
@@ -51,9 +70,18 @@
     /// Listens and serves. The error is one line that names the setting at fault.
     pub async fn start(config: Config) -> Result<Self, String> {
         let failed = |error: io::Error| format!("`listen` {}: {error}", config.listen);
-        let listener = TcpListener::bind(config.listen).await.map_err(failed)?;
+        let listener = listen(config.listen).map_err(failed)?;
         let address = listener.local_addr().map_err(failed)?;
         log(format_args!("listening on {address}"));
+        let operators = match config.admin {
+            Some(admin) => {
+                let failed = |error: io::Error| format!("`admin` {admin}: {error}");
+                let listener = TcpListener::bind(admin).await.map_err(failed)?;
+                log(format_args!("operators call at {}", listener.local_addr().map_err(failed)?));
+                Some(listener)
+            }
+            None => None,
+        };
 
         let config = Arc::new(config);
         let (stop, stopping) = watch::channel(false);
@@ -68,9 +96,15 @@
         };
         let balance = Balance::new(setup, transport, Arc::new(log))?;
         balance.follow(discovery_at);
-        let server = server::Server::new(config, balance);
+        let figures = Arc::new(Figures::new(&config.names.classes)?);
+        let (away, sent_away) = watch::channel(false);
+        if let Some(operators) = operators {
+            let admin = admin::Admin::new(balance.clone(), figures.clone(), stopping.clone(), away);
+            tokio::spawn(admin.run(operators));
+        }
+        let server = server::Server::new(config, balance, figures.clone(), sent_away);
         let serving = tokio::spawn(server.run(listener, stopping));
-        Ok(Self { address, discovery, stop, serving })
+        Ok(Self { address, figures, discovery, stop, serving })
     }
 
     /// Where it listens.
@@ -85,8 +119,12 @@
             Ok(config) => {
                 log(format_args!("configuration read again, discovery at {}", config.discovery));
                 self.discovery.send_replace(config.discovery);
+                self.figures.applied.inc();
+            }
+            Err(error) => {
+                log(format_args!("configuration kept, as the new one is not sound: {error}"));
+                self.figures.rejected.inc();
             }
-            Err(error) => log(format_args!("configuration kept, as the new one is not sound: {error}")),
         }
     }
 
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,6 +2,7 @@
 
 use super::MOST_BODY;
 use super::config::Config;
+use super::figures::Figures;
 use super::gate::{Gate, MOST_HEAD, Seen, lock};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -21,7 +22,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use woadstall_decisions::api::Effect;
 use woadstall_engine::Verdict;
 use woadstall_runtime::{Ask, Balance};
@@ -29,8 +30,14 @@
 
 /// How long connections are still taken after a signal to stop: callers hear of it late.
 const GO_ON: Duration = Duration::from_millis(500);
-/// Pause among new connections after which no more are waited for then.
-const LAST_LOOK: Duration = Duration::from_millis(10);
+/// After clients are sent away: when answers begin to end their connections, when those between requests are
+/// closed, and how often that is looked at. The front hears of it within a fifth of a second, and would bring
+/// back those that are closed sooner.
+const PART_AFTER: Duration = Duration::from_millis(400);
+const CLOSE_AFTER: Duration = Duration::from_millis(1500);
+const CLOSE_EVERY: Duration = Duration::from_millis(100);
+/// How often a caller that is to be closed but writes a head is looked at.
+const HEAD_LOOK: Duration = Duration::from_millis(20);
 /// How long a caller may take over a request, the first one from its connecting on; and how often that is
 /// looked at. Together they stay under the 3 s after which one that sends nothing whole is owed an end.
 const PATIENCE: Duration = Duration::from_millis(2500);
@@ -56,6 +63,11 @@
     config: Arc<Config>,
     balance: Balance<Http1>,
     ready: watch::Receiver<bool>,
+    figures: Arc<Figures>,
+    /// Clients are to be sent away.
+    away: watch::Receiver<bool>,
+    /// Answers end their connections.
+    parting: AtomicBool,
     next_caller: AtomicU64,
     callers: Mutex<HashMap<u64, Arc<Caller>>>,
     /// The callers' own ids of the requests that are open.
@@ -96,12 +108,16 @@
 impl Place {
     async fn serve(self, gate: Gate, mut closing: watch::Receiver<bool>) {
         let service = service_fn(|request| async {
+            let class = self.server.class(&request);
             let mut reply = match self.caller.surplus {
                 true => refusal(COME_BACK),
                 false => self.server.reply(request, &self.caller.seen).await,
             };
+            if let Some(class) = class {
+                self.server.figures.answered(&self.server.config.names.classes[class], reply.status());
+            }
             let mut seen = lock(&self.caller.seen);
-            if seen.is_last() || seen.both_lengths() {
+            if seen.is_last() || seen.both_lengths() || self.server.parting.load(Ordering::Relaxed) {
                 reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             seen.answered();
@@ -119,6 +135,14 @@
             _ = closing.wait_for(|close| *close) => {}
             () = self.caller.close.notified() => {}
         }
+        // To close on a caller that is writing would turn its request back.
+        while lock(&self.caller.seen).has_begun() {
+            tokio::select! {
+                _ = connection.as_mut() => return,
+                () = self.caller.cut.notified() => return,
+                () = sleep(HEAD_LOOK) => {}
+            }
+        }
         connection.as_mut().graceful_shutdown();
         tokio::select! {
             _ = connection => {}
@@ -129,11 +153,19 @@
 
 impl Server {
     /// A server that has its requests answered by a balance.
-    pub fn new(config: Arc<Config>, balance: Balance<Http1>) -> Self {
+    pub fn new(
+        config: Arc<Config>,
+        balance: Balance<Http1>,
+        figures: Arc<Figures>,
+        away: watch::Receiver<bool>,
+    ) -> Self {
         Self {
             config,
             ready: balance.ready(),
             balance,
+            figures,
+            away,
+            parting: AtomicBool::new(false),
             next_caller: AtomicU64::new(0),
             callers: Mutex::default(),
             open: Mutex::default(),
@@ -146,23 +178,19 @@
     pub async fn run(self, listener: TcpListener, mut stopping: watch::Receiver<bool>) {
         let server = Arc::new(self);
         let looking = tokio::spawn(server.clone().cut_overdue());
+        let parting = tokio::spawn(server.clone().send_away());
         let (close, closing) = watch::channel(false);
         let stopped = async {
             stopping.wait_for(|stop| *stop).await.ok();
+            parting.abort();
+            server.parting.store(true, Ordering::Relaxed);
             sleep(GO_ON).await;
         };
         tokio::select! {
             () = server.accept(&listener, &closing) => {}
             () = stopped => {}
         }
-        // What waits in the backlog counts as taken, and closing the listener would reset it.
-        let rest = async {
-            while let Ok(Ok((tcp, _))) = timeout(LAST_LOOK, listener.accept()).await {
-                server.take(tcp, &closing);
-            }
-        };
-        timeout(10 * LAST_LOOK, rest).await.ok();
-        drop(listener);
+        server.take_rest(listener, &closing);
         close.send_replace(true);
         let longest = server.config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let all_left = async {
@@ -174,6 +202,54 @@
         looking.abort();
     }
 
+    /// Takes what waits in the backlog, and closes the listener: what waits there counts as taken, and would be
+    /// reset. Nothing is waited for in between, so that hardly anything comes between the last look and the end.
+    fn take_rest(self: &Arc<Self>, listener: TcpListener, closing: &watch::Receiver<bool>) {
+        let Ok(listener) = listener.into_std() else { return };
+        let mut rest = Vec::new();
+        while let Ok((tcp, _)) = listener.accept() {
+            rest.push(tcp);
+        }
+        drop(listener);
+        for tcp in rest {
+            if tcp.set_nonblocking(true).is_ok()
+                && let Ok(tcp) = TcpStream::from_std(tcp)
+            {
+                self.take(tcp, closing);
+            }
+        }
+    }
+
+    /// While clients are sent away: ends their connections, with an answer where one is owed.
+    async fn send_away(self: Arc<Self>) {
+        let mut away = self.away.clone();
+        while away.wait_for(|away| *away).await.is_ok() {
+            let since = Instant::now();
+            while *away.borrow() {
+                let passed = since.elapsed();
+                self.parting.store(passed >= PART_AFTER, Ordering::Relaxed);
+                if passed >= CLOSE_AFTER {
+                    self.close_all();
+                }
+                timeout(CLOSE_EVERY, away.changed()).await.ok();
+            }
+            self.parting.store(false, Ordering::Relaxed);
+        }
+    }
+
+    /// Has all connections closed between requests.
+    fn close_all(&self) {
+        let callers = lock(&self.callers);
+        for caller in callers.values().filter(|caller| !caller.leaving.swap(true, Ordering::Relaxed)) {
+            caller.close.notify_one();
+        }
+    }
+
+    /// The class that a request names by its path.
+    fn class(&self, request: &Request<Incoming>) -> Option<usize> {
+        self.config.names.class(request.uri().path().split('/').nth(1).unwrap_or(""))
+    }
+
     /// Cuts off the callers that take too long over a request. Guards the places of the others.
     async fn cut_overdue(self: Arc<Self>) {
         loop {
@@ -236,7 +312,7 @@
 
     async fn reply(&self, request: Request<Incoming>, seen: &Mutex<Seen>) -> Reply {
         if request.uri().path() == "/healthz" {
-            return match *self.ready.borrow() {
+            return match *self.ready.borrow() && !*self.away.borrow() {
                 true => status(StatusCode::OK),
                 false => status(StatusCode::SERVICE_UNAVAILABLE),
             };
@@ -278,6 +354,7 @@
             Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n")),
         };
         let deadline = lock(seen).whole() + asked.budget;
+        let _taken = self.figures.taken();
         end_to_end(&mut head.headers);
         let Asked { class, tenant, work, .. } = asked;
         let ask = Ask { class, tenant, work, deadline, attempts: u32::MAX };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! The built program, running.
 #![allow(dead_code)]
 
+use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -34,6 +35,21 @@
         Self { child, config, address, log }
     }
 
+    /// Starts it with a second address, for operators.
+    pub fn start_with_admin(config: &serde_json::Value) -> (Self, Operators) {
+        Self::start_in(config, &[])
+    }
+
+    /// The same with more in its environment.
+    pub fn start_in(config: &serde_json::Value, environment: &[(&str, String)]) -> (Self, Operators) {
+        let mut config = config.clone();
+        config["admin"] = "127.0.0.1:0".into();
+        let mut program = Self::start_with(&config, environment);
+        let line = program.logged("operators call at ");
+        let address = line.trim().rsplit(' ').next().unwrap().parse().expect("an address");
+        (program, Operators { address })
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
         self.signal("-TERM");
@@ -96,6 +112,42 @@
     }
 }
 
+/// A program's second address.
+pub struct Operators {
+    pub address: SocketAddr,
+}
+
+impl Operators {
+    pub fn connect(&self) -> Caller {
+        Caller::connect(self.address).expect("a connection for operators")
+    }
+
+    pub fn get(&self, path: &str) -> Message {
+        self.ask("GET", path)
+    }
+
+    pub fn post(&self, path: &str) -> Message {
+        self.ask("POST", path)
+    }
+
+    fn ask(&self, method: &str, path: &str) -> Message {
+        let mut caller = self.connect();
+        caller.write(&format!("{method} {path} HTTP/1.1\r\nHost: operators\r\nContent-Length: 0\r\n\r\n"));
+        caller.answer().expect("an answer to operators")
+    }
+
+    /// The figures by name, labels included.
+    pub fn figures(&self) -> HashMap<String, f64> {
+        let text = String::from_utf8(self.get("/control/counters").body).unwrap();
+        let lines = text.lines().filter(|line| !line.starts_with('#'));
+        let figure = |line: &str| {
+            let (name, value) = line.rsplit_once(' ').expect("a name and a value");
+            (name.to_owned(), value.parse().expect("a number"))
+        };
+        lines.map(figure).collect()
+    }
+}
+
 /// Runs the program with this text as its configuration until it ends by itself.
 pub fn run_to_end(config: &str) -> (ExitStatus, String) {
     let (mut child, mut log, _) = spawn(config, &[]);
--- /dev/null
+++ b/tests/operation.rs
@@ -0,0 +1,129 @@
+//! The daemon day by day: the second address, the figures, a drain of clients, a second process.
+
+mod common;
+
+use common::*;
+use std::time::{Duration, Instant};
+use woadstall_standin::http1::*;
+
+#[test]
+fn ready_is_told_at_the_second_address_alone() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let (program, admin) = Program::start_with_admin(&config(refusing(), &in_service(&[&upstream])));
+    assert_eq!(admin.get("/control/ready").status(), 200);
+    assert_eq!(admin.get("/control/nothing").status(), 404);
+    assert_eq!(admin.get("/control/out-of-service").status(), 405, "a look changes nothing");
+    let mut caller = program.connect();
+    caller.write("GET /control/ready HTTP/1.1\r\nHost: b\r\n\r\n");
+    assert_eq!(caller.answer().unwrap().status(), 404, "callers can't reach the operators' calls");
+
+    let (_program, admin) = Program::start_with_admin(&config(refusing(), &[]));
+    assert_eq!(admin.get("/control/ready").status(), 503, "there is no upstream to send to");
+}
+
+#[test]
+fn figures_are_what_callers_got() {
+    let upstream = Upstream::start(|message| match message.first_line.as_str() {
+        line if line.contains("look") => Act::Answer(ok("seen")),
+        line if line.contains("pay") => Act::Answer(full()),
+        _ => Act::AnswerAndClose(String::new()),
+    });
+    let (program, admin) = Program::start_with_admin(&config(refusing(), &in_service(&[&upstream])));
+    for (class, status) in [("look", 200), ("look", 200), ("post", 502), ("pay", 503)] {
+        assert_eq!(program.call(class).status(), status);
+    }
+    let figures = admin.figures();
+    let tries = upstream.requests();
+    let expected = [
+        (r#"balancer_ok{kind="look"}"#, 2),
+        (r#"balancer_errors{kind="look"}"#, 0),
+        (r#"balancer_errors{kind="post"}"#, 1),
+        (r#"balancer_shed{kind="pay"}"#, 1),
+        ("balancer_tries", tries),
+        ("balancer_active", 0),
+        ("balancer_pool_size", 1),
+    ];
+    for (name, value) in expected {
+        assert_eq!(figures[name], value as f64, "{name} in {figures:?}");
+    }
+}
+
+/// Guards against a few silent connections that keep operators out when they are needed.
+#[test]
+fn held_connections_keep_no_operator_out() {
+    let (_program, admin) = Program::start_with_admin(&config(refusing(), &[]));
+    let held: Vec<_> = (0..50)
+        .map(|_| {
+            let mut held = admin.connect();
+            held.write("GET /control/re");
+            held
+        })
+        .collect();
+    assert_eq!(admin.get("/control/ready").status(), 503);
+    drop(held);
+}
+
+#[test]
+fn a_drain_sends_clients_away_and_turns_no_request_back() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("done")));
+    let (program, admin) = Program::start_with_admin(&config(refusing(), &in_service(&[&upstream])));
+    let healthy = || {
+        let mut caller = program.connect();
+        caller.write("GET /healthz HTTP/1.1\r\nHost: b\r\nConnection: close\r\n\r\n");
+        caller.answer().unwrap().status()
+    };
+    let mut idle = program.connect();
+    assert_eq!(idle.call("look", LONG, "").unwrap().status(), 200);
+    let mut busy = program.connect();
+    let mut writing = program.connect();
+    let request = request("look", LONG, "");
+    let (start, end) = request.split_at(40);
+    assert_eq!(healthy(), 200);
+
+    assert_eq!(admin.post("/control/out-of-service").status(), 200);
+    let asked = Instant::now();
+    assert_eq!(healthy(), 503);
+    // A client in the midst of its requests goes when an answer tells it to, and no request of it is lost.
+    loop {
+        let answer = busy.call("look", LONG, "").expect("an answer");
+        assert_eq!(answer.status(), 200);
+        if answer.headers.get("connection").is_some_and(|value| value == "close") {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    writing.write(start);
+    assert!(idle.answer().is_none(), "an idle connection is closed");
+    assert!(asked.elapsed() < Duration::from_millis(3500), "{:?}", asked.elapsed());
+    writing.write(end);
+    assert_eq!(writing.answer().unwrap().status(), 200, "whoever was writing gets its answer");
+
+    assert_eq!(admin.post("/control/in-service").status(), 200);
+    assert_eq!(healthy(), 200);
+    let mut caller = program.connect();
+    for _ in 0..3 {
+        let answer = caller.call("look", LONG, "").expect("an answer");
+        assert!(!answer.headers.contains_key("connection"), "clients stay again");
+    }
+}
+
+/// Guards the start of an upgrade: the successor must be able to listen while its predecessor serves.
+#[test]
+fn a_second_process_serves_beside_the_first_and_alone_after_it() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("done")));
+    let mut settings = config(refusing(), &in_service(&[&upstream]));
+    let (first, _) = Program::start_with_admin(&settings);
+    settings["listen"] = first.address.to_string().into();
+    let (second, admin) = Program::start_with_admin(&settings);
+    assert_eq!(first.address, second.address);
+    assert_eq!(admin.get("/control/ready").status(), 200);
+    for _ in 0..20 {
+        assert_eq!(second.call("look").status(), 200);
+    }
+    first.terminate();
+    let (status, log) = first.end();
+    assert!(status.success(), "{log}");
+    for _ in 0..20 {
+        assert_eq!(second.call("look").status(), 200, "all goes to the one that stayed");
+    }
+}
