New settings are taken over at SIGHUP, whole or not at all

Cause: SIGHUP took over the address of discovery alone, so requests of classes that came with it were answered 404.

Change: Terms in crates/settings (positions of classes keep their meaning, 1,024 at most), Balancer::retune in the module, the daemon takes both over or neither. For 3 s a request's method tells whether the class before the change is meant. Tests: Terms, and three over sockets (classes come and go, stricter effect and fewer attempts, broken files).

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -206,6 +206,25 @@
         }
     }
 
+    /// Takes new settings. A class keeps its position; `heirs` names new ones, each with the one whose latency
+    /// holds for it until it has its own. Fewer attempts bind requests under way as well.
+    pub fn retune(&mut self, settings: Settings, heirs: &[(usize, usize)]) -> Result<(), SettingsError> {
+        settings.check()?;
+        let classes = settings.classes.len().max(self.classes.len());
+        self.classes.resize(classes, Latency::default());
+        for &(new, old) in heirs {
+            self.classes[new] = self.classes[old].clone();
+        }
+        self.shed.demand.resize(2 * classes, Recent::default());
+        self.shed.tenants.resize(settings.tenants.len(), Recent::default());
+        let asking = self.asking.values_mut().map(|asking| &mut asking.request);
+        for request in self.requests.values_mut().chain(asking) {
+            request.most = request.most.min(settings.max_attempts);
+        }
+        self.settings = settings;
+        Ok(())
+    }
+
     /// Listed servers that take work and are passed over by their breakers.
     pub fn avoided(&self) -> usize {
         self.pools.last().map_or(0, |all| all.tripped)
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -257,6 +257,15 @@
         self.members.len()
     }
 
+    /// Takes new settings: classes keep their positions, and `heirs` are the new ones, each with the one whose
+    /// latency holds for it at first. Fewer attempts bind requests under way as well.
+    pub fn retune(&mut self, settings: Settings, heirs: &[(usize, usize)]) -> Result<(), SettingsError> {
+        let most = settings.max_attempts;
+        self.balancer.retune(settings, heirs)?;
+        self.max_attempts = most;
+        Ok(())
+    }
+
     /// How many of them take work and are avoided all the same.
     pub fn avoided(&self) -> usize {
         self.balancer.avoided()
--- a/crates/runtime/src/balance.rs
+++ b/crates/runtime/src/balance.rs
@@ -18,7 +18,7 @@
 use woadstall_engine::{
     Call, Command, Ended, Engine, Input, Outcome, Peer, RequestId, Send as Attempt, Settings, Time, Verdict,
 };
-use woadstall_settings::Names;
+use woadstall_settings::{Change, Names};
 
 /// How often idle connections are looked through.
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
@@ -281,6 +281,12 @@
         self.shared.lock().engine.open()
     }
 
+    /// Takes new settings, see [`Engine::retune`]. The error names the setting at fault, and nothing has changed.
+    pub fn retune(&self, change: Change) -> Result<(), String> {
+        let Change { settings, heirs } = change;
+        self.shared.lock().engine.retune(settings, &heirs).map_err(|error| format!("settings: {error}"))
+    }
+
     /// How many upstreams are listed, and how many of them are avoided.
     pub fn upstreams(&self) -> (usize, usize) {
         let locked = self.shared.lock();
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,6 +4,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod terms;
+
+pub use terms::{Change, MOST_CLASSES, Terms};
+
 use serde::Deserialize;
 use std::fmt;
 use std::time::Duration as StdDuration;
--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -230,12 +230,22 @@
     }
 }
 
+fn nanos(time: Duration) -> u64 {
+    u64::try_from(time.as_nanos()).unwrap_or(u64::MAX)
+}
+
+/// For how long an idle connection is kept that its upstream may close after a time.
+fn kept(closed_after: Duration) -> Duration {
+    closed_after - IDLE_MARGIN.min(closed_after / 2)
+}
+
 /// Connections over HTTP/1.1 to all upstreams: one attempt at a time on each.
 pub struct Http1 {
     pool: Arc<Mutex<Pool>>,
     open: Arc<AtomicUsize>,
     written: Arc<AtomicU64>,
-    connect_timeout: Duration,
+    /// In nanoseconds.
+    connect_timeout: AtomicU64,
     most_body: usize,
     report_fields: Vec<String>,
 }
@@ -245,18 +255,24 @@
     /// has at most `most_body` bytes.
     pub fn new(names: &Names, keep: Duration, most: usize, most_body: usize) -> Self {
         let open = Arc::<AtomicUsize>::default();
-        let keep = keep - IDLE_MARGIN.min(keep / 2);
+        let keep = kept(keep);
         let pool = Pool { keep, most, open: open.clone(), upstreams: HashMap::new(), next_epoch: 0 };
         Self {
             pool: Arc::new(Mutex::new(pool)),
             open,
             written: Arc::default(),
-            connect_timeout: names.connect_timeout,
+            connect_timeout: AtomicU64::new(nanos(names.connect_timeout)),
             most_body,
             report_fields: names.report_fields.clone(),
         }
     }
 
+    /// Takes new settings: what is open is kept for no longer than these say.
+    pub fn retune(&self, names: &Names, keep: Duration) {
+        self.connect_timeout.store(nanos(names.connect_timeout), Ordering::Relaxed);
+        lock(&self.pool).keep = kept(keep);
+    }
+
     /// Closes all idle connections.
     pub fn close_all(&self) {
         lock(&self.pool).upstreams.clear();
@@ -281,7 +297,8 @@
     ) -> Pin<Box<dyn Future<Output = Finished> + Send>> {
         let taken = lock(&self.pool).take(peer.server);
         let (pool, open, all) = (self.pool.clone(), self.open.clone(), self.written.clone());
-        let (connect_timeout, most_body) = (self.connect_timeout, self.most_body);
+        let connect_timeout = Duration::from_nanos(self.connect_timeout.load(Ordering::Relaxed));
+        let most_body = self.most_body;
         Box::pin(async move {
             let Some((epoch, idle)) = taken else { return Outcome::Moot.into() };
             let connection = match idle {
--- a/src/net/figures.rs
+++ b/src/net/figures.rs
@@ -31,11 +31,11 @@
 
 impl Figures {
     /// All at nothing, with these classes. The error is one line.
-    pub fn new(classes: &[String]) -> Result<Self, String> {
+    pub fn new<'a>(classes: impl Iterator<Item = &'a str>) -> Result<Self, String> {
         Self::register(classes).map_err(|error| format!("figures: {error}"))
     }
 
-    fn register(classes: &[String]) -> prometheus::Result<Self> {
+    fn register<'a>(classes: impl Iterator<Item = &'a str>) -> prometheus::Result<Self> {
         let registry = Registry::new();
         let options = |name: &str, help: &str| Opts::new(format!("balancer_{name}"), help);
         let by_kind = |name, help| {
@@ -70,7 +70,7 @@
     }
 
     /// Shows classes from now on, also those that nobody has asked for.
-    pub fn know(&self, classes: &[String]) {
+    pub fn know<'a>(&self, classes: impl Iterator<Item = &'a str>) {
         for class in classes {
             for counter in [&self.ok, &self.shed, &self.errors] {
                 counter.with_label_values(&[class]);
@@ -118,7 +118,7 @@
 
     #[test]
     fn counts_what_callers_got_by_class() {
-        let figures = Figures::new(&["look".into(), "pay".into()]).unwrap();
+        let figures = Figures::new(["look", "pay"].into_iter()).unwrap();
         let taken = figures.taken();
         for status in [200, 200, 503, 429, 502, 404] {
             figures.answered("look", StatusCode::from_u16(status).unwrap());
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -20,6 +20,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use woadstall_runtime::{Balance, Setup};
+use woadstall_settings::Terms;
 use woadstall_transport::Http1;
 
 /// Lines written in a second at most: in trouble, what they tell of happens many times a second.
@@ -57,11 +58,20 @@
     TcpListener::from_std(socket.into())
 }
 
+/// The settings that requests are taken under.
+pub struct InService {
+    terms: Terms,
+    /// When they changed last.
+    since: Option<tokio::time::Instant>,
+}
+
 /// A daemon that serves, in the tokio runtime that it was started in.
 pub struct Daemon {
     address: SocketAddr,
     figures: Arc<Figures>,
     discovery: watch::Sender<SocketAddr>,
+    balance: Balance<Http1>,
+    terms: watch::Sender<Arc<InService>>,
     stop: watch::Sender<bool>,
     serving: JoinHandle<()>,
 }
@@ -96,15 +106,17 @@
         };
         let balance = Balance::new(setup, transport, Arc::new(log))?;
         balance.follow(discovery_at);
-        let figures = Arc::new(Figures::new(&config.names.classes)?);
+        let figures = Arc::new(Figures::new(config.names.classes.iter().map(String::as_str))?);
         let (away, sent_away) = watch::channel(false);
         if let Some(operators) = operators {
             let admin = admin::Admin::new(balance.clone(), figures.clone(), stopping.clone(), away);
             tokio::spawn(admin.run(operators));
         }
-        let server = server::Server::new(config, balance, figures.clone(), sent_away);
+        let terms = Terms::new(config.settings.clone(), config.names.clone());
+        let (terms, in_service) = watch::channel(Arc::new(InService { terms, since: None }));
+        let server = server::Server::new(config, balance.clone(), figures.clone(), in_service, sent_away);
         let serving = tokio::spawn(server.run(listener, stopping));
-        Ok(Self { address, figures, discovery, stop, serving })
+        Ok(Self { address, figures, discovery, balance, terms, stop, serving })
     }
 
     /// Where it listens.
@@ -112,10 +124,10 @@
         self.address
     }
 
-    /// Takes over a new configuration: where discovery is. All else needs a new start. One that is not sound
-    /// changes nothing.
+    /// Takes over a new configuration: where discovery is, and the settings. All else needs a new start. One
+    /// that is not sound changes nothing.
     fn reload(&self) {
-        match Config::load_again() {
+        match Config::load_again().and_then(|config| self.retune(&config).map(|()| config)) {
             Ok(config) => {
                 log(format_args!("configuration read again, discovery at {}", config.discovery));
                 self.discovery.send_replace(config.discovery);
@@ -128,6 +140,15 @@
         }
     }
 
+    fn retune(&self, config: &Config) -> Result<(), String> {
+        let (terms, change) = self.terms.borrow().terms.retune(&config.settings, &config.names)?;
+        self.balance.retune(change)?;
+        self.balance.transport().retune(terms.names(), Duration::from_nanos(config.settings.conn_idle));
+        self.figures.know(terms.in_force());
+        self.terms.send_replace(Arc::new(InService { terms, since: Some(tokio::time::Instant::now()) }));
+        Ok(())
+    }
+
     /// Stops taking connections, answers all that was taken, and returns.
     pub async fn stop(self) -> Result<(), String> {
         self.stop.send_replace(true);
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,9 +1,9 @@
 //! The callers' side: takes connections, reads and checks requests, writes answers.
 
-use super::MOST_BODY;
 use super::config::Config;
 use super::figures::Figures;
 use super::gate::{Gate, MOST_HEAD, Seen, lock};
+use super::{InService, MOST_BODY};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -36,6 +36,8 @@
 const PART_AFTER: Duration = Duration::from_millis(400);
 const CLOSE_AFTER: Duration = Duration::from_millis(1500);
 const CLOSE_EVERY: Duration = Duration::from_millis(100);
+/// How long callers may still send a class as it was before new settings: theirs and our news of them cross.
+const CROSSING: Duration = Duration::from_secs(3);
 /// How often a caller that is to be closed but writes a head is looked at.
 const HEAD_LOOK: Duration = Duration::from_millis(20);
 /// How long a caller may take over a request, the first one from its connecting on; and how often that is
@@ -64,6 +66,7 @@
     balance: Balance<Http1>,
     ready: watch::Receiver<bool>,
     figures: Arc<Figures>,
+    in_service: watch::Receiver<Arc<InService>>,
     /// Clients are to be sent away.
     away: watch::Receiver<bool>,
     /// Answers end their connections.
@@ -108,13 +111,13 @@
 impl Place {
     async fn serve(self, gate: Gate, mut closing: watch::Receiver<bool>) {
         let service = service_fn(|request| async {
-            let class = self.server.class(&request);
+            let class = self.server.class_named(&request);
             let mut reply = match self.caller.surplus {
                 true => refusal(COME_BACK),
                 false => self.server.reply(request, &self.caller.seen).await,
             };
             if let Some(class) = class {
-                self.server.figures.answered(&self.server.config.names.classes[class], reply.status());
+                self.server.figures.answered(&class, reply.status());
             }
             let mut seen = lock(&self.caller.seen);
             if seen.is_last() || seen.both_lengths() || self.server.parting.load(Ordering::Relaxed) {
@@ -157,6 +160,7 @@
         config: Arc<Config>,
         balance: Balance<Http1>,
         figures: Arc<Figures>,
+        in_service: watch::Receiver<Arc<InService>>,
         away: watch::Receiver<bool>,
     ) -> Self {
         Self {
@@ -164,6 +168,7 @@
             ready: balance.ready(),
             balance,
             figures,
+            in_service,
             away,
             parting: AtomicBool::new(false),
             next_caller: AtomicU64::new(0),
@@ -192,7 +197,8 @@
         }
         server.take_rest(listener, &closing);
         close.send_replace(true);
-        let longest = server.config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+        let terms = server.in_service.borrow().terms.clone();
+        let longest = terms.settings().classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let all_left = async {
             while server.count() > 0 {
                 server.left.notified().await;
@@ -245,9 +251,19 @@
         }
     }
 
-    /// The class that a request names by its path.
-    fn class(&self, request: &Request<Incoming>) -> Option<usize> {
-        self.config.names.class(request.uri().path().split('/').nth(1).unwrap_or(""))
+    /// The class that a request names by its path, if there is one of that name.
+    fn class_named(&self, request: &Request<Incoming>) -> Option<String> {
+        let (name, in_service) = (in_path(request), self.in_service.borrow());
+        let known = in_service.terms.class(name).or_else(|| in_service.terms.former(name));
+        known.map(|_| name.to_owned())
+    }
+
+    /// The classes that a request may mean by a name: the one in force, and while callers may not have heard of a
+    /// change, the one before.
+    fn classes(in_service: &InService, name: &str) -> impl Iterator<Item = usize> {
+        let crossing = in_service.since.is_some_and(|since| since.elapsed() < CROSSING);
+        let former = in_service.terms.former(name).filter(|_| crossing);
+        in_service.terms.class(name).into_iter().chain(former)
     }
 
     /// Cuts off the callers that take too long over a request. Guards the places of the others.
@@ -374,21 +390,25 @@
     /// What a request asks for, or why it cannot be taken.
     fn check(&self, request: &Request<Incoming>) -> Result<Asked, (StatusCode, &'static str)> {
         let bad = |text| (StatusCode::BAD_REQUEST, text);
-        let (headers, names) = (request.headers(), &self.config.names);
-        let in_path = request.uri().path().split('/').nth(1).unwrap_or("");
-        let class = names.class(in_path).ok_or((StatusCode::NOT_FOUND, "no such path\n"))?;
+        let (headers, in_service) = (request.headers(), self.in_service.borrow());
+        let (in_path, terms) = (in_path(request), &in_service.terms);
+        let mut classes = Self::classes(&in_service, in_path).peekable();
+        let class = *classes.peek().ok_or((StatusCode::NOT_FOUND, "no such path\n"))?;
         if text(headers, "x-call-class") != Some(in_path) {
             return Err(bad("X-Call-Class is missing or not that of the path\n"));
         }
         let keyed = text(headers, "idempotency-key").is_some_and(|key| !key.is_empty());
-        let method = match self.config.settings.classes[class].effect {
-            Effect::Safe => Method::GET,
-            Effect::Keyed(..) if !keyed => return Err(bad("Idempotency-Key is missing\n")),
-            Effect::Keyed(..) | Effect::Unsafe => Method::POST,
+        let fits = |class: usize| match terms.settings().classes[class].effect {
+            Effect::Safe => request.method() == Method::GET,
+            Effect::Keyed(..) => request.method() == Method::POST && keyed,
+            Effect::Unsafe => request.method() == Method::POST,
+        };
+        let Some(class) = classes.find(|&class| fits(class)) else {
+            return Err(match terms.settings().classes[class].effect {
+                Effect::Keyed(..) if !keyed => bad("Idempotency-Key is missing\n"),
+                _ => (StatusCode::METHOD_NOT_ALLOWED, "not the method of this class\n"),
+            });
         };
-        if request.method() != method {
-            return Err((StatusCode::METHOD_NOT_ALLOWED, "not the method of this class\n"));
-        }
         // What is there twice may be read one way here and another way by the upstream.
         for name in ["x-call-id", "x-call-class", "x-caller", "x-budget", "x-call-cost", "idempotency-key"] {
             if headers.get_all(name).iter().nth(1).is_some() {
@@ -396,7 +416,7 @@
             }
         }
         let call_id = text(headers, "x-call-id").filter(|id| !id.is_empty());
-        let tenant = names.tenant(text(headers, "x-caller"));
+        let tenant = terms.names().tenant(text(headers, "x-caller"));
         let budget = text(headers, "x-budget").and_then(|budget| budget.parse().ok());
         let cost = match headers.contains_key("x-call-cost") {
             false => Some(None),
@@ -463,6 +483,11 @@
     work: Option<u64>,
 }
 
+/// The first part of a request's path: its class.
+fn in_path(request: &Request<Incoming>) -> &str {
+    request.uri().path().split('/').nth(1).unwrap_or("")
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -127,3 +127,108 @@
         assert_eq!(second.call("look").status(), 200, "all goes to the one that stayed");
     }
 }
+
+/// A configuration with its classes changed.
+fn with_classes(
+    config: &serde_json::Value,
+    change: impl Fn(&mut Vec<serde_json::Value>),
+) -> serde_json::Value {
+    let mut config = config.clone();
+    change(config["settings"]["Classes"].as_array_mut().unwrap());
+    config
+}
+
+#[test]
+fn classes_come_and_go_at_a_reload_and_requests_under_way_keep_theirs() {
+    let upstream = Upstream::start(|message| match message.first_line.contains("look") {
+        true => Act::Answer(ok("seen")),
+        false => Act::Silence,
+    });
+    let discovery = Discovery::start();
+    let before = config(discovery.address, &in_service(&[&upstream]));
+    discovery.set(&in_service(&[&upstream]));
+    let (mut program, admin) = Program::start_with_admin(&before);
+    let mut under_way = program.connect();
+    under_way.send("post", "1.5", "b");
+    upstream.request();
+    assert_eq!(program.call("fresh").status(), 404);
+
+    let after = with_classes(&before, |classes| {
+        classes.retain(|class| class["Name"] != "post");
+        let mut fresh = classes[0].clone();
+        fresh["Name"] = "fresh".into();
+        fresh["Effect"] = "non_idempotent".into();
+        classes.push(fresh);
+        classes[0]["Effect"] = "non_idempotent".into(); // `look` is safe no more
+    });
+    program.reload(&after.to_string());
+    program.logged("configuration read again");
+    let mut caller = program.connect();
+    caller.send("fresh", "0.2", "b");
+    assert_eq!(caller.answer().unwrap().status(), 502, "it is sent, and the upstream is silent");
+    assert_eq!(upstream.request().first_line, "POST /fresh?x=1 HTTP/1.1");
+    assert_eq!(program.call("look").status(), 200, "a caller that has not heard of the change yet");
+    assert_eq!(under_way.answer().unwrap().status(), 502, "it ends as it began, at its deadline");
+    let figures = admin.figures();
+    assert_eq!(figures[r#"balancer_errors{kind="fresh"}"#], 1.0);
+    assert_eq!(figures[r#"balancer_errors{kind="post"}"#], 1.0);
+    assert_eq!(figures["balancer_config_applied"], 1.0);
+}
+
+/// Guards rule 2 over a change: what is stricter holds for each request that comes after it.
+#[test]
+fn a_stricter_effect_and_fewer_attempts_hold_after_a_reload() {
+    let upstream = Upstream::start(|_| Act::AnswerAndClose(String::new()));
+    let before = config(refusing(), &in_service(&[&upstream]));
+    let (mut program, _) = Program::start_with_admin(&before);
+    assert_eq!(program.call("pay").status(), 502);
+    assert!(upstream.requests() > 1, "keyed work is sent again");
+
+    let mut fewer = before.clone();
+    fewer["settings"]["Limits"]["TryLimit"] = 1.into();
+    program.reload(&fewer.to_string());
+    program.logged("configuration read again");
+    assert_eq!(program.call("pay").status(), 502);
+    assert_eq!(upstream.requests(), 1);
+
+    let strict = with_classes(&before, |classes| classes[1]["Effect"] = "non_idempotent".into());
+    program.reload(&strict.to_string());
+    program.logged("configuration read again");
+    let mut caller = program.connect();
+    let request = request("pay", LONG, "b").replace("Idempotency-Key: 5c0f6e1a\r\n", "");
+    caller.write(&request);
+    assert_eq!(caller.answer().unwrap().status(), 502);
+    assert_eq!(upstream.requests(), 1);
+}
+
+#[test]
+fn a_broken_file_changes_nothing_and_is_counted() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("seen")));
+    let good = config(refusing(), &in_service(&[&upstream]));
+    let (mut program, admin) = Program::start_with_admin(&good);
+    let text = good.to_string();
+    let wrong = |change: &dyn Fn(&mut serde_json::Value)| {
+        let mut wrong = with_classes(&good, |classes| classes.truncate(1));
+        change(&mut wrong);
+        wrong.to_string()
+    };
+    let files = [
+        String::new(),
+        text[..text.len() / 2].to_owned(),
+        wrong(&|file| drop(file.as_object_mut().unwrap().remove("settings"))),
+        wrong(&|file| drop(file["settings"].as_object_mut().unwrap().remove("Classes"))),
+        wrong(&|file| drop(file["settings"]["Classes"][0].as_object_mut().unwrap().remove("DeadlineNs"))),
+        wrong(&|file| file["settings"]["Classes"][0]["DeadlineNs"] = 0.into()),
+        wrong(&|file| file["settings"]["Classes"][0]["DeadlineNs"] = (-1).into()),
+        wrong(&|file| file["settings"]["Limits"]["TryLimit"] = 0.into()),
+        wrong(&|file| file["settings"]["Zones"] = serde_json::json!(["b"])),
+    ];
+    for file in &files {
+        program.reload(file);
+        program.logged("configuration kept");
+        assert_eq!(program.call("post").status(), 200, "{file}");
+    }
+    let figures = admin.figures();
+    assert_eq!(figures["balancer_config_rejected"], files.len() as f64);
+    assert_eq!(figures["balancer_config_applied"], 0.0);
+}
