--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -74,8 +74,8 @@
 /// Expected time to an answer, as part of the aim, from which work is shed, and at which all is: above them
 /// the tail of the answers misses it, and below them what is slow by nature would be refused on a calm day.
 const SHED_BETWEEN: (f64, f64) = (0.5, 0.65);
-/// Over the root of the answers counted, by how much later shedding begins: a caller with some ten calls a second
-/// sees their chance lengths as a jam, and refused some where nothing waited.
+/// Over the root of the answers counted, by how much later shedding begins: a caller with some ten calls a
+/// second sees their chance lengths as a jam, and refused some where nothing waited.
 const SHED_NOISE: f64 = 0.4;
 /// Time over which answers are counted to tell how fast they come, and where that is too short for a caller's
 /// few calls, at most so many of the longest aim: a jam comes and goes within some.
@@ -209,8 +209,8 @@
         }
     }
 
-    /// Takes new settings. A class keeps its position; `heirs` names new ones, each with the one whose latency
-    /// holds for it until it has its own. Fewer attempts bind requests under way as well.
+    /// Takes new settings. A class keeps its position; `heirs` names new ones, each with the one whose
+    /// latency holds for it until it has its own. Fewer attempts bind requests under way as well.
     pub fn retune(&mut self, settings: Settings, heirs: &[(usize, usize)]) -> Result<(), SettingsError> {
         settings.check()?;
         let classes = settings.classes.len().max(self.classes.len());
