Bodies up to 32 MiB, and large answers passed on as they come

Ruled out: slow callers cut off (none was).

Change: a body is read whole against a third of the memory, for as long as it comes at 32 kB/s and does not stand still for a second; an answer over 64 KiB begins at its caller after its first 4 KiB (over 64 KiB in chunks after these) and is passed on no faster than it is read; the module takes a begun answer as the end of its request, and learns its latency from the beginning. Four tests over sockets: unchanged and on one connection, 12 answers of 16 MiB that nobody reads (under 16 MiB of memory), an answer that breaks off, room and slow bodies.

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -775,8 +775,14 @@
     // ---- Outcomes ----
 
     fn on_started(&mut self, id: RequestId, attempt: u32) {
-        if let Some(request) = self.requests.get_mut(&id).filter(|request| request.attempts == attempt + 1) {
-            request.marks = 2; // an answer that has begun is not late any more
+        let begun = |request: &&mut Request| request.attempts == attempt + 1 && !request.closed;
+        let Some(request) = self.requests.get_mut(&id).filter(begun) else { return };
+        // An answer that has begun is not late any more, and its rest comes at its caller's pace.
+        (request.marks, request.closed, request.begun) = (2, true, true);
+        let (class, per_aim, sent) = (request.class, request.per_aim, request.sent);
+        self.answered(per_aim, true);
+        if let Some((at, since)) = sent {
+            self.learn_latency(at, class, self.now - since);
         }
     }
 
@@ -803,6 +809,12 @@
         self.actions.push(Action::SetTimer { after, token });
     }
 
+    fn learn_latency(&mut self, at: usize, class: usize, took: Duration) {
+        self.learn_slowness(at, class, took);
+        self.classes[class].learn(took as f64, GAIN, CALM);
+        self.overall.learn(took as f64, GAIN, CALM);
+    }
+
     fn learn_slowness(&mut self, at: usize, class: usize, took: Duration) {
         let (latency, slowness) = (&self.classes[class], &mut self.servers[at].slowness);
         if latency.calls >= KNOWN {
@@ -857,7 +869,9 @@
 
     fn learn(&mut self, request: &Request, at: usize, end: &End) {
         let took = end.elapsed as f64;
-        if matches!(end.outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Timeout | Outcome::Full) {
+        let timed =
+            matches!(end.outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Timeout | Outcome::Full);
+        if timed && !request.begun {
             let least = if end.outcome == Outcome::Full { 1.0 } else { 0.0 };
             let lateness = (took / self.settings.classes[request.class].aim.max(1) as f64).max(least);
             self.pools[self.servers[at].zone].learn_lateness(lateness, self.now, LATE_GAIN, CALM);
@@ -885,9 +899,10 @@
             _ => self.failure(at, request.idle),
         }
         if matches!(end.outcome, Outcome::Ok | Outcome::Timeout) {
-            self.learn_slowness(at, request.class, end.elapsed);
-            self.classes[request.class].learn(took, GAIN, CALM);
-            self.overall.learn(took, GAIN, CALM);
+            if request.begun {
+                return; // it was learned as it began
+            }
+            self.learn_latency(at, request.class, end.elapsed);
             if request.asked > 0.0 {
                 self.per_held.learn(took / request.asked, GAIN, CALM);
             }
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -152,6 +152,8 @@
     /// The first server that may have run it, and when it was sent there.
     pub may_have_run: Option<(usize, Time)>,
     pub closed: bool,
+    /// Its answer has begun.
+    pub begun: bool,
 }
 
 /// A request whose proposed servers are being asked for their load.
--- a/crates/standin/src/http1.rs
+++ b/crates/standin/src/http1.rs
@@ -2,7 +2,7 @@
 
 use socket2::{Domain, Socket, Type};
 use std::collections::HashMap;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -306,6 +306,33 @@
         Message::read(&mut self.input)
     }
 
+    /// Waits until some of an answer has come, and takes none of it.
+    pub fn await_data(&mut self) {
+        self.input.get_ref().peek(&mut [0]).expect("the beginning of an answer");
+    }
+
+    /// The body of an answer that comes in chunks; `None` where it breaks off.
+    pub fn chunked_answer(&mut self) -> Option<Vec<u8>> {
+        let mut line = String::new();
+        while line != "\r\n" {
+            line.clear();
+            self.input.read_line(&mut line).ok().filter(|&got| got > 0)?;
+        }
+        let mut body = Vec::new();
+        loop {
+            line.clear();
+            self.input.read_line(&mut line).ok().filter(|&got| got > 0)?;
+            let length = usize::from_str_radix(line.trim_end(), 16).ok()?;
+            let start = body.len();
+            body.resize(start + length, 0);
+            self.input.read_exact(&mut body[start..]).ok()?;
+            self.input.read_line(&mut line).ok()?;
+            if length == 0 {
+                return Some(body);
+            }
+        }
+    }
+
     /// One request and its answer; `None` where the connection has ended.
     pub fn call(&mut self, class: &str, budget: &str, body: &str) -> Option<Message> {
         self.input.get_mut().write_all(request(class, budget, body).as_bytes()).ok()?;
--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -2,9 +2,9 @@
 
 use crate::classify::{self, Class};
 use crate::shared::lock;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Frame, SizeHint};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response, Uri, Version};
@@ -24,7 +24,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Duration, Instant, timeout};
 use woadstall_runtime::engine::{Ended, LoadReport, Outcome, Peer, Send as Attempt, ServerId};
-use woadstall_runtime::{Step, Transport};
+use woadstall_runtime::{Step, Tail, Transport};
 use woadstall_settings::Names;
 
 /// hyper's buffer for an answer: a head without end is given up at this size.
@@ -40,14 +40,47 @@
     connection: Option<Connection>,
 }
 
+impl Finished {
+    fn ended(self, fields: &[String]) -> Ended<Response<Bytes>> {
+        let report = self.response.as_ref().and_then(|response| response.headers().get("x-load-report"));
+        let load = report.and_then(|report| load_report(report.as_bytes(), fields));
+        Ended { outcome: self.outcome, answer: self.response.filter(|_| self.is_final), load }
+    }
+}
+
 impl From<Outcome> for Finished {
     fn from(outcome: Outcome) -> Self {
         Self { outcome, is_final: false, response: None, connection: None }
     }
 }
 
-/// Sends a request on a connection and waits for its whole answer.
-async fn exchange(request: Request<Bytes>, mut connection: Connection, most_body: usize) -> Finished {
+/// What came of a request on a connection.
+enum Exchanged {
+    Finished(Finished),
+    Begun(Response<Rest>),
+}
+
+impl From<Outcome> for Exchanged {
+    fn from(outcome: Outcome) -> Self {
+        Self::Finished(outcome.into())
+    }
+}
+
+/// How long answers may be.
+#[derive(Clone, Copy)]
+struct Sizes {
+    /// Read whole.
+    whole: usize,
+    /// In all: what is between these is passed on as it comes.
+    most: usize,
+}
+
+/// Bytes of a large answer that must have come before it is passed on: a spoilt one that claims to be large
+/// hardly has more, and can still be tried again.
+const BEGIN_AT: usize = 4 << 10;
+
+/// Sends a request on a connection and waits for its answer, whole or, where it is larger, its beginning.
+async fn exchange(request: Request<Bytes>, mut connection: Connection, sizes: Sizes) -> Exchanged {
     let progress = connection.progress.clone();
     let (head, body) = request.into_parts();
     progress.body_taken.store(body.is_empty(), Ordering::Relaxed);
@@ -60,19 +93,151 @@
     let Ok(response) = connection.sender.send_request(Request::from_parts(head, body)).await else {
         return broken().into();
     };
-    let (head, body) = response.into_parts();
-    if body.size_hint().lower() > most_body as u64 {
+    let (head, mut body) = response.into_parts();
+    let Class { outcome, is_final } = classify::http(head.status, &head.headers);
+    let length = body.size_hint().exact();
+    if body.size_hint().lower() > sizes.most as u64 {
         return Outcome::Error.into(); // larger than any answer may be
     }
-    let body = match Limited::new(body, most_body).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<hyper::Error>() => return broken().into(),
-        Err(_) => return Outcome::Error.into(), // larger than any answer may be
+    let may_begin = is_final && sizes.most > sizes.whole;
+    let begin_at = match length {
+        Some(length) if length > sizes.whole as u64 => BEGIN_AT,
+        _ => sizes.whole,
     };
-    let Class { outcome, is_final } = classify::http(head.status, &head.headers);
+    let mut first = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return broken().into() };
+        let Ok(data) = frame.into_data() else { continue }; // trailers belong to the connection
+        first.extend_from_slice(&data);
+        if first.len() > begin_at {
+            if !may_begin || first.len() > sizes.most {
+                return Outcome::Error.into(); // larger than any answer may be
+            }
+            let left = sizes.most - first.len();
+            let rest = Rest { first: first.freeze(), length, left, body, connection, tail: None, home: None };
+            return Exchanged::Begun(Response::from_parts(head, rest));
+        }
+    }
     // Ready again unless the upstream closes it, which it has said by now.
     let connection = connection.sender.ready().await.is_ok().then_some(connection);
-    Finished { outcome, is_final, response: Some(Response::from_parts(head, body)), connection }
+    let response = Some(Response::from_parts(head, first.freeze()));
+    Exchanged::Finished(Finished { outcome, is_final, response, connection })
+}
+
+/// An upstream's answer: whole, or with a rest that is still to come.
+pub enum Answer {
+    /// All of it, until it is taken.
+    Whole(Bytes),
+    /// What has come so far, and what comes.
+    Rest(Box<Rest>),
+}
+
+/// An answer that has begun. Dropped before its end, it is withdrawn.
+pub struct Rest {
+    first: Bytes,
+    length: Option<u64>,
+    /// Bytes that may still come.
+    left: usize,
+    body: Incoming,
+    connection: Connection,
+    /// Where the end is told, and where the connection goes after it.
+    tail: Option<Tail>,
+    home: Option<(Arc<Mutex<Pool>>, ServerId, u64)>,
+}
+
+impl Answer {
+    /// Whether all of it is there.
+    pub fn is_whole(&self) -> bool {
+        matches!(self, Self::Whole(_))
+    }
+}
+
+impl From<Bytes> for Answer {
+    fn from(bytes: Bytes) -> Self {
+        Self::Whole(bytes)
+    }
+}
+
+impl Rest {
+    /// Whether its end has come, and tells it.
+    fn is_over(&mut self, asked: bool) -> bool {
+        let over = asked || self.first.is_empty() && self.body.is_end_stream();
+        if over {
+            self.tail.take().into_iter().for_each(|tail| tail.end(Outcome::Ok));
+        }
+        over
+    }
+
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+        if !self.first.is_empty() {
+            return Poll::Ready(Some(Ok(std::mem::take(&mut self.first))));
+        }
+        loop {
+            let (outcome, error) = match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
+                None => return Poll::Ready(None),
+                Some(Err(error)) => (Outcome::Reset, io::Error::other(error)),
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) if data.len() <= self.left => {
+                        self.left -= data.len();
+                        return Poll::Ready(Some(Ok(data)));
+                    }
+                    Ok(_) => (Outcome::Error, io::Error::other("an answer is larger than any may be")),
+                    Err(_) => continue, // trailers belong to the connection
+                },
+            };
+            self.tail.take().into_iter().for_each(|tail| tail.end(outcome));
+            return Poll::Ready(Some(Err(error)));
+        }
+    }
+}
+
+impl Body for Answer {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let next = match &mut *self {
+            Self::Whole(bytes) if bytes.is_empty() => None,
+            Self::Whole(bytes) => Some(Ok(std::mem::take(bytes))),
+            Self::Rest(rest) => {
+                let next = ready!(rest.poll_next(cx));
+                // Where the length was told, nobody asks for more than that.
+                if rest.is_over(next.is_none())
+                    && let Self::Rest(rest) = std::mem::replace(&mut *self, Self::Whole(Bytes::new()))
+                {
+                    rest.go_home();
+                }
+                next
+            }
+        };
+        Poll::Ready(next.map(|data| data.map(Frame::data)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(bytes) if bytes.is_empty())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Self::Rest(rest) => rest.length.map_or_else(SizeHint::default, SizeHint::with_exact),
+        }
+    }
+}
+
+impl Rest {
+    /// Keeps the connection for the next attempt, once it is ready for it.
+    fn go_home(self) {
+        let Self { mut connection, home: Some((pool, server, epoch)), .. } = self else { return };
+        tokio::spawn(async move {
+            if connection.sender.ready().await.is_ok() {
+                lock(&pool).put(server, epoch, connection);
+            }
+        });
+    }
 }
 
 /// Whether a connection failed for lack of our own descriptors, ports or memory.
@@ -246,7 +411,7 @@
     written: Arc<AtomicU64>,
     /// In nanoseconds.
     connect_timeout: AtomicU64,
-    most_body: usize,
+    sizes: Sizes,
     report_fields: Vec<String>,
 }
 
@@ -262,11 +427,17 @@
             open,
             written: Arc::default(),
             connect_timeout: AtomicU64::new(nanos(names.connect_timeout)),
-            most_body,
+            sizes: Sizes { whole: most_body, most: most_body },
             report_fields: names.report_fields.clone(),
         }
     }
 
+    /// Passes answers that are larger than that on as they come, up to this size.
+    pub fn passing_on(mut self, most: usize) -> Self {
+        self.sizes.most = most;
+        self
+    }
+
     /// Takes new settings: what is open is kept for no longer than these say.
     pub fn retune(&self, names: &Names, keep: Duration) {
         self.connect_timeout.store(nanos(names.connect_timeout), Ordering::Relaxed);
@@ -294,11 +465,11 @@
         &self,
         request: Request<Bytes>,
         peer: Peer,
-    ) -> Pin<Box<dyn Future<Output = Finished> + Send>> {
+        sizes: Sizes,
+    ) -> Pin<Box<dyn Future<Output = Exchanged> + Send>> {
         let taken = lock(&self.pool).take(peer.server);
         let (pool, open, all) = (self.pool.clone(), self.open.clone(), self.written.clone());
         let connect_timeout = Duration::from_nanos(self.connect_timeout.load(Ordering::Relaxed));
-        let most_body = self.most_body;
         Box::pin(async move {
             let Some((epoch, idle)) = taken else { return Outcome::Moot.into() };
             let connection = match idle {
@@ -314,11 +485,16 @@
             if !lock(&pool).is_current(peer.server, epoch) {
                 return Outcome::Moot.into();
             }
-            let mut finished = exchange(request, connection, most_body).await;
-            if let Some(connection) = finished.connection.take() {
-                lock(&pool).put(peer.server, epoch, connection);
+            let mut exchanged = exchange(request, connection, sizes).await;
+            match &mut exchanged {
+                Exchanged::Finished(finished) => {
+                    if let Some(connection) = finished.connection.take() {
+                        lock(&pool).put(peer.server, epoch, connection);
+                    }
+                }
+                Exchanged::Begun(response) => response.body_mut().home = Some((pool, peer.server, epoch)),
             }
-            finished
+            exchanged
         })
     }
 }
@@ -331,27 +507,41 @@
         attempt: &Attempt,
     ) -> impl Future<Output = Ended<Response<Bytes>>> + Send + use<> {
         let request = forwarded(request, attempt.to.address, attempt.left);
-        let (exchange, fields) = (self.exchange(request, attempt.to), self.report_fields.clone());
+        let sizes = Sizes { most: self.sizes.whole, ..self.sizes };
+        let (exchange, fields) = (self.exchange(request, attempt.to, sizes), self.report_fields.clone());
         async move {
-            let Finished { outcome, is_final, response, .. } = exchange.await;
-            let report = response.as_ref().and_then(|response| response.headers().get("x-load-report"));
-            let load = report.and_then(|report| load_report(report.as_bytes(), &fields));
-            Ended { outcome, answer: response.filter(|_| is_final), load }
+            match exchange.await {
+                Exchanged::Finished(finished) => finished.ended(&fields),
+                Exchanged::Begun(_) => Outcome::Error.into(), // larger than any answer may be
+            }
         }
     }
 }
 
 impl Transport for Http1 {
     type Request = Request<Bytes>;
-    type Answer = Response<Bytes>;
+    type Answer = Response<Answer>;
 
     fn attempt(
         &self,
         request: &mut Request<Bytes>,
         attempt: &Attempt,
-    ) -> impl Future<Output = Step<Response<Bytes>>> + Send + 'static {
-        let ended = self.ended(request, attempt);
-        async move { Step::Ended(ended.await) }
+    ) -> impl Future<Output = Step<Response<Answer>>> + Send + 'static {
+        let request = forwarded(request, attempt.to.address, attempt.left);
+        let (exchange, fields) = (self.exchange(request, attempt.to, self.sizes), self.report_fields.clone());
+        async move {
+            match exchange.await {
+                Exchanged::Finished(finished) => {
+                    Step::Ended(finished.ended(&fields).map(|response| response.map(Answer::Whole)))
+                }
+                Exchanged::Begun(response) => Step::Started(Box::new(|tail| {
+                    response.map(|mut rest| {
+                        rest.tail = Some(tail);
+                        Answer::Rest(Box::new(rest))
+                    })
+                })),
+            }
+        }
     }
 
     fn probe(
@@ -362,9 +552,12 @@
         let mut request = Request::new(Bytes::new());
         *request.uri_mut() = Uri::from_static("/load");
         let request = forwarded(&request, peer.address, patience.as_nanos() as u64);
-        let (exchange, fields) = (self.exchange(request, peer), self.report_fields.clone());
+        let sizes = Sizes { most: self.sizes.whole, ..self.sizes };
+        let (exchange, fields) = (self.exchange(request, peer, sizes), self.report_fields.clone());
         async move {
-            let Finished { outcome, response, .. } = exchange.await;
+            let Exchanged::Finished(Finished { outcome, response, .. }) = exchange.await else {
+                return (Outcome::Error, None); // larger than any report may be
+            };
             (outcome, response.and_then(|response| load_report(response.body(), &fields)))
         }
     }
@@ -505,7 +698,10 @@
         });
         let request = Request::new(Bytes::new());
         let connection = Connection::open(address, Arc::default(), Arc::default()).await.unwrap();
-        let finished = exchange(request, connection, 1 << 10).await;
+        let sizes = Sizes { whole: 1 << 10, most: 1 << 10 };
+        let Exchanged::Finished(finished) = exchange(request, connection, sizes).await else {
+            panic!("an answer that goes on")
+        };
         (finished.connection.expect("a connection to use again"), peer.await.unwrap())
     }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -12,7 +12,7 @@
 mod shared;
 
 pub use classify::code;
-pub use http1::{Http1, is_local, load_report};
+pub use http1::{Answer, Http1, is_local, load_report};
 #[cfg(feature = "http2")]
 pub use http2::{Http2, Inbound, InboundError, Limits, grpc_timeout_of};
 #[cfg(feature = "http2")]
--- a/src/net/figures.rs
+++ b/src/net/figures.rs
@@ -103,6 +103,33 @@
     }
 }
 
+/// A request whose answer has begun: it counts as served once that has ended, and as failed if it breaks off.
+pub struct Begun {
+    figures: std::sync::Arc<Figures>,
+    class: String,
+    whole: bool,
+    _taken: Taken,
+}
+
+impl Begun {
+    pub fn new(figures: std::sync::Arc<Figures>, class: String) -> Self {
+        let _taken = figures.taken();
+        Self { figures, class, whole: false, _taken }
+    }
+
+    /// The answer has come to its end.
+    pub fn whole(&mut self) {
+        self.whole = true;
+    }
+}
+
+impl Drop for Begun {
+    fn drop(&mut self) {
+        let status = if self.whole { StatusCode::OK } else { StatusCode::BAD_GATEWAY };
+        self.figures.answered(&self.class, status);
+    }
+}
+
 /// A request that is taken and has not ended.
 pub struct Taken(IntGauge);
 
--- a/src/net/gate.rs
+++ b/src/net/gate.rs
@@ -17,6 +17,9 @@
 const MOST_AHEAD: usize = 2 * MOST_HEAD;
 /// Headers of a request at most, as in hyper.
 const MOST_HEADERS: usize = 100;
+/// Bytes in a millisecond at which a body must come at least, and how long it may stand still.
+const SLOWEST: u64 = 32;
+const STANDSTILL: Duration = Duration::from_secs(1);
 /// Reads so close to each other count as one.
 const ONE_READ: Duration = Duration::from_millis(2);
 
@@ -52,6 +55,9 @@
     answered: bool,
     /// The present request has both lengths, of which hyper shows only one.
     both_lengths: bool,
+    /// Bytes that had come when the head of the present request was read, and when the latest came.
+    head_came: u64,
+    latest: Instant,
     /// Waits for more to go to hyper.
     waiting: Option<Waker>,
 }
@@ -71,6 +77,8 @@
             asked: false,
             answered: false,
             both_lengths: false,
+            head_came: 0,
+            latest: now,
             waiting: None,
         }
     }
@@ -85,11 +93,20 @@
         self.phase == Phase::Head && !self.ahead.is_empty()
     }
 
-    /// Whether a whole request is owed for longer than this. One that has asked may rest between requests.
+    /// Whether a whole request is owed for longer than this, or a body stands still or comes too slowly after it.
+    /// One that has asked may rest between requests.
     pub fn overdue(&self, patience: Duration) -> bool {
-        let rests =
-            self.phase == Phase::Whole || self.phase == Phase::Head && self.ahead.is_empty() && self.asked;
-        !rests && self.since.elapsed() > patience
+        let passed = self.since.elapsed();
+        passed > patience
+            && match self.phase {
+                Phase::Whole => false,
+                Phase::Head => !(self.ahead.is_empty() && self.asked),
+                Phase::Passing(_) | Phase::Unbounded => {
+                    let body = Duration::from_millis((self.came - self.head_came) / SLOWEST);
+                    // What waits for hyper has come: it is not its caller that stands still.
+                    passed > patience + body || self.ahead.is_empty() && self.latest.elapsed() > STANDSTILL
+                }
+            }
     }
 
     /// Whether the present request says its length in both ways: it may hide another one.
@@ -131,6 +148,7 @@
             self.since = now;
         }
         self.came += got as u64;
+        self.latest = now;
         match self.reads.back_mut() {
             Some((end, at)) if now - *at < ONE_READ => *end = self.came,
             _ => self.reads.push_back((self.came, now)),
@@ -157,6 +175,7 @@
         let chunked = named("transfer-encoding").next().is_some();
         let body = named("content-length").next().map(|header| whole_number(header.value));
         (self.both_lengths, self.answered) = (chunked && body.is_some(), false);
+        self.head_came = self.came;
         self.phase = match body.unwrap_or(Some(0)) {
             Some(body) if !chunked => Phase::Passing(body.saturating_add(length as u64)),
             _ => Phase::Unbounded,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -26,7 +26,9 @@
 /// Lines written in a second at most: in trouble, what they tell of happens many times a second.
 const LOG_LINES: u32 = 20;
 /// Largest body either way.
-const MOST_BODY: usize = 64 << 10;
+const MOST_BODY: usize = 32 << 20;
+/// Largest answer that is read whole, so that it can be tried again; a larger one is passed on as it comes.
+const WHOLE_ANSWER: usize = 64 << 10;
 
 /// Writes one line to standard error, unless too many were written lately. Unlike `eprintln`, it does not
 /// panic where that is closed.
@@ -97,7 +99,8 @@
         let (stop, stopping) = watch::channel(false);
         let (discovery, discovery_at) = watch::channel(config.discovery);
         let keep = Duration::from_nanos(config.settings.conn_idle);
-        let transport = Http1::new(&config.names, keep, config.limits.upstreams, MOST_BODY);
+        let transport =
+            Http1::new(&config.names, keep, config.limits.upstreams, WHOLE_ANSWER).passing_on(MOST_BODY);
         let setup = Setup {
             settings: config.settings.clone(),
             names: config.names.clone(),
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,12 +1,12 @@
 //! The callers' side: takes connections, reads and checks requests, writes answers.
 
 use super::config::Config;
-use super::figures::Figures;
+use super::figures::{Begun, Figures};
 use super::gate::{Gate, MOST_HEAD, Seen, lock};
 use super::{InService, MOST_BODY};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, DATE, EXPECT, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
@@ -17,8 +17,11 @@
 use hyper_util::rt::TokioIo;
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
+use std::io;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
@@ -26,7 +29,7 @@
 use woadstall_decisions::api::Effect;
 use woadstall_engine::Verdict;
 use woadstall_runtime::{Ask, Balance};
-use woadstall_transport::{Http1, is_local, named_by_connection};
+use woadstall_transport::{Answer, Http1, is_local, named_by_connection};
 
 /// How long connections are still taken after a signal to stop: callers hear of it late.
 const GO_ON: Duration = Duration::from_millis(500);
@@ -54,11 +57,47 @@
 /// hyper's buffer for what a caller sends: beyond a head, it only makes bodies come in larger pieces.
 const READ_BUFFER: usize = 2 * MOST_HEAD;
 /// Part of the memory that the bodies of open requests may fill, as one over this.
-const BODIES: usize = 4;
+const BODIES: usize = 3;
 /// Added to the longest deadline, so long may answers take after the last connection was taken.
 const LAST_ANSWERS: Duration = Duration::from_millis(60);
 
-type Reply = Response<Full<Bytes>>;
+type Reply = Response<ReplyBody>;
+
+/// The body of an answer, with what is to be told at its end where that is not there yet.
+struct ReplyBody {
+    answer: Answer,
+    begun: Option<Begun>,
+}
+
+impl From<Bytes> for ReplyBody {
+    fn from(bytes: Bytes) -> Self {
+        Self { answer: bytes.into(), begun: None }
+    }
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let frame = ready!(Pin::new(&mut self.answer).poll_frame(cx));
+        if frame.is_none() || self.answer.is_end_stream() {
+            self.begun.iter_mut().for_each(Begun::whole);
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.answer.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.answer.size_hint()
+    }
+}
 
 /// What all connections share.
 pub struct Server {
@@ -116,8 +155,12 @@
                 true => refusal(COME_BACK),
                 false => self.server.reply(request, &self.caller.seen).await,
             };
-            if let Some(class) = class {
-                self.server.figures.answered(&class, reply.status());
+            match class {
+                Some(class) if !reply.body().answer.is_whole() => {
+                    reply.body_mut().begun = Some(Begun::new(self.server.figures.clone(), class));
+                }
+                Some(class) => self.server.figures.answered(&class, reply.status()),
+                None => {}
             }
             let mut seen = lock(&self.caller.seen);
             if seen.is_last() || seen.both_lengths() || self.server.parting.load(Ordering::Relaxed) {
@@ -336,8 +379,8 @@
         match self.call(request, seen).await {
             Ok(reply) => reply,
             Err((code, text)) => {
-                let mut reply = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
-                *reply.status_mut() = code;
+                let mut reply = status(code);
+                *reply.body_mut() = Bytes::from_static(text.as_bytes()).into();
                 reply
             }
         }
@@ -354,21 +397,14 @@
         let asked = self.check(&request)?;
         let size = request.body().size_hint();
         if size.lower() > MOST_BODY as u64 {
-            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n"));
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MiB\n"));
         }
-        let room = size.exact().map_or(MOST_BODY, |size| size as usize);
-        let Some(_room) = Room::take(&self.bodies, room, self.config.limits.memory / BODIES) else {
-            return Ok(refusal(COME_BACK));
-        };
+        let mut room = Room { held: &self.bodies, bytes: 0, most: self.config.limits.memory / BODIES };
         let Some(_named) = Named::take(&self.open, asked.call_id) else {
             return Err((StatusCode::CONFLICT, "a request with this X-Call-Id is open\n"));
         };
         let (mut head, body) = request.into_parts();
-        let body = match timeout(PATIENCE, Limited::new(body, MOST_BODY).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) => return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB or broken\n")),
-            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n")),
-        };
+        let Some(body) = whole(body, &mut room).await? else { return Ok(refusal(COME_BACK)) };
         let deadline = lock(seen).whole() + asked.budget;
         let _taken = self.figures.taken();
         end_to_end(&mut head.headers);
@@ -377,7 +413,7 @@
         let answer = self.balance.call(ask, Request::from_parts(head, body)).await;
         Ok(match answer {
             Verdict::Served(response) => {
-                let mut reply = response.map(Full::new);
+                let mut reply = response.map(|answer| ReplyBody { answer, begun: None });
                 *reply.version_mut() = Version::HTTP_11;
                 end_to_end(reply.headers_mut());
                 reply
@@ -438,21 +474,50 @@
     }
 }
 
+/// Reads a body to its end; `None` if it finds no room. It need not mind its time: the caller is cut off.
+async fn whole(mut body: Incoming, room: &mut Room<'_>) -> Result<Option<Bytes>, (StatusCode, &'static str)> {
+    let mut all = BytesMut::new();
+    if let Some(size) = body.size_hint().exact() {
+        if !room.grow(size as usize) {
+            return Ok(None);
+        }
+        all.reserve(size as usize); // the system gives memory to what is written only
+    }
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return Err((StatusCode::BAD_REQUEST, "the body is broken\n")) };
+        let Ok(data) = frame.into_data() else { continue };
+        if all.len() + data.len() > MOST_BODY {
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MiB\n"));
+        }
+        let more = (all.len() + data.len()).saturating_sub(room.bytes);
+        // Twice as much each time, as its buffer grows, and as much while it is moved.
+        if more > 0 && !room.grow(more.max(room.bytes)) {
+            return Ok(None);
+        }
+        all.extend_from_slice(&data);
+    }
+    Ok(Some(all.freeze()))
+}
+
 /// Room in the memory for a body.
-struct Room<'a>(&'a AtomicUsize, usize);
-
-impl<'a> Room<'a> {
-    /// Takes so many bytes of what may be held in all, if they are left.
-    fn take(held: &'a AtomicUsize, bytes: usize, most: usize) -> Option<Self> {
-        let before = held.fetch_add(bytes, Ordering::Relaxed);
-        let room = Self(held, bytes);
-        (before + bytes <= most).then_some(room)
+struct Room<'a> {
+    held: &'a AtomicUsize,
+    bytes: usize,
+    most: usize,
+}
+
+impl Room<'_> {
+    /// Takes so many bytes more of what may be held in all, if they are left.
+    fn grow(&mut self, bytes: usize) -> bool {
+        let before = self.held.fetch_add(bytes, Ordering::Relaxed);
+        self.bytes += bytes;
+        before + bytes <= self.most
     }
 }
 
 impl Drop for Room<'_> {
     fn drop(&mut self) {
-        self.0.fetch_sub(self.1, Ordering::Relaxed);
+        self.held.fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
 
@@ -493,7 +558,7 @@
 }
 
 fn status(code: StatusCode) -> Reply {
-    let mut reply = Response::new(Full::default());
+    let mut reply = Response::new(ReplyBody::from(Bytes::new()));
     *reply.status_mut() = code;
     reply
 }
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -232,3 +232,103 @@
     assert_eq!(figures["balancer_config_rejected"], files.len() as f64);
     assert_eq!(figures["balancer_config_applied"], 0.0);
 }
+
+/// A body of this many bytes that is not the same anywhere.
+fn large(bytes: usize) -> String {
+    (0..bytes / 8).map(|at| format!("{at:07} ")).collect()
+}
+
+#[test]
+fn large_bodies_and_answers_pass_unchanged_and_their_connections_are_used_again() {
+    let answer = large(3 << 20);
+    let chunked = {
+        let parts = answer
+            .as_bytes()
+            .chunks(100_000)
+            .map(|part| format!("{:x}\r\n{}\r\n", part.len(), std::str::from_utf8(part).unwrap()));
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}0\r\n\r\n", parts.collect::<String>())
+    };
+    let (whole, sent) = (answer.clone(), large(2 << 20));
+    let upstream = Upstream::start(move |message| match message.first_line.contains("pay") {
+        true => Act::Answer(chunked.clone()),
+        false => Act::Answer(ok(&whole)),
+    });
+    let (program, admin) = Program::start_with_admin(&config(refusing(), &in_service(&[&upstream])));
+    let mut caller = program.connect();
+    for _ in 0..3 {
+        let got = caller.call("post", LONG, &sent).expect("an answer");
+        assert!(got.status() == 200 && got.body == answer.as_bytes(), "{}", got.first_line);
+        assert!(upstream.request().body == sent.as_bytes());
+    }
+    caller.send("pay", LONG, "b");
+    assert!(caller.chunked_answer().expect("an answer") == answer.as_bytes());
+    let connections = upstream.seen.try_iter().filter(|seen| matches!(seen, Seen::Connected)).count();
+    assert_eq!(connections, 0, "the first connection serves them all");
+    assert_eq!(admin.figures()[r#"balancer_ok{kind="post"}"#], 3.0);
+    assert_eq!(admin.figures()["balancer_active"], 0.0);
+}
+
+/// Guards the memory: answers of many callers that read nothing must not be held here.
+#[test]
+fn answers_that_nobody_reads_take_no_memory() {
+    let upstream = Upstream::start(|_| Act::Answer(ok(&large(16 << 20))));
+    let (program, admin) = Program::start_with_admin(&config(refusing(), &in_service(&[&upstream])));
+    program.call("look");
+    let before = program.memory();
+    let mut callers: Vec<_> = (0..12).map(|_| program.connect()).collect();
+    callers.iter_mut().for_each(|caller| caller.send("look", LONG, ""));
+    for caller in &mut callers {
+        caller.await_data();
+    }
+    let grown = program.memory().saturating_sub(before);
+    assert!(grown < 16 << 10, "{grown} KiB more for 192 MiB of answers");
+    assert_eq!(admin.figures()["balancer_active"], 12.0);
+    let mut last = callers.pop().unwrap();
+    assert_eq!(last.answer().expect("an answer").body.len(), large(16 << 20).len());
+    drop(callers);
+    while admin.figures()["balancer_active"] > 0.0 {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert_eq!(program.call("look").status(), 200);
+}
+
+#[test]
+fn an_answer_that_breaks_off_shows_to_its_caller_and_is_not_tried_again() {
+    let broken = format!("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n{}", large(200_000));
+    let upstream = Upstream::start(move |_| Act::AnswerAndClose(broken.clone()));
+    let (program, admin) = Program::start_with_admin(&config(refusing(), &in_service(&[&upstream])));
+    let mut caller = program.connect();
+    caller.send("look", LONG, "");
+    assert!(caller.answer().is_none(), "the answer is short of its length");
+    assert_eq!(upstream.requests(), 1);
+    while admin.figures()["balancer_active"] > 0.0 {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert_eq!(admin.figures()[r#"balancer_errors{kind="look"}"#], 1.0);
+}
+
+#[test]
+fn bodies_beyond_the_memory_are_refused_and_slow_ones_waited_for() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let mut settings = config(refusing(), &in_service(&[&upstream]));
+    settings["limits"]["memory_mb"] = 24.into();
+    let (program, _) = Program::start_with_admin(&settings);
+    let start = |length: usize| {
+        let mut caller = program.connect();
+        let head =
+            request("post", LONG, "").replace("Content-Length: 0", &format!("Content-Length: {length}"));
+        caller.write(&head);
+        caller
+    };
+    let (mut first, mut second) = (start(5 << 20), start(64 << 10));
+    let mut third = start(5 << 20);
+    assert_eq!(third.answer().expect("an answer").status(), 503, "the first two have the room");
+    assert_eq!(start(40 << 20).answer().expect("an answer").status(), 413);
+    // Longer than any head may take: what counts is that it goes on.
+    for part in large(64 << 10).as_bytes().chunks(4 << 10) {
+        second.write(std::str::from_utf8(part).unwrap());
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    assert_eq!(second.answer().expect("an answer").status(), 200);
+    assert!(first.answer().is_none(), "a body that does not come is not waited for");
+}
