A successor takes over what its predecessor has learned

Need: a process that starts beside its predecessor at an upgrade knows no latencies, rates or breakers.

--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -338,3 +338,50 @@
     /// A line for the operators.
     Log(String),
 }
+
+/// A latency that was learned, in nanoseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LearnedLatency {
+    /// Its mean.
+    pub mean: f64,
+    /// Its mean deviation.
+    pub dev: f64,
+    /// What it is in calm times.
+    pub calm: f64,
+    /// Calls that it rests on.
+    pub calls: u32,
+}
+
+/// What was learned of a server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LearnedServer {
+    /// The server.
+    pub server: ServerId,
+    /// When its process started: nothing of this holds for another one.
+    pub started: Option<Time>,
+    /// How long its calls take, as a multiple of their class's mean.
+    pub slowness: f64,
+    /// How often its breaker opened lately.
+    pub opens: u32,
+    /// For how much longer its breaker stays open, if it has tripped.
+    pub open_for: Option<Duration>,
+}
+
+/// What a balancer has learned that is worth knowing for the process that takes over from it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Learned {
+    /// Latencies of classes, by position.
+    pub classes: Vec<(usize, LearnedLatency)>,
+    /// The latency of all calls.
+    pub overall: LearnedLatency,
+    /// Answers a second.
+    pub rate: f64,
+    /// Answers counted lately.
+    pub answers: f64,
+    /// Requests held meanwhile, each as one over its aim, summed over that time.
+    pub held: f64,
+    /// Part of the attempts that fail.
+    pub failing: f64,
+    /// What is known of servers.
+    pub servers: Vec<LearnedServer>,
+}
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -228,6 +228,54 @@
         Ok(())
     }
 
+    /// What is worth knowing for a process that takes over.
+    pub fn learned(&self) -> Learned {
+        let window = self.answer_window();
+        let servers = self.index.values().map(|&at| &self.servers[at]);
+        Learned {
+            classes: self.classes.iter().map(Latency::told).enumerate().collect(),
+            overall: self.overall.told(),
+            rate: self.served.per_second(self.now, RATE_WINDOW),
+            answers: self.shed.answers.get(self.now, window),
+            held: self.shed.held.get(self.now, window),
+            failing: self.failing,
+            servers: servers.map(|server| server.told(self.now)).collect(),
+        }
+    }
+
+    /// Takes what a predecessor has learned, where nothing is known yet. It goes on sending for a while, so its
+    /// rate counts by half: the two together must not send cold servers more than one would.
+    pub fn learn_from(&mut self, now: Time, learned: &Learned) {
+        self.now = self.now.max(now);
+        let classes = learned.classes.iter().map(|(at, told)| (Some(*at), told));
+        for (at, told) in classes.chain([(None, &learned.overall)]) {
+            let own = at.map_or(Some(&mut self.overall), |at| self.classes.get_mut(at));
+            own.filter(|own| own.calls == 0).into_iter().for_each(|own| *own = Latency::from_told(told));
+        }
+        if self.served.sum == 0.0 {
+            self.served = Recent::carried(learned.rate / 2.0, self.now, RATE_WINDOW);
+            self.fresh_until = self.now;
+            (self.shed.answers.sum, self.shed.answers.at) = (learned.answers, self.now);
+            // A jam is believed when it is seen: with two processes at work, it may be over.
+            let held = learned.held.min(SHED_BETWEEN.0 * learned.answers);
+            (self.shed.held.sum, self.shed.held.at) = (held, self.now);
+            self.failing = learned.failing;
+        }
+        for told in &learned.servers {
+            let Some(&at) = self.index.get(&told.server) else { continue };
+            let server = &mut self.servers[at];
+            if server.started != told.started || server.answered_at > 0 {
+                continue;
+            }
+            server.slowness = told.slowness;
+            server.breaker.opens = told.opens;
+            if let Some(open_for) = told.open_for {
+                server.breaker.open_until = self.now.saturating_add(open_for.min(OPEN.1));
+                self.set_tripped(at, true);
+            }
+        }
+    }
+
     /// Listed servers that take work and are passed over by their breakers.
     pub fn avoided(&self) -> usize {
         self.pools.last().map_or(0, |all| all.tripped)
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -1,7 +1,7 @@
 //! What a balancer remembers: plain records and averages. Nothing here decides anything; the constants that
 //! steer the averages are handed in by `policy.rs`.
 
-use crate::api::{Duration, ServerId, Time};
+use crate::api::{Duration, LearnedLatency, LearnedServer, ServerId, Time};
 
 /// What is known of a server.
 #[derive(Debug, Default)]
@@ -46,6 +46,13 @@
         self.peak * (-(now.saturating_sub(self.peak_at) as f64) / fade as f64).exp()
     }
 
+    /// What a successor is told of it.
+    pub fn told(&self, now: Time) -> LearnedServer {
+        let open_for = self.breaker.tripped.then(|| self.breaker.open_until.saturating_sub(now));
+        let Self { id: server, started, slowness, breaker: Breaker { opens, .. }, .. } = *self;
+        LearnedServer { server, started, slowness, opens, open_for }
+    }
+
     pub fn learn_peak(&mut self, now: Time, fade: Duration) {
         self.peak = self.peak(now, fade).max(f64::from(self.in_flight));
         self.peak_at = now;
@@ -175,6 +182,17 @@
 }
 
 impl Latency {
+    /// What a successor is told of it.
+    pub fn told(&self) -> LearnedLatency {
+        let Self { mean, dev, calm, calls } = *self;
+        LearnedLatency { mean, dev, calm, calls }
+    }
+
+    pub fn from_told(told: &LearnedLatency) -> Self {
+        let LearnedLatency { mean, dev, calm, calls } = *told;
+        Self { mean, dev, calm, calls }
+    }
+
     /// So many mean deviations above the mean.
     pub fn above(&self, devs: f64) -> Duration {
         (self.mean + devs * self.dev).max(1e6) as Duration
@@ -203,6 +221,11 @@
         Self { sum: 0.0, at: now, since: now }
     }
 
+    /// A sum that has come to a rate before.
+    pub fn carried(per_second: f64, now: Time, window: Duration) -> Self {
+        Self { sum: per_second * window as f64 / 1e9, at: now, since: now.saturating_sub(8 * window) }
+    }
+
     /// The sum for each second, right from the first second on.
     pub fn per_second(&self, now: Time, window: Duration) -> f64 {
         let seen = 1.0 - (-(now.saturating_sub(self.since) as f64) / window as f64).exp();
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -2,11 +2,11 @@
 
 use crate::members::{Entry, Members, Peer};
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 use woadstall_decisions::Balancer;
 use woadstall_decisions::api::{
-    Action, Demand, Duration, End, Event, Lifecycle, LoadReport, Outcome, RequestId, ServerId, Settings,
-    SettingsError, Time,
+    Action, Demand, Duration, End, Event, Learned, Lifecycle, LoadReport, Outcome, RequestId, ServerId,
+    Settings, SettingsError, Time,
 };
 
 /// The safety net answers this much after a request's time, when the module should long have done so.
@@ -266,6 +266,22 @@
         Ok(())
     }
 
+    /// The names of the upstreams that are listed.
+    pub fn names(&self) -> &BTreeMap<String, ServerId> {
+        self.members.names()
+    }
+
+    /// What is worth knowing for a process that takes over.
+    pub fn learned(&self) -> Learned {
+        self.balancer.learned()
+    }
+
+    /// Takes what a predecessor has learned.
+    pub fn learn_from(&mut self, now: Time, learned: &Learned) {
+        self.now = self.now.max(now);
+        self.balancer.learn_from(self.now, learned);
+    }
+
     /// How many of them take work and are avoided all the same.
     pub fn avoided(&self) -> usize {
         self.balancer.avoided()
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -22,4 +22,6 @@
 pub use engine::{Call, Command, Ended, Engine, Input, NET_AFTER, Send, Verdict};
 pub use members::{Entry, Peer};
 pub use woadstall_decisions::api as decisions;
-pub use woadstall_decisions::api::{Lifecycle, LoadReport, Outcome, RequestId, ServerId, Settings, Time};
+pub use woadstall_decisions::api::{
+    Learned, Lifecycle, LoadReport, Outcome, RequestId, ServerId, Settings, Time,
+};
--- a/crates/engine/src/members.rs
+++ b/crates/engine/src/members.rs
@@ -111,6 +111,11 @@
         self.by_id.get(&peer.server).filter(same).is_some_and(|member| member.in_service)
     }
 
+    /// The names of all, in order.
+    pub fn names(&self) -> &BTreeMap<String, ServerId> {
+        &self.ids
+    }
+
     pub fn len(&self) -> usize {
         self.ids.len()
     }
--- a/crates/runtime/src/balance.rs
+++ b/crates/runtime/src/balance.rs
@@ -2,6 +2,7 @@
 
 use crate::slot::{Order, Slot};
 use crate::{Clock, Step, Transport};
+use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
@@ -16,7 +17,8 @@
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use woadstall_discovery::{Follow, Listing, Update, follow};
 use woadstall_engine::{
-    Call, Command, Ended, Engine, Input, Outcome, Peer, RequestId, Send as Attempt, Settings, Time, Verdict,
+    Call, Command, Ended, Engine, Input, Learned, Outcome, Peer, RequestId, Send as Attempt, ServerId,
+    Settings, Time, Verdict,
 };
 use woadstall_settings::{Change, Names};
 
@@ -287,6 +289,20 @@
         self.shared.lock().engine.retune(settings, &heirs).map_err(|error| format!("settings: {error}"))
     }
 
+    /// What is worth knowing for a process that takes over, and the names of the upstreams in it.
+    pub fn learned(&self) -> (Learned, HashMap<ServerId, String>) {
+        let locked = self.shared.lock();
+        let names = locked.engine.names().iter().map(|(name, server)| (*server, name.clone()));
+        (locked.engine.learned(), names.collect())
+    }
+
+    /// Takes what a predecessor has learned of the upstreams that are listed here.
+    pub fn learn_from(&self, learned: impl FnOnce(&BTreeMap<String, ServerId>) -> Learned) {
+        let mut locked = self.shared.lock();
+        let learned = learned(locked.engine.names());
+        locked.engine.learn_from(self.shared.clock.now(), &learned);
+    }
+
     /// How many upstreams are listed, and how many of them are avoided.
     pub fn upstreams(&self) -> (usize, usize) {
         let locked = self.shared.lock();
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -4,6 +4,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use woadstall_decisions::api::Settings;
 use woadstall_discovery::Listing;
 use woadstall_settings::Names;
@@ -24,6 +25,8 @@
     pub admin: Option<SocketAddr>,
     /// Where discovery is.
     pub discovery: SocketAddr,
+    /// A folder that a successor shares, if there is one.
+    pub shared: Option<PathBuf>,
     /// Seed of the random numbers, new with each start.
     pub seed: u64,
     /// What may be held.
@@ -98,6 +101,7 @@
             listen: address("listen", listen.or(raw.listen))?,
             admin: variable("LB_ADMIN").or(raw.admin).map(|text| address("admin", Some(text))).transpose()?,
             discovery: address("discovery", discovery.or(raw.discovery))?,
+            shared: variable("TMPDIR").map(PathBuf::from),
             seed: u64::from_str_radix(&raw.seed, 16)
                 .map_err(|_| format!("`seed` is not a hexadecimal number: {:?}", raw.seed))?,
             limits: Limits { callers: share, upstreams: share, memory: memory.saturating_mul(1 << 20) },
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,6 +19,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use woadstall_handover::{State, socket};
 use woadstall_runtime::{Balance, Setup};
 use woadstall_settings::Terms;
 use woadstall_transport::Http1;
@@ -81,23 +82,7 @@
 impl Daemon {
     /// Listens and serves. The error is one line that names the setting at fault.
     pub async fn start(config: Config) -> Result<Self, String> {
-        let failed = |error: io::Error| format!("`listen` {}: {error}", config.listen);
-        let listener = listen(config.listen).map_err(failed)?;
-        let address = listener.local_addr().map_err(failed)?;
-        log(format_args!("listening on {address}"));
-        let operators = match config.admin {
-            Some(admin) => {
-                let failed = |error: io::Error| format!("`admin` {admin}: {error}");
-                let listener = TcpListener::bind(admin).await.map_err(failed)?;
-                log(format_args!("operators call at {}", listener.local_addr().map_err(failed)?));
-                Some(listener)
-            }
-            None => None,
-        };
-
         let config = Arc::new(config);
-        let (stop, stopping) = watch::channel(false);
-        let (discovery, discovery_at) = watch::channel(config.discovery);
         let keep = Duration::from_nanos(config.settings.conn_idle);
         let transport =
             Http1::new(&config.names, keep, config.limits.upstreams, WHOLE_ANSWER).passing_on(MOST_BODY);
@@ -108,15 +93,39 @@
             known: config.known.clone(),
         };
         let balance = Balance::new(setup, transport, Arc::new(log))?;
-        balance.follow(discovery_at);
         let figures = Arc::new(Figures::new(config.names.classes.iter().map(String::as_str))?);
+        take_over(&config, &balance).await;
+        // Last, as a process that listens beside its predecessor is given connections at once.
+        let operators = match config.admin {
+            Some(admin) => Some(TcpListener::bind(admin).await.map_err(|e| format!("`admin` {admin}: {e}"))?),
+            None => None,
+        };
+        let failed = |error: io::Error| format!("`listen` {}: {error}", config.listen);
+        let listener = listen(config.listen).map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        log(format_args!("listening on {address}"));
+
+        let (stop, stopping) = watch::channel(false);
+        let (discovery, discovery_at) = watch::channel(config.discovery);
+        balance.follow(discovery_at);
+        let terms = Terms::new(config.settings.clone(), config.names.clone());
+        let (terms, in_service) = watch::channel(Arc::new(InService { terms, since: None }));
+        if let Some(folder) = &config.shared {
+            let told = (balance.clone(), in_service.clone());
+            let state = move || state(&told.0, &told.1.borrow().terms);
+            match socket::listen(&socket::path(folder, address)) {
+                Ok(listener) => drop(tokio::spawn(socket::tell(listener, state))),
+                Err(error) => log(format_args!("no successor can ask: {error}")),
+            }
+        }
         let (away, sent_away) = watch::channel(false);
         if let Some(operators) = operators {
+            if let Ok(at) = operators.local_addr() {
+                log(format_args!("operators call at {at}"));
+            }
             let admin = admin::Admin::new(balance.clone(), figures.clone(), stopping.clone(), away);
             tokio::spawn(admin.run(operators));
         }
-        let terms = Terms::new(config.settings.clone(), config.names.clone());
-        let (terms, in_service) = watch::channel(Arc::new(InService { terms, since: None }));
         let server = server::Server::new(config, balance.clone(), figures.clone(), in_service, sent_away);
         let serving = tokio::spawn(server.run(listener, stopping));
         Ok(Self { address, figures, discovery, balance, terms, stop, serving })
@@ -159,6 +168,30 @@
     }
 }
 
+/// Takes over what a predecessor at the same address has learned, if there is one in the folder that they share.
+async fn take_over(config: &Config, balance: &Balance<Http1>) {
+    // At port 0 there is nobody before.
+    let Some(folder) = config.shared.as_deref().filter(|_| config.listen.port() != 0) else { return };
+    match socket::ask(&socket::path(folder, config.listen)).await {
+        Ok(None) => {}
+        Ok(Some(state)) => {
+            let class = |name: &str| config.names.class(name);
+            balance.learn_from(|upstreams| state.learned(class, |name| upstreams.get(name).copied()));
+            log(format_args!("taken over what the process before has learned"));
+        }
+        Err(error) => log(format_args!("nothing taken over from the process before: {error}")),
+    }
+}
+
+fn state(balance: &Balance<Http1>, terms: &Terms) -> State {
+    let (learned, names) = balance.learned();
+    let class = |at: usize| {
+        let name = terms.names().classes.get(at)?.as_str();
+        (terms.class(name) == Some(at)).then_some(name)
+    };
+    State::new(&learned, class, |server| names.get(&server).cloned())
+}
+
 /// Serves until a signal to stop, and then until all that was taken is answered. The error is one line.
 pub async fn run(config: Config) -> Result<(), String> {
     let failed = |what: &str, error: io::Error| format!("{what}: {error}");
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -26,7 +26,10 @@
     pub fn start_with(config: &serde_json::Value, environment: &[(&str, String)]) -> Self {
         let (mut child, mut log, config) = spawn(&config.to_string(), environment);
         let mut line = String::new();
-        log.read_line(&mut line).unwrap();
+        while !line.contains("listening on ") {
+            line.clear();
+            assert!(log.read_line(&mut line).unwrap() > 0, "the program has ended before it listened");
+        }
         let address = line.trim().rsplit(' ').next().unwrap().parse();
         let address = address.unwrap_or_else(|_| {
             child.kill().ok();
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -332,3 +332,65 @@
     assert_eq!(second.answer().expect("an answer").status(), 200);
     assert!(first.answer().is_none(), "a body that does not come is not waited for");
 }
+
+/// A folder that two programs share.
+fn shared(name: &str) -> std::path::PathBuf {
+    let folder =
+        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+#[test]
+fn a_successor_knows_what_its_predecessor_has_learned() {
+    let folder = shared("upgrade");
+    let environment = [("TMPDIR", folder.to_str().unwrap().to_owned())];
+    let sound = Upstream::start(|_| Act::Answer(ok("done")));
+    let broken = Upstream::start(|_| Act::Answer("HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n".into()));
+    let mut settings = config(refusing(), &in_service(&[&sound, &broken]));
+    let (first, operators) = Program::start_in(&settings, &environment);
+    while operators.figures()["balancer_pool_ejected"] == 0.0 {
+        assert_eq!(first.call("look").status(), 200);
+    }
+    settings["listen"] = first.address.to_string().into();
+    let (second, operators) = Program::start_in(&settings, &environment);
+    assert_eq!(operators.figures()["balancer_pool_ejected"], 1.0, "before its first call");
+    // The second can be asked in turn.
+    first.terminate();
+    assert!(first.end().0.success());
+    let (third, operators) = Program::start_in(&settings, &environment);
+    assert_eq!(operators.figures()["balancer_pool_size"], 2.0);
+    drop(second);
+    assert_eq!(third.call("look").status(), 200);
+    std::fs::remove_dir_all(folder).ok();
+}
+
+/// Guards the start: whatever is at the path where a predecessor would be, the new process serves.
+#[test]
+fn a_predecessor_that_hangs_or_talks_nonsense_holds_up_no_start() {
+    use std::io::Write;
+    let folder = shared("nonsense");
+    let environment = [("TMPDIR", folder.to_str().unwrap().to_owned())];
+    let upstream = Upstream::start(|_| Act::Answer(ok("done")));
+    let mut settings = config(refusing(), &in_service(&[&upstream]));
+    let (first, _) = Program::start_in(&settings, &environment);
+    settings["listen"] = first.address.to_string().into();
+    let path = folder.join(format!("woadstall-127.0.0.1-{}.state", first.address.port()));
+    for nonsense in ["", "{\"version\":9}", "{\"version\":1,\"classes\""] {
+        std::fs::remove_file(&path).unwrap();
+        let listener = std::os::unix::net::UnixListener::bind(&path).unwrap();
+        let (served, wait) = std::sync::mpsc::channel::<()>();
+        let talks = std::thread::spawn(move || {
+            let mut stream = listener.accept().unwrap().0;
+            stream.write_all(nonsense.as_bytes()).unwrap();
+            if nonsense.is_empty() {
+                wait.recv().ok(); // it hangs until the other one serves
+            }
+        });
+        let second = Program::start_with(&settings, &environment);
+        assert_eq!(second.call("look").status(), 200);
+        drop(served);
+        talks.join().unwrap();
+    }
+    std::fs::remove_dir_all(folder).ok();
+}
