--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -1012,7 +1012,7 @@
         self.hold(0.0);
         let lateness = self.expected_lateness();
         let answers = self.shed.answers.get(self.now, self.answer_window());
-        let noise = SHED_NOISE / answers.max(f64::from(KNOWN)).sqrt();
+        let noise = SHED_NOISE / answers.max(1.0).sqrt();
         let level = (lateness - SHED_BETWEEN.0 - noise) / (SHED_BETWEEN.1 - SHED_BETWEEN.0);
         if (level > 0.0) != self.shedding {
             self.shedding = level > 0.0;
