--- a/crates/settings/src/terms.rs
+++ b/crates/settings/src/terms.rs
@@ -161,7 +161,7 @@
         let (settings, names) = terms(&[("look", "read_like")]);
         let first = Terms::new(settings.clone(), names.clone());
         let wrong = |settings: &Settings, names: &Names, text: &str| {
-            let error = first.retune(settings, names).err().expect(text);
+            let error = first.retune(settings, names).expect_err(text);
             assert!(error.contains(text), "{error}");
         };
         wrong(&Settings { tier: 1, ..settings.clone() }, &names, "`Layer`");
--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -374,10 +374,9 @@
         let done = ready!(self.poll_io(|tcp| tcp.poll_write_ready(cx), |tcp| tcp.try_write_vectored(parts)))?;
         // All that hyper had is written, and it had all.
         let offered: usize = parts.iter().map(|part| part.len()).sum();
-        if done == offered && self.progress.body_taken.load(Ordering::Relaxed) {
-            if !self.progress.written.swap(true, Ordering::Relaxed) {
-                self.progress.all.fetch_add(1, Ordering::Relaxed);
-            }
+        let whole = done == offered && self.progress.body_taken.load(Ordering::Relaxed);
+        if whole && !self.progress.written.swap(true, Ordering::Relaxed) {
+            self.progress.all.fetch_add(1, Ordering::Relaxed);
         }
         Poll::Ready(Ok(done))
     }
