--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -243,8 +243,8 @@
         }
     }
 
-    /// Takes what a predecessor has learned, where nothing is known yet. It goes on sending for a while, so its
-    /// rate counts by half: the two together must not send cold servers more than one would.
+    /// Takes what a predecessor has learned, where nothing is known yet. It goes on sending for a while, so
+    /// its rate counts by half: the two together must not send cold servers more than one would.
     pub fn learn_from(&mut self, now: Time, learned: &Learned) {
         self.now = self.now.max(now);
         let classes = learned.classes.iter().map(|(at, told)| (Some(*at), told));
