The stop looks at the settings in service without a copy of them

Need: on reading the change again, the server copied all terms to find the longest deadline. Change: the shared ones are looked at. Measured: the test of an orderly stop passes.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -240,8 +240,9 @@
         }
         server.take_rest(listener, &closing);
         close.send_replace(true);
-        let terms = server.in_service.borrow().terms.clone();
-        let longest = terms.settings().classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+        let in_service = server.in_service.borrow().clone();
+        let longest =
+            in_service.terms.settings().classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let all_left = async {
             while server.count() > 0 {
                 server.left.notified().await;
