Shedding looks its answers up once for each request

Need: on reading the change again, each request computed the answer window and its answers twice, once for the lateness and once for chance.

Change: expected_lateness tells both.

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -1010,8 +1010,7 @@
             same += if other == worth { work } else { 0.0 };
         }
         self.hold(0.0);
-        let lateness = self.expected_lateness();
-        let answers = self.shed.answers.get(self.now, self.answer_window());
+        let (lateness, answers) = self.expected_lateness();
         let noise = SHED_NOISE / answers.max(1.0).sqrt();
         let level = (lateness - SHED_BETWEEN.0 - noise) / (SHED_BETWEEN.1 - SHED_BETWEEN.0);
         if (level > 0.0) != self.shedding {
@@ -1022,13 +1021,13 @@
         self.rng.f64() * same < level.clamp(0.0, SHED_MOST) * total - below
     }
 
-    /// Time to an answer, as part of the aim, that a new request can expect: the requests held over the
-    /// answers a second. Unlike the latency of answers, it shows a jam while that builds up. In a full jam
-    /// no answers come, so fewer than tell more than chance are taken for that many.
-    fn expected_lateness(&self) -> f64 {
+    /// Time to an answer, as part of the aim, that a new request can expect, and the answers it rests on:
+    /// the requests held over the answers a second. Unlike the latency of answers, it shows a jam while that
+    /// builds up. In a full jam no answers come, so fewer than tell more than chance are taken for that many.
+    fn expected_lateness(&self) -> (f64, f64) {
         let window = self.answer_window();
         let answers = self.shed.answers.get(self.now, window);
-        self.shed.held.get(self.now, window) / answers.max(f64::from(KNOWN))
+        (self.shed.held.get(self.now, window) / answers.max(f64::from(KNOWN)), answers)
     }
 
     /// A caller with few calls needs longer to see enough answers, or a jam looks like chance to it.
