Attempts begin only while they are wanted, and tell the time left as of their first byte

X-Budget was computed in Http1::attempt before the dial (`forwarded` with `attempt.left`), so that a connection that came up 1 s late told 1 s too much. 2. Where settings forbid cancelling, `Held::drop` left an attempt running whose connection was still dialled, and its first byte went out for a caller that had left. 3. `Balancer::harmless` looked at a keyed window when a repeat was decided on, not when it was written. 4. `exchange` waited for a connection to be ready behind an answer that came before the request's last byte; where the upstream never reads the rest, a 503 with X-Rejected was lost, and the request failed at its deadline. 5. A list that came between the decision and the call's own task found nothing to retire, and the attempt opened a new connection.

`runtime::Attempt` is asked for leave right before the first byte: none after the caller's time, after `begin_by` (the window of a keyed request's first attempt) or once it is revoked. What has not begun by its end never ran. The budget is written with that leave, over HTTP/1.1 and HTTP/2. An attempt given up shuts its sending side at once instead of with the aborted task.

--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -328,6 +328,9 @@
         server: ServerId,
         /// When the attempt is given up.
         until: Time,
+        /// From then on its first byte may no longer be written, as when a connection came up too late. It then ends
+        /// as `Outcome::Moot`.
+        begin_by: Time,
     },
     /// Final answer: refused, and trying again is harmless.
     Refuse {
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -461,6 +461,7 @@
 
     fn send(&mut self, id: RequestId, mut request: Request, at: usize) {
         let (until, latency) = (self.attempt_limit(&request), &self.classes[request.class]);
+        let begin_by = self.repeat_until(&request);
         if latency.calls >= KNOWN {
             let token = u64::from(request.attempts) << 32 | u64::from(id.0);
             self.actions.push(Action::SetTimer { after: latency.above(LATE_DEVS), token });
@@ -473,7 +474,7 @@
         server.learn_peak(now, SPARE.1);
         server.budget -= if budgeted { 1.0 } else { 0.0 };
         server.breaker.trial |= server.breaker.tripped;
-        self.actions.push(Action::Send { id, server: server.id, until });
+        self.actions.push(Action::Send { id, server: server.id, until, begin_by });
         request.trial = server.breaker.tripped;
         request.sent = Some((at, now));
         request.attempts += 1;
@@ -1137,7 +1138,15 @@
         match (self.settings.classes[request.class].effect, request.may_have_run) {
             (_, None) | (Effect::Safe, _) => true,
             (Effect::Unsafe, _) => false,
-            (Effect::Keyed(_, window), Some((_, sent))) => self.now < sent.saturating_add(window),
+            (Effect::Keyed(..), Some(_)) => self.now < self.repeat_until(request),
+        }
+    }
+
+    /// When a repeat of keyed work must have begun: servers may have forgotten the first attempt by then.
+    fn repeat_until(&self, request: &Request) -> Time {
+        match (self.settings.classes[request.class].effect, request.may_have_run) {
+            (Effect::Keyed(_, window), Some((_, sent))) => sent.saturating_add(window),
+            _ => Time::MAX,
         }
     }
 
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -145,8 +145,10 @@
     pub to: Peer,
     /// When it is given up.
     pub until: Time,
-    /// What the upstream is told that the caller still waits, counted from now.
-    pub left: Duration,
+    /// From then on its first byte may no longer be written; it then ends as [`Outcome::Moot`].
+    pub begin_by: Time,
+    /// When its caller stops waiting. The upstream is told how long that is from when the attempt is written.
+    pub deadline: Time,
 }
 
 /// The final answer to a request.
@@ -444,7 +446,7 @@
 
     // ---- Attempts ----
 
-    fn send(&mut self, id: RequestId, server: ServerId, until: Time) {
+    fn send(&mut self, id: RequestId, server: ServerId, until: Time, begin_by: Time) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let (attempt, until) = (open.attempts, until.min(open.deadline));
         open.attempts += 1;
@@ -462,8 +464,8 @@
             return self.pending.push_back((id, end));
         };
         open.out.push((attempt, self.now, server));
-        let left = open.deadline - self.now;
-        self.commands.push_back(Command::Send(Send { id, attempt, to, until, left }));
+        let deadline = open.deadline;
+        self.commands.push_back(Command::Send(Send { id, attempt, to, until, begin_by, deadline }));
     }
 
     fn on_started(&mut self, id: RequestId, attempt: u32, answer: A) {
@@ -522,7 +524,7 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { id, server, until } => self.send(id, server, until),
+            Action::Send { id, server, until, begin_by } => self.send(id, server, until, begin_by),
             Action::Refuse { id, retry_after } => self.answer(id, Verdict::Refused(retry_after)),
             Action::Fail(id) => self.answer(id, Verdict::Failed),
             Action::Cancel { id, attempt } => {
--- a/crates/engine/tests/properties.rs
+++ b/crates/engine/tests/properties.rs
@@ -192,7 +192,8 @@
         taken.attempts = send.attempt + 1;
         assert!(taken.attempts <= taken.most.min(self.max_attempts), "more attempts than allowed");
         assert!(self.now < send.until && send.until <= taken.deadline);
-        assert_eq!(send.left, taken.deadline - self.now);
+        assert_eq!(send.deadline, taken.deadline);
+        assert!(self.now < send.begin_by);
         // Rule 2: unsafe work that may have run is not sent again, keyed work within its window only.
         match (taken.class, taken.may_have_run) {
             (1, Some(_)) => panic!("unsafe work is sent again"),
--- a/crates/lab/src/rivals.rs
+++ b/crates/lab/src/rivals.rs
@@ -287,7 +287,8 @@
         let (attempt, until) = (open.attempts, open.deadline);
         open.attempts += 1;
         let to = Peer { server: server.id, address, boot_ms: server.boot_ms };
-        self.commands.push_back(Command::Send(Send { id, attempt, to, until, left: until - now }));
+        let send = Send { id, attempt, to, until, begin_by: Time::MAX, deadline: until };
+        self.commands.push_back(Command::Send(send));
     }
 
     fn give_up(&mut self, id: RequestId) {
--- a/crates/plugin/src/wire.rs
+++ b/crates/plugin/src/wire.rs
@@ -4,8 +4,8 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::time::Duration;
-use woadstall_engine::{LoadReport, Outcome, Peer, Send as Attempt, ServerId};
-use woadstall_runtime::{Step, Transport};
+use woadstall_engine::{LoadReport, Outcome, Peer, ServerId};
+use woadstall_runtime::{Attempt, Step, Transport};
 use woadstall_transport::{Http1, Http2, Inbound, Outbound};
 
 pub(crate) enum Wire {
--- a/crates/runtime/src/balance.rs
+++ b/crates/runtime/src/balance.rs
@@ -1,7 +1,7 @@
 //! The engine behind a mutex, calls that drive their own attempts, and the tasks that go with them.
 
 use crate::slot::{Order, Slot};
-use crate::{Clock, Step, Transport};
+use crate::{Attempt, Clock, Step, Transport};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::future::{Future, poll_fn};
@@ -19,7 +19,7 @@
 use woadstall_engine::decisions::{Verdict as Finding, ZoneId};
 use woadstall_engine::{
     Call, Command, Ended, Engine, Input, Learned, Listed, Observed, Outcome, Outstanding, Peer, RequestId,
-    Send as Attempt, ServerId, Settings, Time, Verdict,
+    Send as SendOrder, ServerId, Settings, Time, Verdict,
 };
 use woadstall_settings::{Change, Names};
 
@@ -392,13 +392,20 @@
     }
 }
 
+/// An attempt that is out.
+struct Outgoing<A> {
+    number: u32,
+    attempt: Attempt,
+    running: Running<A>,
+}
+
 /// A call and the attempt that it has out.
 struct Held<T: Transport> {
     shared: Arc<Shared<T>>,
     id: RequestId,
     slot: Arc<Slot>,
     request: T::Request,
-    running: Option<(u32, Running<T::Answer>)>,
+    running: Option<Outgoing<T::Answer>>,
     /// The attempt whose answer has begun, until that is handed over: its end is this call's to tell.
     begun: Option<u32>,
     answered: bool,
@@ -413,16 +420,15 @@
                     return Poll::Ready(Ok(order));
                 }
                 match &mut self.running {
-                    Some((_, running)) => running.as_mut().poll(cx).map(Err),
+                    Some(out) => out.running.as_mut().poll(cx).map(Err),
                     None => Poll::Pending,
                 }
             });
             match event.await {
                 Ok(Order::Send(send)) => self.start(&send),
                 Ok(Order::Withdraw(attempt)) => {
-                    if let Some((_, running)) = self.running.take_if(|(number, _)| *number == attempt) {
-                        drop(running);
-                        self.shared.ended(self.id, attempt, Outcome::Cancelled.into());
+                    if let Some(out) = self.running.take_if(|out| out.number == attempt) {
+                        self.withdraw(out);
                     }
                 }
                 Ok(Order::Answer(verdict)) => {
@@ -439,13 +445,13 @@
                     };
                 }
                 Err(Step::Ended(Ended { outcome, answer, load })) => {
-                    let Some((attempt, _)) = self.running.take() else { continue };
+                    let Some(Outgoing { number: attempt, .. }) = self.running.take() else { continue };
                     let served = answer.is_some().then_some(());
                     brought = answer.map(Brought::Whole);
                     self.shared.ended(self.id, attempt, Ended { outcome, answer: served, load });
                 }
                 Err(Step::Started(make)) => {
-                    let Some((attempt, _)) = self.running.take() else { continue };
+                    let Some(Outgoing { number: attempt, .. }) = self.running.take() else { continue };
                     self.begun = Some(attempt);
                     brought = Some(Brought::Begun(attempt, make));
                     let begun = Input::Started { id: self.id, attempt, answer: () };
@@ -455,14 +461,35 @@
         }
     }
 
-    fn start(&mut self, send: &Attempt) {
-        let until = self.shared.clock.instant(send.until);
-        let attempt = self.shared.transport.attempt(&mut self.request, send);
-        let limited = async move {
-            timeout_at(until, attempt).await.unwrap_or_else(|_| Step::Ended(Outcome::Timeout.into()))
-        };
-        self.running = Some((send.attempt, Box::pin(limited)));
+    /// Makes an attempt, unless its upstream was listed as draining or gone since it was decided on.
+    fn start(&mut self, send: &SendOrder) {
+        if !self.shared.lock().engine.takes_new(&send.to) {
+            return self.shared.ended(self.id, send.attempt, Outcome::Moot.into());
+        }
+        let clock = &self.shared.clock;
+        let until = clock.instant(send.until);
+        let begin_by = (send.begin_by < Time::MAX).then(|| clock.instant(send.begin_by));
+        let attempt = Attempt::new(send.to, clock.instant(send.deadline), begin_by);
+        let made = self.shared.transport.attempt(&mut self.request, &attempt);
+        let running = Box::pin(limited(until, attempt.clone(), made));
+        self.running = Some(Outgoing { number: send.attempt, attempt, running });
     }
+
+    /// Withdraws an attempt, and tells whether it can have run.
+    fn withdraw(&self, out: Outgoing<T::Answer>) {
+        let outcome = if out.attempt.revoke() { Outcome::Moot } else { Outcome::Cancelled };
+        drop(out.running);
+        self.shared.ended(self.id, out.number, outcome.into());
+    }
+}
+
+/// An attempt that is given up at a time. One that has not begun by then never ran.
+async fn limited<A>(until: Instant, attempt: Attempt, made: impl Future<Output = Step<A>>) -> Step<A> {
+    let ended = timeout_at(until, made).await;
+    ended.unwrap_or_else(|_| {
+        let outcome = if attempt.revoke() { Outcome::ConnectFailed } else { Outcome::Timeout };
+        Step::Ended(outcome.into())
+    })
 }
 
 /// The answer that a call's own attempt brought.
@@ -487,14 +514,14 @@
         if let Some(attempt) = self.begun.take() {
             self.shared.ended(self.id, attempt, Outcome::Cancelled.into());
         }
-        let Some((attempt, running)) = left_out else { return };
-        if self.shared.may_cancel {
-            drop(running);
-            return self.shared.ended(self.id, attempt, Outcome::Cancelled.into());
+        let Some(out) = left_out else { return };
+        // What has not begun is not to begin for a caller that has left, as when its connection still comes up.
+        if self.shared.may_cancel || out.attempt.revoke() {
+            return self.withdraw(out);
         }
-        let (shared, id) = (self.shared.clone(), self.id);
+        let (shared, id, attempt) = (self.shared.clone(), self.id, out.number);
         self.shared.runtime.spawn(async move {
-            let ended = match running.await {
+            let ended = match out.running.await {
                 Step::Ended(Ended { outcome, load, .. }) => Ended { outcome, answer: None, load },
                 Step::Started(_) => Outcome::Cancelled.into(),
             };
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -11,17 +11,19 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod attempt;
 mod balance;
 mod clock;
 mod slot;
 
+pub use attempt::Attempt;
 pub use balance::{Ask, Balance, Log, Observations, Setup, Tail, Upstream};
 pub use clock::Clock;
 pub use woadstall_engine as engine;
 
 use std::future::Future;
 use std::time::Duration;
-use woadstall_engine::{Ended, LoadReport, Outcome, Peer, Send as Attempt, ServerId};
+use woadstall_engine::{Ended, LoadReport, Outcome, Peer, ServerId};
 
 /// How far an attempt has come when it has something to tell.
 pub enum Step<A> {
@@ -39,7 +41,8 @@
     /// What comes back.
     type Answer: Send + 'static;
 
-    /// An attempt. Dropping it withdraws it: nothing of it is sent afterwards. It need not mind its time.
+    /// Makes an attempt. Dropping the future withdraws it: nothing of it is sent afterwards. It need not mind its time,
+    /// but must ask [`Attempt::begin`] right before it writes the first byte.
     fn attempt(
         &self,
         request: &mut Self::Request,
--- /dev/null
+++ b/crates/standin/src/late.rs
@@ -0,0 +1,104 @@
+//! A listener whose connections do not come up until a test lets them.
+
+use crate::http1::PATIENCE;
+use socket2::{Domain, SockAddr, Socket, Type};
+use std::fs;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// State of a dialling socket in `/proc/net/tcp`.
+const SYN_SENT: &str = "02";
+/// How often `/proc/net/tcp` is looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(5);
+/// Connections that fill the queue of the listener, more than it takes.
+const FILLERS: usize = 4;
+
+/// A listener with a full queue: the kernel drops what else dials it, and the dialling side tries again after a second.
+pub struct LateListener {
+    listener: Socket,
+    address: SocketAddr,
+    fillers: Vec<Socket>,
+}
+
+impl LateListener {
+    /// Listens on a free loopback port and fills its queue.
+    pub fn start() -> Self {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        listener.listen(0).unwrap();
+        let address = listener.local_addr().unwrap().as_socket().unwrap();
+        let fillers = (0..FILLERS).map(|_| Self::filler(&address.into())).collect();
+        Self { listener, address, fillers }
+    }
+
+    fn filler(address: &SockAddr) -> Socket {
+        let filler = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        filler.set_nonblocking(true).unwrap();
+        filler.connect(address).unwrap_or(());
+        filler
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sockets that dial it now, without those that fill its queue.
+    fn dialling(&self) -> usize {
+        let port = |address: &SocketAddr| format!(":{:04X}", address.port());
+        let own: Vec<String> = self
+            .fillers
+            .iter()
+            .map(|filler| port(&filler.local_addr().unwrap().as_socket().unwrap()))
+            .collect();
+        let sockets = fs::read_to_string("/proc/net/tcp").unwrap();
+        let dials_it = |line: &&str| {
+            let fields: Vec<&str> = line.split_whitespace().collect();
+            let [local, remote, state] = [fields[1], fields[2], fields[3]];
+            remote.ends_with(&port(&self.address))
+                && state == SYN_SENT
+                && !own.iter().any(|own| local.ends_with(own.as_str()))
+        };
+        sockets.lines().skip(1).filter(dials_it).count()
+    }
+
+    /// Waits until somebody dials it.
+    pub fn dialled(&self) {
+        self.until("nobody dials", PATIENCE, || self.dialling() > 0);
+    }
+
+    /// Waits until nobody dials it any more, for this time at most.
+    pub fn given_up(&self, within: Duration) {
+        self.until("somebody still dials", within, || self.dialling() == 0);
+    }
+
+    fn until(&self, otherwise: &str, within: Duration, there: impl Fn() -> bool) {
+        let began = Instant::now();
+        while !there() {
+            assert!(began.elapsed() < within, "{otherwise}");
+            std::thread::sleep(LOOK_EVERY);
+        }
+    }
+
+    /// Makes room in the queue, and returns the next connection that is not one of its own; `None` where none comes up
+    /// within this time.
+    pub fn accept(&mut self, within: Duration) -> Option<TcpStream> {
+        let own: Vec<SockAddr> = self.fillers.drain(..).map(|filler| filler.local_addr().unwrap()).collect();
+        self.listener.set_nonblocking(true).unwrap();
+        let began = Instant::now();
+        while began.elapsed() < within {
+            match self.listener.accept() {
+                Ok((stream, peer)) if !own.iter().any(|own| own.as_socket() == peer.as_socket()) => {
+                    stream.set_nonblocking(false).unwrap();
+                    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+                    return Some(stream.into());
+                }
+                Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => std::thread::sleep(LOOK_EVERY),
+                Err(error) => panic!("{error}"),
+            }
+        }
+        None
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,5 +4,6 @@
 
 pub mod grpc;
 pub mod http1;
+pub mod late;
 pub mod nodo;
 pub mod raw2;
--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -23,8 +23,8 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{Duration, Instant, timeout};
-use woadstall_runtime::engine::{Ended, LoadReport, Outcome, Peer, Send as Attempt, ServerId};
-use woadstall_runtime::{Step, Tail, Transport};
+use woadstall_runtime::engine::{Ended, LoadReport, Outcome, Peer, ServerId};
+use woadstall_runtime::{Attempt, Step, Tail, Transport};
 use woadstall_settings::Names;
 
 /// hyper's buffer for an answer: a head without end is given up at this size.
@@ -118,8 +118,12 @@
             return Exchanged::Begun(Response::from_parts(head, rest));
         }
     }
-    // Ready again unless the upstream closes it, which it has said by now.
-    let connection = connection.sender.ready().await.is_ok().then_some(connection);
+    // Ready again unless the upstream closes it, which it has said by now. An answer to a request that was not yet
+    // written to its end leaves one behind that may never be.
+    let connection = match progress.written.load(Ordering::Relaxed) {
+        true => connection.sender.ready().await.is_ok().then_some(connection),
+        false => None,
+    };
     let response = Some(Response::from_parts(head, first.freeze()));
     Exchanged::Finished(Finished { outcome, is_final, response, connection })
 }
@@ -282,6 +286,9 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        // At once: the aborted task holds the socket until it is scheduled, and an attempt given up is to be known as
+        // such before another one is written.
+        SockRef::from(&*self.tcp).shutdown(std::net::Shutdown::Write).ok();
         self.task.abort();
         self.open.fetch_sub(1, Ordering::Relaxed);
     }
@@ -462,9 +469,10 @@
     /// would hold it twice over.
     fn exchange(
         &self,
-        request: Request<Bytes>,
+        mut request: Request<Bytes>,
         peer: Peer,
         sizes: Sizes,
+        begin: impl FnOnce() -> Option<Duration> + Send + 'static,
     ) -> Pin<Box<dyn Future<Output = Exchanged> + Send>> {
         let taken = lock(&self.pool).take(peer.server);
         let (pool, open, all) = (self.pool.clone(), self.open.clone(), self.written.clone());
@@ -484,6 +492,9 @@
             if !lock(&pool).is_current(peer.server, epoch) {
                 return Outcome::Moot.into();
             }
+            // As late as this, since to connect takes its time.
+            let Some(left) = begin() else { return Outcome::Moot.into() };
+            tell_budget(&mut request, left);
             let mut exchanged = exchange(request, connection, sizes).await;
             match &mut exchanged {
                 Exchanged::Finished(finished) => {
@@ -499,15 +510,25 @@
 }
 
 impl Http1 {
+    fn exchange_of(
+        &self,
+        request: &Request<Bytes>,
+        attempt: &Attempt,
+        sizes: Sizes,
+    ) -> Pin<Box<dyn Future<Output = Exchanged> + Send>> {
+        let attempt = attempt.clone();
+        let peer = attempt.to();
+        self.exchange(forwarded(request, peer.address), peer, sizes, move || attempt.begin())
+    }
+
     /// An attempt to its end.
     pub fn ended(
         &self,
         request: &Request<Bytes>,
         attempt: &Attempt,
     ) -> impl Future<Output = Ended<Response<Bytes>>> + Send + use<> {
-        let request = forwarded(request, attempt.to.address, attempt.left);
         let sizes = Sizes { most: self.sizes.whole, ..self.sizes };
-        let (exchange, fields) = (self.exchange(request, attempt.to, sizes), self.report_fields.clone());
+        let (exchange, fields) = (self.exchange_of(request, attempt, sizes), self.report_fields.clone());
         async move {
             match exchange.await {
                 Exchanged::Finished(finished) => finished.ended(&fields),
@@ -526,8 +547,7 @@
         request: &mut Request<Bytes>,
         attempt: &Attempt,
     ) -> impl Future<Output = Step<Response<Answer>>> + Send + 'static {
-        let request = forwarded(request, attempt.to.address, attempt.left);
-        let (exchange, fields) = (self.exchange(request, attempt.to, self.sizes), self.report_fields.clone());
+        let (exchange, fields) = (self.exchange_of(request, attempt, self.sizes), self.report_fields.clone());
         async move {
             match exchange.await {
                 Exchanged::Finished(finished) => {
@@ -550,9 +570,10 @@
     ) -> impl Future<Output = (Outcome, Option<LoadReport>)> + Send + 'static {
         let mut request = Request::new(Bytes::new());
         *request.uri_mut() = Uri::from_static("/load");
-        let request = forwarded(&request, peer.address, patience.as_nanos() as u64);
+        let request = forwarded(&request, peer.address);
         let sizes = Sizes { most: self.sizes.whole, ..self.sizes };
-        let (exchange, fields) = (self.exchange(request, peer, sizes), self.report_fields.clone());
+        let exchange = self.exchange(request, peer, sizes, move || Some(patience));
+        let fields = self.report_fields.clone();
         async move {
             let Exchanged::Finished(Finished { outcome, response, .. }) = exchange.await else {
                 return (Outcome::Error, None); // larger than any report may be
@@ -576,16 +597,14 @@
     }
 }
 
-/// The request as an upstream gets it: as it came, but for the budget, and in the form for an origin.
-fn forwarded(request: &Request<Bytes>, address: SocketAddr, left: u64) -> Request<Bytes> {
+/// The request as an upstream gets it: as it came, and in the form for an origin.
+fn forwarded(request: &Request<Bytes>, address: SocketAddr) -> Request<Bytes> {
     let mut request = request.clone();
     *request.version_mut() = Version::HTTP_11;
     if let Some(path) = request.uri().path_and_query().filter(|_| request.uri().authority().is_some()) {
         *request.uri_mut() = path.clone().into();
     }
     let headers = request.headers_mut();
-    let budget = format!("{:.6}", left as f64 / 1e9);
-    headers.insert("x-budget", HeaderValue::from_str(&budget).unwrap_or(HeaderValue::from_static("0")));
     if !headers.contains_key(HOST) {
         let host = HeaderValue::from_str(&address.to_string());
         headers.insert(HOST, host.unwrap_or(HeaderValue::from_static("upstream")));
@@ -593,6 +612,12 @@
     request
 }
 
+/// Tells the upstream how long the caller still waits, in seconds.
+fn tell_budget(request: &mut Request<Bytes>, left: Duration) {
+    let budget = HeaderValue::from_str(&format!("{:.6}", left.as_secs_f64()));
+    request.headers_mut().insert("x-budget", budget.unwrap_or(HeaderValue::from_static("0")));
+}
+
 /// The load figures in a report, in the order of the settings.
 pub fn load_report(text: &[u8], fields: &[String]) -> Option<LoadReport> {
     let values: HashMap<String, f32> = serde_json::from_slice(text).ok()?;
--- a/crates/transport/src/http2.rs
+++ b/crates/transport/src/http2.rs
@@ -30,8 +30,8 @@
 use tokio::sync::futures::OwnedNotified;
 use tokio::task::AbortHandle;
 use tokio::time::{Duration, Instant, Sleep, timeout};
-use woadstall_runtime::engine::{Ended, LoadReport, Outcome, Peer, Send as Attempt, ServerId};
-use woadstall_runtime::{Step, Tail, Transport};
+use woadstall_runtime::engine::{Ended, LoadReport, Outcome, Peer, ServerId};
+use woadstall_runtime::{Attempt, Step, Tail, Transport};
 use woadstall_settings::Names;
 
 /// Largest head of an answer, and of its trailers.
@@ -340,10 +340,11 @@
         request: &mut Outbound,
         attempt: &Attempt,
     ) -> impl Future<Output = Step<Response<Inbound>>> + Send + 'static {
-        let epoch = self.pool.epoch(attempt.to.server);
-        let head = forwarded(request, attempt.to.address, attempt.left);
+        let peer = attempt.to();
+        let epoch = self.pool.epoch(peer.server);
+        let (mut head, grpc) = (forwarded(request, peer.address), request.grpc);
         let (body, until_closed) = (request.body.take(), request.body_deadline);
-        let (pool, peer) = (self.pool.clone(), attempt.to);
+        let (pool, attempt) = (self.pool.clone(), attempt.clone());
         async move {
             let Some(mut body) = body else { return Step::Ended(Outcome::Moot.into()) };
             for _ in 0..TRIES {
@@ -351,6 +352,8 @@
                     Ok(lease) => lease,
                     Err(outcome) => return Step::Ended(outcome.into()),
                 };
+                let Some(left) = attempt.begin() else { return Step::Ended(Outcome::Moot.into()) };
+                tell_budget(&mut head, left, grpc);
                 match lease.link.sender.clone().send_request(head.clone(), body.is_empty()) {
                     Ok((response, stream)) => {
                         let pump = body.send(stream);
@@ -403,7 +406,7 @@
 
 /// The head of a request as an upstream gets it: as it came, but for what belongs to one connection, and with
 /// the time that is left.
-fn forwarded(request: &Outbound, address: SocketAddr, left: u64) -> Request<()> {
+fn forwarded(request: &Outbound, address: SocketAddr) -> Request<()> {
     let mut head = Request::new(());
     *head.method_mut() = request.head.method.clone();
     *head.version_mut() = Version::HTTP_2;
@@ -418,16 +421,6 @@
     if headers.get(TE).is_some_and(|value| value != "trailers") {
         headers.remove(TE); // RFC 9113, section 8.2.2
     }
-    let number = |text: String| {
-        let mut number = HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("0"));
-        // Another one with each call: it must not push what repeats out of the peer's table (RFC 7541, 7.1.3).
-        number.set_sensitive(true);
-        number
-    };
-    headers.insert(X_BUDGET, number(format!("{}.{:06}", left / 1_000_000_000, left / 1_000 % 1_000_000)));
-    if request.grpc {
-        headers.insert(GRPC_TIMEOUT, number(grpc_timeout_of(left)));
-    }
     let uri = &request.head.uri;
     let host = host.and_then(|host| Authority::try_from(host.as_bytes()).ok());
     let authority = uri.authority().cloned().or(host);
@@ -440,6 +433,21 @@
     head
 }
 
+/// Tells the upstream how long the caller still waits.
+fn tell_budget(head: &mut Request<()>, left: Duration, grpc: bool) {
+    let number = |text: String| {
+        let mut number = HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("0"));
+        // Another one with each call: it must not push what repeats out of the peer's table (RFC 7541, 7.1.3).
+        number.set_sensitive(true);
+        number
+    };
+    let headers = head.headers_mut();
+    headers.insert(X_BUDGET, number(format!("{}.{:06}", left.as_secs(), left.subsec_micros())));
+    if grpc {
+        headers.insert(GRPC_TIMEOUT, number(grpc_timeout_of(left.as_nanos() as u64)));
+    }
+}
+
 /// A time in nanoseconds as the header says it: at most eight digits and a unit (gRPC over HTTP/2, Timeout).
 pub fn grpc_timeout_of(nanos: u64) -> String {
     const MOST: u64 = 99_999_999;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -247,7 +247,7 @@
         match action {
             Action::SetTimer { after, token } => self.record(0, instance, &[after, token]),
             Action::Refuse { id, retry_after } => self.record(1, instance, &[&id.0, retry_after]),
-            Action::Send { id, server, until } => self.record(3, instance, &[&id.0, &server.0, until]),
+            Action::Send { id, server, until, .. } => self.record(3, instance, &[&id.0, &server.0, until]),
             Action::Log(text) => self.text(4, instance, text),
             Action::Fail(id) => self.record(6, instance, &[&id.0]),
             Action::Probe(server) => self.record(10, instance, &[&server.0]),
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -96,7 +96,7 @@
 fn documented_actions_encode() {
     let mut reply = Reply::default();
     let id = RequestId(0x5d3a_91c4);
-    reply.push(3, &Action::Send { id, server: ServerId(0x0312_4a07), until: 8492250000 });
+    reply.push(3, &Action::Send { id, server: ServerId(0x0312_4a07), until: 8492250000, begin_by: u64::MAX });
     reply.push(3, &Action::SetTimer { after: 500_000_000, token: 0x4d });
     reply.push(5, &Action::Log("two servers known".into()));
     reply.push(3, &Action::Refuse { id: RequestId(0x0e6f_2b19), retry_after: 250_000_000 });
