Connections of callers end in order: lingering close, answers to what was sent ahead, deadlines

After SIGTERM each answer said `Connection: close`, also where the next request had been read already (`Place::serve`): what a client had written ahead was lost. Connections now end once nothing has come. 2. A connection was closed over unread bytes, with a reset. Now its sending side is ended, what comes is dropped for a second at most, then it is closed (`linger.rs`); what comes after the end is never read as a request. Where descriptors are short, the oldest that linger go first. 3. Behind 16 KiB read ahead, nobody looked at the socket any more (`Gate::poll_read` with `room == 0`), so that an attempt went on for a client that had left. The end is now looked for alone. 4. An answer that is passed on as it comes had no deadline: one that stood still was held for ever, one that nobody read as well. Both break off at their request's time; to a client of HTTP/1.0 with a reset, which took the orderly end for a whole answer before. 5. An idle connection on which a head had begun could be chosen to make room, and then was not closed.

Rejections are a type instead of a pair.

--- a/crates/settings/src/terms.rs
+++ b/crates/settings/src/terms.rs
@@ -1,7 +1,7 @@
 //! Settings that change while requests are under way.
 
 use crate::Names;
-use woadstall_decisions::api::Settings;
+use woadstall_decisions::api::{Effect, Settings};
 
 /// Positions of classes at most, over all changes: guards the memory, and the time that shedding takes.
 pub const MOST_CLASSES: usize = 1024;
@@ -92,6 +92,16 @@
         &self.names
     }
 
+    /// The tenant of this name, as a position. Where no tenants are told apart, any name will do.
+    pub fn tenant(&self, name: Option<&str>) -> Option<usize> {
+        self.names.tenant(name)
+    }
+
+    /// The effect of a class as callers of it know it.
+    pub fn effect(&self, class: usize) -> Effect {
+        self.settings.classes[class].effect
+    }
+
     /// The position of the class of this name that is in force.
     pub fn class(&self, name: &str) -> Option<usize> {
         self.named(&self.in_force, name)
@@ -115,7 +125,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use woadstall_decisions::api::Effect;
 
     fn terms(classes: &[(&str, &str)]) -> (Settings, Names) {
         let class = |(name, effect): &(&str, &str)| {
--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -2,6 +2,7 @@
 
 use crate::classify::{self, Class};
 use crate::shared::lock;
+use crate::stream::SharedStream;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -9,11 +10,9 @@
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response, Uri, Version};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io::{self, ErrorKind, IoSlice};
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -256,7 +255,7 @@
 /// A connection to an upstream. Dropping it closes it.
 struct Connection {
     sender: SendRequest<Outgoing>,
-    tcp: Arc<TcpStream>,
+    stream: SharedStream,
     progress: Arc<Progress>,
     task: AbortHandle,
     open: Arc<AtomicUsize>,
@@ -264,23 +263,21 @@
 
 impl Connection {
     async fn open(address: SocketAddr, open: Arc<AtomicUsize>, all: Arc<AtomicU64>) -> io::Result<Self> {
-        let tcp = TcpStream::connect(address).await?;
-        tcp.set_nodelay(true)?;
-        let (tcp, progress) = (Arc::new(tcp), Arc::new(Progress { all, ..Progress::default() }));
-        let socket = Socket { tcp: tcp.clone(), progress: progress.clone() };
+        let stream = SharedStream::new(TcpStream::connect(address).await?)?;
+        let progress = Arc::new(Progress { all, ..Progress::default() });
+        let socket = Socket { stream: stream.clone(), progress: progress.clone() };
         let builder = &mut Builder::new();
         let builder = builder.max_buf_size(READ_BUFFER);
         let (sender, connection) = builder.handshake(TokioIo::new(socket)).await.map_err(io::Error::other)?;
         let task = tokio::spawn(connection).abort_handle();
         open.fetch_add(1, Ordering::Relaxed);
-        Ok(Self { sender, tcp, progress, task, open })
+        Ok(Self { sender, stream, progress, task, open })
     }
 
     /// Whether nothing has come since the last answer. What an idle connection brings is its end, and the
     /// runtime may not have heard of that yet: a request written to it would be lost.
     fn is_quiet(&self) -> bool {
-        let peeked = SockRef::from(&*self.tcp).peek(&mut [MaybeUninit::uninit()]);
-        self.sender.is_ready() && peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+        self.sender.is_ready() && self.stream.is_quiet()
     }
 }
 
@@ -288,7 +285,7 @@
     fn drop(&mut self) {
         // At once: the aborted task holds the socket until it is scheduled, and an attempt given up is to be known as
         // such before another one is written.
-        SockRef::from(&*self.tcp).shutdown(std::net::Shutdown::Write).ok();
+        self.stream.shutdown_write().ok();
         self.task.abort();
         self.open.fetch_sub(1, Ordering::Relaxed);
     }
@@ -333,38 +330,19 @@
     }
 }
 
-/// A socket that notes when the last byte of a request is written, and whose other handle can be peeked at.
+/// A socket that notes when the last byte of a request is written.
 struct Socket {
-    tcp: Arc<TcpStream>,
+    stream: SharedStream,
     progress: Arc<Progress>,
 }
 
-impl Socket {
-    fn poll_io(
-        &self,
-        mut poll_ready: impl FnMut(&TcpStream) -> Poll<io::Result<()>>,
-        mut act: impl FnMut(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(poll_ready(&self.tcp))?;
-            match act(&self.tcp) {
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                done => return Poll::Ready(done),
-            }
-        }
-    }
-}
-
 impl AsyncRead for Socket {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let room = buffer.initialize_unfilled();
-        let got = ready!(self.poll_io(|tcp| tcp.poll_read_ready(cx), |tcp| tcp.try_read(room)))?;
-        buffer.advance(got);
-        Poll::Ready(Ok(()))
+        Pin::new(&mut self.stream).poll_read(cx, buffer)
     }
 }
 
@@ -378,7 +356,7 @@
         cx: &mut Context<'_>,
         parts: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let done = ready!(self.poll_io(|tcp| tcp.poll_write_ready(cx), |tcp| tcp.try_write_vectored(parts)))?;
+        let done = ready!(self.stream.poll_write_parts(cx, parts))?;
         // All that hyper had is written, and it had all.
         let offered: usize = parts.iter().map(|part| part.len()).sum();
         let whole = done == offered && self.progress.body_taken.load(Ordering::Relaxed);
@@ -396,8 +374,8 @@
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.tcp).shutdown(std::net::Shutdown::Write))
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
 
@@ -749,7 +727,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let tcp = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
         let progress = Arc::new(Progress::default());
-        let mut socket = Socket { tcp: Arc::new(tcp), progress: progress.clone() };
+        let stream = SharedStream::new(tcp).unwrap();
+        let mut socket = Socket { stream, progress: progress.clone() };
         let written = || progress.written.load(Ordering::Relaxed);
         socket.write_all(b"head").await.unwrap();
         assert!(!written(), "the body is still to come");
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -10,6 +10,7 @@
 #[cfg(feature = "http2")]
 mod outbound;
 mod shared;
+mod stream;
 
 pub use classify::code;
 pub use http1::{Answer, Http1, is_local, load_report};
@@ -18,3 +19,4 @@
 #[cfg(feature = "http2")]
 pub use outbound::{BodyError, Outbound};
 pub use shared::{is_grpc, named_by_connection};
+pub use stream::SharedStream;
--- a/src/net/gate.rs
+++ b/src/net/gate.rs
@@ -8,8 +8,8 @@
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::Instant;
+use woadstall_transport::SharedStream;
 
 /// Largest head of a request: what is larger, upstreams may not take, and it would fill the memory.
 pub const MOST_HEAD: usize = 8 << 10;
@@ -20,6 +20,9 @@
 /// Bytes in a millisecond at which a body must come at least, and how long it may stand still.
 const SLOWEST: u64 = 32;
 const STANDSTILL: Duration = Duration::from_secs(1);
+/// How long after its time an answer may still be on its way out: up to half a second it only earns nothing, and the
+/// connections are looked at every fifth of a second.
+const ANSWER_GRACE: Duration = Duration::from_millis(250);
 /// Reads so close to each other count as one.
 const ONE_READ: Duration = Duration::from_millis(2);
 
@@ -60,6 +63,12 @@
     latest: Instant,
     /// Waits for more to go to hyper.
     waiting: Option<Waker>,
+    /// The kernel may hold bytes that the runtime will not tell of again.
+    left_unread: bool,
+    /// The caller takes nothing of its answer just now.
+    blocked: bool,
+    /// Until when the latest answer is of any use, and whether hyper has all of it.
+    answer: Option<(Instant, bool)>,
 }
 
 impl Seen {
@@ -80,33 +89,60 @@
             head_came: 0,
             latest: now,
             waiting: None,
+            left_unread: false,
+            blocked: false,
+            answer: None,
         }
     }
 
-    /// Since when no request is open, and whether there ever was one; `None` while there is.
+    /// Since when no request is open, and whether there ever was one; `None` while there is, or has begun to come.
     pub fn idle(&self) -> Option<(bool, Instant)> {
-        (self.phase == Phase::Head).then_some((self.asked, self.since))
+        self.is_at_rest().then_some((self.asked, self.since))
     }
 
-    /// Whether a part of a head has come: what is closed now was not yet a request, but its caller is writing.
-    pub fn has_begun(&self) -> bool {
-        self.phase == Phase::Head && !self.ahead.is_empty()
+    /// Whether bytes have come that do not belong to the present request: the next one, or a part of it.
+    pub fn has_ahead(&self) -> bool {
+        !self.ahead.is_empty() && matches!(self.phase, Phase::Head | Phase::Whole)
+    }
+
+    /// Whether no request is open, and no part of one has been read.
+    pub fn is_at_rest(&self) -> bool {
+        self.phase == Phase::Head && self.ahead.is_empty()
+    }
+
+    /// Whether the end of the caller's side has been read.
+    pub fn has_ended(&self) -> bool {
+        self.ended
+    }
+
+    /// An answer goes out that is of use until then; `whole` where hyper has all of it.
+    pub fn answering(&mut self, until: Instant, whole: bool) {
+        self.answer = Some((until, whole));
+    }
+
+    /// Whether the caller still waits for a part of an answer that is of no use any more.
+    fn is_answer_overdue(&self) -> bool {
+        let overdue =
+            |(until, whole): (Instant, bool)| until.elapsed() > ANSWER_GRACE && (!whole || self.blocked);
+        self.answer.is_some_and(overdue)
     }
 
     /// Whether a whole request is owed for longer than this, or a body stands still or comes too slowly after it.
     /// One that has asked may rest between requests.
     pub fn overdue(&self, patience: Duration) -> bool {
         let passed = self.since.elapsed();
-        passed > patience
-            && match self.phase {
-                Phase::Whole => false,
-                Phase::Head => !(self.ahead.is_empty() && self.asked),
-                Phase::Passing(_) | Phase::Unbounded => {
-                    let body = Duration::from_millis((self.came - self.head_came) / SLOWEST);
-                    // What waits for hyper has come: it is not its caller that stands still.
-                    passed > patience + body || self.ahead.is_empty() && self.latest.elapsed() > STANDSTILL
+        self.is_answer_overdue()
+            || passed > patience
+                && match self.phase {
+                    Phase::Whole => false,
+                    Phase::Head => !(self.ahead.is_empty() && self.asked),
+                    Phase::Passing(_) | Phase::Unbounded => {
+                        let body = Duration::from_millis((self.came - self.head_came) / SLOWEST);
+                        // What waits for hyper has come: it is not its caller that stands still.
+                        passed > patience + body
+                            || self.ahead.is_empty() && self.latest.elapsed() > STANDSTILL
+                    }
                 }
-            }
     }
 
     /// Whether the present request says its length in both ways: it may hide another one.
@@ -176,6 +212,7 @@
         let body = named("content-length").next().map(|header| whole_number(header.value));
         (self.both_lengths, self.answered) = (chunked && body.is_some(), false);
         self.head_came = self.came;
+        self.answer = None;
         self.phase = match body.unwrap_or(Some(0)) {
             Some(body) if !chunked => Phase::Passing(body.saturating_add(length as u64)),
             _ => Phase::Unbounded,
@@ -220,14 +257,57 @@
 /// shows while its request is open, a request's time can run from its last byte, and one that stands between
 /// requests, or in the midst of one, is told from one that has a request open.
 pub struct Gate {
-    tcp: TcpStream,
+    stream: SharedStream,
     seen: Arc<Mutex<Seen>>,
 }
 
 impl Gate {
-    pub fn new(tcp: TcpStream) -> (Self, Arc<Mutex<Seen>>) {
+    /// A gate on a caller's socket, and what will be known of it.
+    pub fn new(stream: SharedStream) -> (Self, Arc<Mutex<Seen>>) {
         let seen = Arc::new(Mutex::new(Seen::new()));
-        (Self { tcp, seen: seen.clone() }, seen)
+        (Self { stream, seen: seen.clone() }, seen)
+    }
+
+    /// Reads more into what has come; `Pending` where there is nothing.
+    fn poll_ahead(&self, cx: &mut Context<'_>, seen: &mut Seen) -> Poll<io::Result<()>> {
+        let room = MOST_AHEAD.saturating_sub(seen.ahead.len());
+        if room == 0 {
+            return self.poll_end(cx, seen);
+        }
+        if seen.left_unread {
+            let begin = seen.ahead.len();
+            seen.ahead.resize(begin + room.min(MOST_HEAD / 2), 0);
+            let read = self.stream.read_now(&mut seen.ahead[begin..]);
+            seen.ahead.truncate(begin + read.as_ref().map_or(0, |got| *got));
+            match read {
+                Ok(got) => {
+                    seen.take_in(got);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => seen.left_unread = false,
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+        ready!(self.stream.tcp().poll_read_ready(cx))?;
+        seen.ahead.reserve(room.min(MOST_HEAD / 2));
+        match self.stream.tcp().try_read_buf(&mut seen.ahead) {
+            Ok(got) => seen.take_in(got),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            Err(error) => return Poll::Ready(Err(error)),
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    /// Where no more is read before the present request is answered: waits for its caller to leave.
+    fn poll_end(&self, cx: &mut Context<'_>, seen: &mut Seen) -> Poll<io::Result<()>> {
+        seen.left_unread = true;
+        loop {
+            if self.stream.is_read_closed() {
+                seen.ended = true;
+                return Poll::Ready(Ok(()));
+            }
+            ready!(self.stream.poll_news(cx))?;
+        }
     }
 }
 
@@ -252,32 +332,24 @@
                 return Poll::Ready(Ok(()));
             }
             seen.waiting = Some(cx.waker().clone());
-            let room = MOST_AHEAD.saturating_sub(seen.ahead.len());
-            if room == 0 {
-                return Poll::Pending; // until it is answered
-            }
-            ready!(self.tcp.poll_read_ready(cx))?;
-            seen.ahead.reserve(room.min(MOST_HEAD / 2));
-            match self.tcp.try_read_buf(&mut seen.ahead) {
-                Ok(got) => seen.take_in(got),
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
+            ready!(self.poll_ahead(cx, &mut seen))?;
         }
     }
 }
 
 impl AsyncWrite for Gate {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.tcp).poll_write(cx, bytes)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[IoSlice::new(bytes)])
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         parts: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.tcp).poll_write_vectored(cx, parts)
+        let written = self.stream.poll_write_parts(cx, parts);
+        lock(&self.seen).blocked = written.is_pending();
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -289,6 +361,6 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_shutdown(cx)
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- /dev/null
+++ b/src/net/server/reply.rs
@@ -0,0 +1,132 @@
+//! Answers to callers.
+
+use super::super::figures::Begun;
+use super::super::gate::{Seen, lock};
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, DATE, EXPECT, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use hyper::{Response, StatusCode};
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::time::{Instant, Sleep, sleep_until};
+use woadstall_transport::{Answer, named_by_connection};
+
+/// An answer as hyper writes it.
+pub type Reply = Response<ReplyBody>;
+
+/// The body of an answer. One that comes bit by bit breaks off when its request's time is over.
+pub struct ReplyBody {
+    answer: Answer,
+    streamed: Option<Streamed>,
+}
+
+/// What goes with an answer that is passed on as it comes.
+struct Streamed {
+    begun: Begun,
+    deadline: Instant,
+    expiry: Pin<Box<Sleep>>,
+    seen: Arc<Mutex<Seen>>,
+}
+
+impl From<Bytes> for ReplyBody {
+    fn from(bytes: Bytes) -> Self {
+        Self { answer: bytes.into(), streamed: None }
+    }
+}
+
+impl From<Answer> for ReplyBody {
+    fn from(answer: Answer) -> Self {
+        Self { answer, streamed: None }
+    }
+}
+
+impl ReplyBody {
+    /// Whether all of it is there.
+    pub fn is_whole(&self) -> bool {
+        self.answer.is_whole()
+    }
+
+    /// Has an answer that is not whole end by a time, and tells when it has.
+    pub fn stream(&mut self, begun: Begun, deadline: Instant, seen: Arc<Mutex<Seen>>) {
+        let expiry = Box::pin(sleep_until(deadline));
+        self.streamed = Some(Streamed { begun, deadline, expiry, seen });
+    }
+
+    fn is_expired(&mut self, cx: &mut Context<'_>) -> bool {
+        self.streamed.as_mut().is_some_and(|streamed| streamed.expiry.as_mut().poll(cx).is_ready())
+    }
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let frame = match Pin::new(&mut self.answer).poll_frame(cx) {
+            Poll::Ready(frame) => frame,
+            Poll::Pending if self.is_expired(cx) => {
+                self.answer = Bytes::new().into(); // which withdraws the attempt
+                return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
+            }
+            Poll::Pending => return Poll::Pending,
+        };
+        let over = frame.is_none() || self.answer.is_end_stream();
+        if let Some(streamed) = self.streamed.as_mut().filter(|_| over) {
+            streamed.begun.whole();
+            lock(&streamed.seen).answering(streamed.deadline, true);
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.answer.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.answer.size_hint()
+    }
+}
+
+/// An answer without a body.
+pub fn status(code: StatusCode) -> Reply {
+    let mut reply = Response::new(ReplyBody::from(Bytes::new()));
+    *reply.status_mut() = code;
+    reply
+}
+
+/// An answer with a line of text.
+pub fn text(code: StatusCode, text: &'static str) -> Reply {
+    let mut reply = status(code);
+    *reply.body_mut() = Bytes::from_static(text.as_bytes()).into();
+    reply
+}
+
+/// A refusal, with advice on how long to stay away unless that is zero.
+pub fn refusal(stay_away: Duration) -> Reply {
+    let mut reply = status(StatusCode::SERVICE_UNAVAILABLE);
+    if stay_away > Duration::ZERO
+        && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", stay_away.as_secs_f64()))
+    {
+        reply.headers_mut().insert(RETRY_AFTER, value);
+    }
+    reply
+}
+
+/// Leaves the headers that are meant for the other end, not for this connection.
+pub fn end_to_end(headers: &mut HeaderMap) {
+    let named = named_by_connection(headers);
+    let hop = [CONNECTION, CONTENT_LENGTH, DATE, EXPECT, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
+    let others = ["keep-alive", "proxy-connection", "x-load-report"].map(HeaderName::from_static);
+    for name in hop.into_iter().chain(others).chain(named) {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/tests/deadlines.rs
@@ -0,0 +1,109 @@
+//! Answers that do not come to an end. The balancer owes one final answer in time; of one that it has begun to pass on,
+//! the end of the connection, so that its client can tell that it is not whole.
+
+mod common;
+
+use common::*;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+use woadstall_standin::http1::*;
+
+/// More than is read whole before an answer is passed on.
+const LARGE: usize = 100 << 10;
+/// The time of the requests here, and by when they must have ended on any machine.
+const BUDGET: (&str, Duration) = ("0.800", Duration::from_millis(800));
+const ENDED: Duration = Duration::from_secs(8);
+
+/// An upstream that writes `head` and then goes on with `more` for as long as the peer takes it; it tells when the peer
+/// has closed.
+fn endless(head: &'static str, more: String) -> (std::net::SocketAddr, Receiver<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (tell, closed) = channel();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let mut request = [0; 4096];
+            assert!(stream.read(&mut request).unwrap() > 0);
+            stream.write_all(head.as_bytes()).unwrap();
+            while stream.write_all(more.as_bytes()).is_ok() {
+                std::thread::sleep(Duration::from_millis(10));
+            }
+            tell.send(()).ok();
+        }
+    });
+    (address, closed)
+}
+
+fn chunk() -> String {
+    format!("{:x}\r\n{}\r\n", LARGE, "c".repeat(LARGE))
+}
+
+/// An answer that never ends, to a client that reads all of it.
+#[test]
+fn an_answer_without_end_breaks_off_at_its_deadline() {
+    let (address, closed) = endless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunk());
+    let program = Program::start(&config(refusing(), &[target("s-0", address, "in_service")]));
+    let asked = Instant::now();
+    let mut caller = program.connect();
+    caller.send("post", BUDGET.0, "b");
+    assert!(caller.chunked_answer().is_none(), "it has no end");
+    assert!(asked.elapsed() < ENDED, "{:?}", asked.elapsed());
+    closed.recv_timeout(PATIENCE).expect("its upstream is told to stop");
+}
+
+/// An answer that stands still in its midst.
+#[test]
+fn an_answer_that_stands_still_breaks_off_at_its_deadline() {
+    let text = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk());
+    let upstream = Upstream::start(move |_| Act::Answer(text.clone()));
+    let program = Program::start(&config(refusing(), &in_service(&[&upstream])));
+    let asked = Instant::now();
+    let mut caller = program.connect();
+    caller.send("post", BUDGET.0, "b");
+    assert!(caller.chunked_answer().is_none(), "it has no end");
+    let took = asked.elapsed();
+    assert!(took >= BUDGET.1 && took < ENDED, "{took:?}");
+    upstream.closed();
+}
+
+/// A client that reads nothing of a large answer: its upstream is not held beyond the deadline.
+#[test]
+fn an_answer_that_nobody_reads_is_given_up_at_its_deadline() {
+    let (address, closed) = endless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunk());
+    let program = Program::start(&config(refusing(), &[target("s-0", address, "in_service")]));
+    let mut client = TcpStream::connect(program.address).unwrap();
+    let asked = Instant::now();
+    client.write_all(request("post", BUDGET.0, "b").as_bytes()).unwrap();
+    closed.recv_timeout(PATIENCE).expect("its upstream is told to stop");
+    assert!(asked.elapsed() >= BUDGET.1);
+}
+
+/// A client of HTTP/1.0 knows the end of such an answer by the end of the connection: where it breaks off, the
+/// connection is reset.
+#[test]
+fn a_broken_answer_does_not_look_whole_to_an_old_client() {
+    let text = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk());
+    let upstream = Upstream::start(move |_| Act::AnswerAndClose(text.clone()));
+    let program = Program::start(&config(refusing(), &in_service(&[&upstream])));
+    let mut client = TcpStream::connect(program.address).unwrap();
+    client.set_read_timeout(Some(PATIENCE)).unwrap();
+    client.write_all(request("post", LONG, "b").replace("HTTP/1.1", "HTTP/1.0").as_bytes()).unwrap();
+    let read = client.read_to_end(&mut Vec::new());
+    assert!(read.is_err(), "it looks whole, with {read:?} bytes");
+}
+
+/// A large answer that comes to its end in time leaves a connection that may rest for longer than that.
+#[test]
+fn a_connection_rests_after_a_large_answer() {
+    let text = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}0\r\n\r\n", chunk());
+    let upstream = Upstream::start(move |_| Act::Answer(text.clone()));
+    let program = Program::start(&config(refusing(), &in_service(&[&upstream])));
+    let mut caller = program.connect();
+    for _ in 0..2 {
+        caller.send("post", BUDGET.0, "b");
+        assert_eq!(caller.chunked_answer().expect("an answer").len(), LARGE);
+        std::thread::sleep(BUDGET.1 * 2);
+    }
+}
