Discovery is asked again in time whatever failed before; stricter settings hold for requests under way

A watch that fell silent at an agent was given up after 4 s, and the next one as well: two in a row kept a change for 8.3 s (6 are allowed). An agent answers at no cost, so a watch waits 1 s and is overdue after another. 2. Where discovery is asked, a dial that never came up was waited for as long as a watch (22.0 s). It has 1 s. 3. The wait after failed calls went up to 8 s in the module (5.8 s after the fourth) and 1 s for an agent. Now 2 s, which with two calls of 2 s stays within 6, and 0.25 s, as what an agent has counts from the moment it is back. 4. A discovery that answers with ever lower versions and no whole list was asked in a loop (907 calls in a second). 5. A keyed request under way went by the window and effect it came under though a SIGHUP had made its class unsafe or its window shorter, while upstreams may go by the new terms. `Terms` gives the decisions what is stricter, and callers the class as it was set. The unit test that expected the looser effect expects the stricter one now, and that each class shows as it was set.

tests/discovery_failures.rs, tests/reload.rs, a test in decisions/tests/mechanism.rs.

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -112,8 +112,9 @@
 const HELD_BACK: Duration = SECOND;
 /// First subscriptions are spread over this much for each sibling: discovery's capacity is fixed.
 const WATCH_SPACING: Duration = SECOND / 10;
-/// First wait before a failed subscription is tried again, doubling up to a cap.
-const WATCH_BACKOFF: (Duration, Duration) = (SECOND, 8 * SECOND);
+/// First wait before a failed subscription is tried again, doubling up to a cap: a change counts as told
+/// 6 s after discovery had it, and two calls of 2 s have to fit in with their waits.
+const WATCH_BACKOFF: (Duration, Duration) = (SECOND, 2 * SECOND);
 const WATCH_TOKEN: u64 = u64::MAX;
 /// Servers that are asked for their load before a call is sent.
 const ASKED: usize = 4;
--- a/crates/decisions/tests/mechanism.rs
+++ b/crates/decisions/tests/mechanism.rs
@@ -244,6 +244,28 @@
     );
 }
 
+/// A change counts as told 6 s after discovery had it: no wait sleeps over that, however often it failed before.
+#[test]
+fn discovery_is_asked_again_soon_however_often_it_failed() {
+    for seed in 0..20 {
+        let balancer = woadstall_decisions::Balancer::new(asked(), seed, 0).unwrap();
+        let mut rig = Rig { balancer, now: 0, next_id: 0 };
+        rig.tell(Event::List(&zones(1, 2)));
+        for failures in 1..=20 {
+            rig.now += 10 * SECOND;
+            let actions = rig.tell(Event::ListFailed);
+            let after = actions.iter().find_map(|action| match action {
+                Action::SetTimer { after, .. } => Some(*after),
+                _ => None,
+            });
+            assert!(
+                after.is_some_and(|after| after <= 2 * SECOND),
+                "seed {seed}, {failures} failures: {after:?}"
+            );
+        }
+    }
+}
+
 fn asked() -> Settings {
     Settings { ask_discovery: true, ..settings() }
 }
--- a/crates/discovery/src/client.rs
+++ b/crates/discovery/src/client.rs
@@ -14,16 +14,25 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-/// How long a watch may wait. An agent on the own machine answers at no cost, and where it falls silent, a
-/// short wait notices soon; one service for all is spared calls.
-const WAIT_PUSHED: Duration = Duration::from_secs(2);
+/// How long a watch may wait where an agent on the own machine answers, at no cost. A change counts as told 6 s after a
+/// watch fell silent: even the second silent call in a row must be given up well before.
+const WAIT_PUSHED: Duration = Duration::from_secs(1);
+/// How long a watch may wait where one service answers all balancers: it is spared calls.
 const WAIT_ASKED: Duration = Duration::from_secs(20);
-/// Silence beyond the wait after which a call has failed.
-const OVERDUE: Duration = Duration::from_secs(2);
-/// First wait after a failed call, doubling up to a cap.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
-/// Wait before the next call where nothing was new: an agent that does not wait would be asked in a loop.
-/// Short enough for the watch to go on.
+/// Silence beyond its wait after which a watch has failed. A change counts as told 2 s after that wait, and the next
+/// call takes its time.
+const OVERDUE: Duration = Duration::from_secs(1);
+/// How long a call for the whole list may take.
+const WHOLE_LIST_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a connection may take to come up: a dial that goes on for the time of a watch would hide a service that is
+/// back.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Wait after the first failed call in a row to an agent, doubling with each up to the longest.
+const FIRST_BACKOFF: Duration = Duration::from_millis(50);
+/// Longest wait after a failed call to an agent. What it has counts as told the moment it is back.
+const LONGEST_BACKOFF: Duration = Duration::from_millis(250);
+/// Wait before the next call where the last one told nothing new: an agent that does not wait, or tells nonsense, would
+/// be asked in a loop. Short enough for the watch to go on.
 const PAUSE: Duration = Duration::from_millis(50);
 /// A list is never this large: guards the memory.
 const MOST_BYTES: usize = 8 << 20;
@@ -48,8 +57,8 @@
     pub asked: bool,
 }
 
-/// Tells `tell` of every change, until that says that nobody wants to hear of it. Another address ends what was asked of the one before, and its
-/// whole list is asked for at once: versions of two services cannot be compared.
+/// Tells `tell` of every change, until that says that nobody wants to hear of it. Another address ends what was asked of
+/// the one before, and its whole list is asked for at once: versions of two services cannot be compared.
 pub async fn follow(
     follow: Follow,
     mut tell: impl FnMut(Update) -> bool,
@@ -86,12 +95,15 @@
     }
     loop {
         let (path, patience) = match whole {
-            true => ("/v1/servers".to_owned(), OVERDUE),
+            true => ("/v1/servers".to_owned(), WHOLE_LIST_TIMEOUT),
             false => (format!("/v1/servers?after={rev}&wait_ms={}", wait.as_millis()), wait + OVERDUE),
         };
         match watch.call(&path, patience).await {
             // A version that goes back means another discovery: only the whole list tells what it has.
-            Ok(listing) if listing.rev < rev && !listing.all => whole = true,
+            Ok(listing) if listing.rev < rev && !listing.all => {
+                whole = true;
+                sleep(PAUSE).await;
+            }
             Ok(listing) => {
                 if failures > 0 {
                     tell(Update::Note(format!("discovery answers again after {failures} failures")));
@@ -117,13 +129,19 @@
                         return;
                     }
                 } else {
-                    sleep((BACKOFF.0 * (1 << failures.min(8))).min(BACKOFF.1)).await;
+                    sleep(backoff(failures)).await;
                 }
             }
         }
     }
 }
 
+/// How long to wait after so many failed calls in a row.
+fn backoff(failures: u32) -> Duration {
+    let doublings = failures.saturating_sub(1).min(16);
+    FIRST_BACKOFF.saturating_mul(1 << doublings).min(LONGEST_BACKOFF)
+}
+
 struct Watch {
     address: SocketAddr,
     sender: Option<SendRequest<Empty<Bytes>>>,
@@ -143,7 +161,8 @@
             // The agent may have closed it since.
             Some(sender) if !sender.is_closed() => sender,
             _ => {
-                let tcp = TcpStream::connect(self.address).await?;
+                let dialled = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await;
+                let tcp = dialled.map_err(|_| "no connection in time")??;
                 tcp.set_nodelay(true)?;
                 let (sender, connection) = handshake(TokioIo::new(tcp)).await?;
                 tokio::spawn(connection);
--- a/crates/settings/src/terms.rs
+++ b/crates/settings/src/terms.rs
@@ -1,7 +1,7 @@
 //! Settings that change while requests are under way.
 
 use crate::Names;
-use woadstall_decisions::api::{Effect, Settings};
+use woadstall_decisions::api::{Class, Effect, Group, Settings};
 
 /// Positions of classes at most, over all changes: guards the memory, and the time that shedding takes.
 pub const MOST_CLASSES: usize = 1024;
@@ -12,6 +12,8 @@
 pub struct Terms {
     settings: Settings,
     names: Names,
+    /// The effects of all classes as they were set; those in the settings are as strict as any later ones.
+    effects: Vec<Effect>,
     /// Positions of the classes in force, and of those that were before the latest change.
     in_force: Vec<usize>,
     former: Vec<usize>,
@@ -30,7 +32,8 @@
     /// The first settings.
     pub fn new(settings: Settings, names: Names) -> Self {
         let in_force = (0..settings.classes.len()).collect();
-        Self { settings, names, in_force, former: Vec::new() }
+        let effects = effects(&settings);
+        Self { settings, names, effects, in_force, former: Vec::new() }
     }
 
     /// The same with new settings, and what to tell the decisions. The error is one line that names what cannot
@@ -48,7 +51,7 @@
             return Err(format!("settings: `{field}` cannot change without a new start"));
         }
         let (mut settings, mut all) = (new.clone(), self.names.clone());
-        settings.classes = self.settings.classes.clone();
+        settings.classes = self.as_set();
         let (mut in_force, mut heirs) = (Vec::new(), Vec::new());
         for (class, name) in new.classes.iter().zip(&names.classes) {
             let same = |at: &usize| all.classes[*at] == *name && settings.classes[*at] == *class;
@@ -78,8 +81,27 @@
         }
         all.connect_timeout = names.connect_timeout;
         let former = self.in_force.clone();
-        let change = Change { settings: settings.clone(), heirs };
-        Ok((Self { settings, names: all, in_force, former }, change))
+        let mut terms = Self { effects: effects(&settings), settings, names: all, in_force, former };
+        terms.tighten();
+        let change = Change { settings: terms.settings.clone(), heirs };
+        Ok((terms, change))
+    }
+
+    /// All classes that ever were, as they were set.
+    fn as_set(&self) -> Vec<Class> {
+        let classes = self.settings.classes.iter().zip(&self.effects);
+        classes.map(|(class, effect)| Class { effect: *effect, ..class.clone() }).collect()
+    }
+
+    /// Requests that came under former settings go by what is stricter, theirs or the effect in force: upstreams may go
+    /// by the new one already.
+    fn tighten(&mut self) {
+        for at in 0..self.settings.classes.len() {
+            if let Some(now) = self.class(&self.names.classes[at]) {
+                let effect = stricter(self.effects[at], self.effects[now]);
+                self.settings.classes[at].effect = effect;
+            }
+        }
     }
 
     /// All classes that ever were, and the rest of the settings in force.
@@ -99,7 +121,7 @@
 
     /// The effect of a class as callers of it know it.
     pub fn effect(&self, class: usize) -> Effect {
-        self.settings.classes[class].effect
+        self.effects[class]
     }
 
     /// The position of the class of this name that is in force.
@@ -122,6 +144,27 @@
     }
 }
 
+fn effects(settings: &Settings) -> Vec<Effect> {
+    settings.classes.iter().map(|class| class.effect).collect()
+}
+
+/// The effect that allows only what both allow.
+fn stricter(one: Effect, other: Effect) -> Effect {
+    match (one, other) {
+        (Effect::Unsafe, _) | (_, Effect::Unsafe) => Effect::Unsafe,
+        (Effect::Safe, effect) | (effect, Effect::Safe) => effect,
+        (Effect::Keyed(group, window), Effect::Keyed(other, other_window)) => {
+            let window = window.min(other_window);
+            match (group, other) {
+                (Group::All, narrower) | (narrower, Group::All) => Effect::Keyed(narrower, window),
+                _ if group == other => Effect::Keyed(group, window),
+                // Nothing is known of how zones and cells overlap.
+                _ => Effect::Unsafe,
+            }
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -155,14 +198,37 @@
         );
         assert_eq!((second.former("post"), second.former("look")), (Some(1), Some(0)));
         assert_eq!(change.heirs, [(3, 0)], "what is known of `look` goes on");
-        for (at, effect) in [Effect::Safe, Effect::Unsafe, Effect::Unsafe, Effect::Unsafe].iter().enumerate()
-        {
-            assert_eq!(change.settings.classes[at].effect, *effect);
+        let set = [Effect::Safe, Effect::Unsafe, Effect::Unsafe, Effect::Unsafe];
+        for (at, effect) in set.iter().enumerate() {
+            assert_eq!(second.effect(at), *effect, "callers know each class as it was set");
         }
+        assert_eq!(
+            change.settings.classes[0].effect,
+            Effect::Unsafe,
+            "requests under way go by what is stricter"
+        );
         let (settings, names) = terms(&[("look", "read_like")]);
         let (third, change) = second.retune(&settings, &names).unwrap();
         assert_eq!(third.class("look"), Some(0), "it comes back as it was");
         assert!(change.heirs.is_empty() && change.settings.classes.len() == 4);
+        assert_eq!(change.settings.classes[0].effect, Effect::Safe);
+        assert_eq!(change.settings.classes[3].effect, Effect::Unsafe, "what came as unsafe stays so");
+    }
+
+    #[test]
+    fn the_stricter_effect_allows_only_what_both_allow() {
+        let keyed = |group, window| Effect::Keyed(group, window);
+        let cases = [
+            (Effect::Safe, Effect::Safe, Effect::Safe),
+            (Effect::Safe, keyed(Group::Zone, 5), keyed(Group::Zone, 5)),
+            (keyed(Group::All, 9), keyed(Group::All, 5), keyed(Group::All, 5)),
+            (keyed(Group::All, 5), keyed(Group::Cell, 9), keyed(Group::Cell, 5)),
+            (keyed(Group::Zone, 5), keyed(Group::Cell, 5), Effect::Unsafe),
+            (keyed(Group::All, 5), Effect::Unsafe, Effect::Unsafe),
+        ];
+        for (one, other, both) in cases {
+            assert_eq!((stricter(one, other), stricter(other, one)), (both, both));
+        }
     }
 
     #[test]
--- /dev/null
+++ b/tests/discovery_failures.rs
@@ -0,0 +1,235 @@
+//! Discovery that fails in all its ways. It owes nothing while it cannot be reached; the balancer owes to act on what
+//! discovery had and could tell within six seconds.
+
+mod common;
+
+use common::*;
+use serde_json::{Value, json};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Barrier, Mutex};
+use std::time::{Duration, Instant};
+use woadstall_standin::http1::*;
+use woadstall_standin::late::LateListener;
+
+/// Within this, a change counts as told.
+const TOLD: Duration = Duration::from_secs(6);
+
+/// Discovery that answers its calls by number with what is written here; each call is seen.
+fn scripted(answer: impl Fn(usize, &Message) -> Act + Send + Sync + 'static) -> Upstream {
+    let calls = AtomicUsize::new(0);
+    Upstream::start(move |message| answer(calls.fetch_add(1, Ordering::SeqCst), message))
+}
+
+fn whole_list(rev: u64, targets: &[String]) -> String {
+    format!(r#"{{"rev":{rev},"all":true,"targets":[{}]}}"#, targets.join(","))
+}
+
+fn asked(mut config: Value) -> Value {
+    config["settings"]["Discovery"] = json!("ask");
+    config["settings"]["Safety"]["AskWithinNs"] = json!(10_000_000_000_u64);
+    config
+}
+
+/// Two upstreams: the balancer starts with the one, and the list of discovery names the other alone.
+struct Two {
+    old: Upstream,
+    new: Upstream,
+}
+
+impl Two {
+    fn start() -> Self {
+        let answering = |text: &'static str| Upstream::start(move |_| Act::Answer(ok(text)));
+        Self { old: answering("old"), new: answering("new") }
+    }
+
+    fn list(&self, rev: u64) -> String {
+        whole_list(rev, &[target("s-new", self.new.address, "in_service")])
+    }
+
+    fn config(&self, discovery: std::net::SocketAddr) -> Value {
+        config(discovery, &[target("s-old", self.old.address, "in_service")])
+    }
+
+    /// Waits until the list is acted on, and checks that nothing goes back to the old one.
+    fn taken(&self, program: &Program) {
+        until("the list is acted on", || program.call("look").body == b"new");
+        for _ in 0..4 {
+            assert_eq!(program.call("look").body, b"new");
+        }
+    }
+}
+
+/// A watch that falls silent, and the one that is opened anew as well.
+#[test]
+fn two_silent_watches_in_a_row_are_given_up_in_time() {
+    let two = Two::start();
+    let list = two.list(5);
+    let discovery = scripted(move |call, _| match call {
+        0 | 1 => Act::Silence,
+        2 => Act::Answer(ok(&list)),
+        _ => Act::Silence,
+    });
+    let program = Program::start(&two.config(discovery.address));
+    discovery.request();
+    let silent = Instant::now();
+    discovery.request();
+    discovery.request();
+    assert!(silent.elapsed() < TOLD, "the third call comes after {:?}", silent.elapsed());
+    two.taken(&program);
+}
+
+/// Where discovery is asked: a dial that never comes up is given up, not waited for as long as a watch.
+#[test]
+fn a_dial_that_never_comes_up_is_given_up_in_time() {
+    let two = Two::start();
+    let late = LateListener::start();
+    let mut program = Program::start(&asked(two.config(late.address())));
+    late.dialled();
+    let dialled = Instant::now();
+    program.logged("discovery failed");
+    assert!(dialled.elapsed() < TOLD, "{:?}", dialled.elapsed());
+}
+
+/// The forms that the protocol allows, and a connection that ends after the answer.
+#[test]
+fn lists_may_come_in_any_form() {
+    let two = Two::start();
+    let list = two.list(5);
+    let indented = serde_json::to_string_pretty(&serde_json::from_str::<Value>(&list).unwrap()).unwrap();
+    let chunks: String = list
+        .as_bytes()
+        .chunks(7)
+        .map(|c| format!("{:x}\r\n{}\r\n", c.len(), String::from_utf8_lossy(c)))
+        .collect();
+    let closing = format!("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{list}");
+    let forms = [
+        Act::Answer(ok(&indented)),
+        Act::Answer(format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}0\r\n\r\n")),
+        Act::AnswerAndClose(closing),
+        Act::AnswerAndMore(ok(&list)[..40].to_owned(), ok(&list)[40..].to_owned()),
+    ];
+    for form in forms {
+        let discovery = scripted(move |call, _| if call == 0 { form.clone() } else { Act::Silence });
+        two.taken(&Program::start(&two.config(discovery.address)));
+    }
+}
+
+/// What breaks a call: none of it keeps the next one waiting, and none of it changes the list.
+#[test]
+fn failed_calls_are_made_again() {
+    let two = Two::start();
+    let list = two.list(5);
+    let half =
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", list.len(), &list[..list.len() / 2]);
+    let failures = [
+        Act::AnswerAndClose(String::new()),
+        Act::Answer("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".into()),
+        Act::AnswerAndClose(half),
+        Act::Answer(ok("{\"rev\":")),
+        Act::Answer(ok("[]")),
+    ];
+    for asking in [false, true] {
+        for failure in failures.clone() {
+            let list = list.clone();
+            let discovery = scripted(move |call, _| match call {
+                0 => failure.clone(),
+                1 => Act::Answer(ok(&list)),
+                _ => Act::Silence,
+            });
+            let config = two.config(discovery.address);
+            let program = Program::start(&if asking { asked(config) } else { config });
+            discovery.request();
+            let failed = Instant::now();
+            assert_eq!(program.call("look").body, b"old", "the list stays");
+            discovery.request();
+            assert!(failed.elapsed() < TOLD);
+            two.taken(&program);
+        }
+    }
+}
+
+/// A whole list that is answered to a watch removes what it does not name, whatever its version.
+#[test]
+fn a_whole_list_removes_what_it_does_not_name() {
+    for rev in [0, 1, 9] {
+        let two = Two::start();
+        let list = two.list(rev);
+        let discovery = scripted(move |call, _| match call {
+            0 => Act::Answer(ok(&list)),
+            _ => Act::Silence,
+        });
+        two.taken(&Program::start(&two.config(discovery.address)));
+    }
+}
+
+/// Versions that go back again and again, with never a whole list: nonsense is not asked for in a loop.
+#[test]
+fn nonsense_is_not_asked_for_in_a_loop() {
+    let discovery = scripted(|_, _| Act::Answer(ok(r#"{"rev":0,"all":false,"targets":[]}"#)));
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let config = config(discovery.address, &in_service(&[&upstream]));
+    let _program = Program::start(&config);
+    discovery.request();
+    let began = Instant::now();
+    let mut calls = 0;
+    while began.elapsed() < Duration::from_secs(1) {
+        discovery.request();
+        calls += 1;
+    }
+    assert!(calls < 60, "{calls} calls in a second");
+}
+
+/// After a SIGHUP, what the former address still answers is dropped, and a lower version at the new one is no error.
+#[test]
+fn a_late_answer_of_the_former_address_is_dropped() {
+    let two = Two::start();
+    let answering = Arc::new(Barrier::new(2));
+    let (hold, former_list) =
+        (answering.clone(), whole_list(90, &[target("s-old", two.old.address, "in_service")]));
+    let former = scripted(move |call, _| match call {
+        0 => Act::Answer(ok(&former_list)),
+        1 => {
+            hold.wait();
+            Act::Answer(ok(&whole_list(91, &[])))
+        }
+        _ => Act::Silence,
+    });
+    let list = two.list(2);
+    let next = scripted(move |call, _| if call == 0 { Act::Answer(ok(&list)) } else { Act::Silence });
+    let before = two.config(former.address);
+    let program = Program::start(&before);
+    former.request();
+    former.request();
+    let mut after = before.clone();
+    after["discovery"] = next.address.to_string().into();
+    let signal = Instant::now();
+    program.reload(&after.to_string());
+    assert!(next.request().first_line.starts_with("GET /v1/servers HTTP"), "the whole list, at once");
+    assert!(signal.elapsed() < Duration::from_secs(4));
+    two.taken(&program);
+    answering.wait();
+    former.closed();
+    two.taken(&program);
+}
+
+/// A start with a list whose upstreams are all gone, while discovery is down: ready at once, and served when it is back.
+#[test]
+fn ready_at_once_with_a_stale_list_and_discovery_down() {
+    let two = Two::start();
+    let list = Mutex::new(None::<String>);
+    let list = Arc::new(list);
+    let told = list.clone();
+    let discovery = Upstream::start(move |_| match told.lock().unwrap().clone() {
+        Some(list) => Act::Answer(ok(&list)),
+        None => Act::AnswerAndClose(String::new()),
+    });
+    let stale = config(discovery.address, &[target("s-gone", refusing(), "in_service")]);
+    let program = Program::start(&stale);
+    let mut front = program.connect();
+    front.write("GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n");
+    assert_eq!(front.answer().expect("an answer").status(), 200);
+    discovery.request();
+    assert_eq!(program.call("post").status(), 503, "it never ran, and trying again is harmless");
+    *list.lock().unwrap() = Some(two.list(9));
+    two.taken(&program);
+}
--- /dev/null
+++ b/tests/reload.rs
@@ -0,0 +1,101 @@
+//! Settings that change while requests are under way. A request ends under what is stricter, the settings it came under
+//! or those in force.
+
+mod common;
+
+use common::*;
+use serde_json::{Value, json};
+use std::sync::{Arc, Barrier};
+use woadstall_standin::http1::*;
+
+/// A keyed request is held at its upstream, the class `pay` changes at a SIGHUP, and then the attempt breaks. Returns
+/// the status that the caller gets, and how many attempts there were after the first.
+fn changed_under_way(change: impl Fn(&mut Value)) -> (u16, usize) {
+    let (held, broken) = (Arc::new(Barrier::new(2)), Arc::new(Barrier::new(2)));
+    let (hold, broke) = (held.clone(), broken.clone());
+    let upstream = Upstream::start(move |message| match message.body == b"first" {
+        true => {
+            hold.wait();
+            broke.wait();
+            Act::AnswerAndClose(String::new())
+        }
+        false => Act::Answer(ok("other")),
+    });
+    let other = Upstream::start(|_| Act::Answer(ok("repeated")));
+    let discovery = Discovery::start();
+    let before = config(discovery.address, &in_service(&[&upstream]));
+    discovery.set(&in_service(&[&upstream]));
+    let mut program = Program::start(&before);
+    discovery.watched();
+    let mut caller = program.connect();
+    caller.send("pay", LONG, "first");
+    held.wait();
+    discovery.publish(&[target("s-other", other.address, "in_service")]);
+    let mut after = before.clone();
+    change(&mut after["settings"]["Classes"][1]);
+    program.reload(&after.to_string());
+    program.logged("configuration read again");
+    broken.wait();
+    let status = caller.answer().expect("an answer").status();
+    (status, other.requests())
+}
+
+#[test]
+fn a_keyed_request_under_way_is_repeated_while_its_terms_stay() {
+    assert_eq!(changed_under_way(|_| {}), (200, 1));
+    // A longer window is not its own.
+    assert_eq!(changed_under_way(|class| class["WindowNs"] = json!(90_000_000_000_u64)), (200, 1));
+    // Where repeats would be harmless now, they are harmless for it as well.
+    assert_eq!(changed_under_way(|class| class["Effect"] = json!("read_like")), (200, 1));
+}
+
+/// Guards rule 2: upstreams may go by the new terms already.
+#[test]
+fn stricter_terms_hold_for_a_keyed_request_under_way() {
+    assert_eq!(changed_under_way(|class| class["Effect"] = json!("non_idempotent")), (502, 0));
+    assert_eq!(changed_under_way(|class| class["WindowNs"] = json!(1)), (502, 0));
+}
+
+/// A class that changes its place in the settings, or its name, leaves the requests under way as they are.
+#[test]
+fn positions_and_names_may_change_under_way() {
+    let (held, broken) = (Arc::new(Barrier::new(2)), Arc::new(Barrier::new(2)));
+    let (hold, broke) = (held.clone(), broken.clone());
+    let upstream = Upstream::start(move |message| match message.body == b"first" {
+        true => {
+            hold.wait();
+            broke.wait();
+            Act::AnswerAndClose(String::new())
+        }
+        false => Act::Answer(ok("served")),
+    });
+    for rename in [false, true] {
+        let before = config(refusing(), &in_service(&[&upstream]));
+        let mut program = Program::start(&before);
+        let mut caller = program.connect();
+        caller.send("post", LONG, "first");
+        held.wait();
+        let mut after = before.clone();
+        let classes = after["settings"]["Classes"].as_array_mut().unwrap();
+        classes.reverse();
+        if rename {
+            classes[0]["Name"] = json!("send");
+        }
+        program.reload(&after.to_string());
+        program.logged("configuration read again");
+        upstream.seen.try_iter().for_each(drop);
+        broken.wait();
+        assert_eq!(caller.answer().expect("an answer").status(), 502, "unsafe work stays so");
+        assert_eq!(upstream.requests(), 0, "it may have run");
+        for class in ["look", "pay"] {
+            assert_eq!(program.call(class).status(), 200, "{class} means what it meant");
+        }
+        if rename {
+            let request = request("post", LONG, "b").replace("post", "send");
+            let mut caller = program.connect();
+            caller.write(&request);
+            assert_eq!(caller.answer().expect("an answer").status(), 200);
+        }
+        upstream.seen.try_iter().for_each(drop);
+    }
+}
