--- a/crates/decisions/tests/fleet.rs
+++ b/crates/decisions/tests/fleet.rs
@@ -90,6 +90,20 @@
     served: u32,
 }
 
+/// What came of a run.
+#[derive(Debug)]
+struct Outcomes {
+    /// The most that a cold server was sent in any window, as part of what pushes it over.
+    worst: f64,
+    /// By how many calls that was more, in any window, than its budget at the window's start and what is put down to
+    /// chance: twice its root, and two.
+    beyond_chance: f64,
+    /// Calls to cold servers, to show that they are used at all.
+    used: usize,
+    served: u32,
+    refused: u32,
+}
+
 impl Fleet {
     fn entries(&self, since: Option<u64>) -> Vec<ListEntry> {
         let entry = |server| ListEntry {
@@ -139,16 +153,8 @@
         (-(1.0 - self.rng.f64()).ln() / rate * SECOND as f64) as u64
     }
 
-    /// The most that a cold server was sent in any window, as part of what pushes it over; and its share of all
-    /// that was sent to it in the first window, to show that it is used at all.
-    fn run(
-        kinds: &[Kind],
-        servers: u32,
-        cold: u32,
-        load: f64,
-        restart: u64,
-        seed: u64,
-    ) -> (f64, usize, u32, u32) {
+    /// What came of a run.
+    fn run(kinds: &[Kind], servers: u32, cold: u32, load: f64, restart: u64, seed: u64) -> Outcomes {
         let rate = |kind: &Kind| {
             let bursts = kind.burst.map_or(0.0, |(calls, every)| f64::from(calls) * 1e9 / every as f64);
             f64::from(kind.count) * (kind.rate + bursts)
@@ -240,7 +246,7 @@
             let warm = START + (1.0 - START) * (at.saturating_sub(start)) as f64 / RAMP as f64;
             fleet.capacity * warm.min(1.0)
         };
-        let mut worst = 0.0_f64;
+        let (mut worst, mut beyond_chance) = (0.0_f64, f64::NEG_INFINITY);
         for sent in fleet.sent.values() {
             let sent: Vec<u64> = sent.iter().copied().filter(|at| *at >= start).collect();
             for (at, &from) in sent.iter().enumerate() {
@@ -248,17 +254,21 @@
                 let in_window = sent[at..].iter().take_while(|&&later| later < from + WINDOW).count();
                 let middle = can_do(from + WINDOW / 2);
                 worst = worst.max(in_window as f64 / (TIP * middle * WINDOW as f64 / 1e9));
+                let budget = TIP * can_do(from) * WINDOW as f64 / 1e9;
+                let by_chance = budget + 2.0 * budget.sqrt() + 2.0;
+                beyond_chance = beyond_chance.max(in_window as f64 - by_chance);
             }
         }
         let used = fleet.sent.values().flatten().filter(|at| **at >= start).count();
-        (worst, used, fleet.served, fleet.refused)
+        Outcomes { worst, beyond_chance, used, served: fleet.served, refused: fleet.refused }
     }
 }
 
 fn check(name: &str, kinds: &[Kind], servers: u32, cold: u32, load: f64, restart: u64) {
     let mut worst = 0.0_f64;
     for seed in 1..=5 {
-        let (most, used, served, refused) = Fleet::run(kinds, servers, cold, load, restart, seed);
+        let Outcomes { worst: most, used, served, refused, .. } =
+            Fleet::run(kinds, servers, cold, load, restart, seed);
         println!(
             "{name}, seed {seed}: {most:.2} of what pushes it over, {used} calls to cold servers, {served} served, {refused} refused"
         );
@@ -305,3 +315,27 @@
     check("release", &[DAEMON, PLUGINS], 10, 10, 0.25, 0);
     check("release of all nodos", &[DAEMON, PLUGINS], 10, 10, 0.25, 20 * SECOND);
 }
+
+/// Fleets drawn by chance: twenty to thirty senders that do not hear each other, from a few calls a minute each to several
+/// a second, with servers that come back cold one by one or all at once, also with senders that have just started.
+#[test]
+fn thirty_senders_stay_within_budget_and_chance_together() {
+    for seed in 0..100 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let count = rng.u32(20..=30);
+        let rate = 10.0_f64.powf(rng.f64() * 2.0 - 1.0); // 0.1 to 10 calls a second
+        let burst = rng.bool().then(|| (rng.u32(1..=3), rng.u64(1..=4) * SECOND));
+        let lives = (rng.u32(..3) == 0).then(|| rng.u64(1..=6) * SECOND);
+        let servers = rng.u32(3..=12);
+        let cold = if rng.u32(..4) == 0 { servers } else { rng.u32(1..=servers.div_ceil(2)) };
+        let load = 0.3 + 1.2 * rng.f64();
+        let restart = if rng.u32(..3) == 0 { 0 } else { 20 * SECOND };
+        let kind = Kind { count, rate, burst, lives, ..STEADY };
+        let outcomes = Fleet::run(&[kind], servers, cold, load, restart, seed);
+        println!(
+            "seed {seed}: {count} senders at {rate:.2}/s, burst {burst:?}, lives {lives:?}, {cold} of {servers} cold \
+             at load {load:.2}, restart {restart}: {outcomes:?}"
+        );
+        assert!(outcomes.beyond_chance <= 0.0, "seed {seed}: {outcomes:?}");
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -23,9 +23,19 @@
         Self::start_with(config, &[])
     }
 
+    /// Starts it with so many descriptors as the system allows it.
+    pub fn start_limited(config: &serde_json::Value, descriptors: u32) -> Self {
+        let mut shell = Command::new("sh");
+        shell.args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\""), PROGRAM]);
+        Self::started(spawn_as(shell, &config.to_string(), &[]))
+    }
+
     /// Starts it with more in its environment.
     pub fn start_with(config: &serde_json::Value, environment: &[(&str, String)]) -> Self {
-        let (mut child, mut log, config) = spawn(&config.to_string(), environment);
+        Self::started(spawn(&config.to_string(), environment))
+    }
+
+    fn started((mut child, mut log, config): (Child, BufReader<ChildStderr>, PathBuf)) -> Self {
         let mut line = String::new();
         while !line.contains("listening on ") {
             line.clear();
@@ -165,13 +175,23 @@
     (child.wait().unwrap(), text)
 }
 
+const PROGRAM: &str = env!("CARGO_BIN_EXE_woadstall");
+
 fn spawn(config: &str, environment: &[(&str, String)]) -> (Child, BufReader<ChildStderr>, PathBuf) {
+    spawn_as(Command::new(PROGRAM), config, environment)
+}
+
+fn spawn_as(
+    mut command: Command,
+    config: &str,
+    environment: &[(&str, String)],
+) -> (Child, BufReader<ChildStderr>, PathBuf) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"))
         .join(format!("config-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).unwrap();
-    let mut child = Command::new(env!("CARGO_BIN_EXE_woadstall"))
+    let mut child = command
         .env_remove("LB_LISTEN")
         .env_remove("LB_DISCOVERY")
         .env_remove("LB_OPERATOR")
--- /dev/null
+++ b/tests/descriptors.rs
@@ -0,0 +1,96 @@
+//! Idle clients that fill the descriptors. They owe the balancer nothing; it owes service to those that ask, and keeps
+//! what it needs for upstreams and discovery.
+
+mod common;
+
+use common::*;
+use std::time::Duration;
+use woadstall_standin::http1::*;
+
+/// What the program may hold, as its configuration says and as the system allows.
+const DESCRIPTORS: u32 = 104;
+/// Idle clients, far more than may be held.
+const CROWD: usize = 300;
+
+fn crowded(discovery: &Discovery, upstream: &Upstream) -> (Program, Vec<Caller>) {
+    let mut config = config(discovery.address, &in_service(&[upstream]));
+    config["limits"]["sockets"] = DESCRIPTORS.into();
+    discovery.set(&in_service(&[upstream]));
+    let program = Program::start_limited(&config, DESCRIPTORS);
+    discovery.watched();
+    let crowd = (0..CROWD).filter_map(|_| program.try_connect()).collect();
+    (program, crowd)
+}
+
+/// A crowd that never asks: calls are served beside it, over new connections on both sides, and the list is followed.
+#[test]
+fn a_crowd_of_idle_clients_keeps_neither_calls_nor_discovery_out() {
+    let (first, second) =
+        (Upstream::start(|_| Act::Answer(ok("first"))), Upstream::start(|_| Act::Answer(ok("second"))));
+    let discovery = Discovery::start();
+    let (program, crowd) = crowded(&discovery, &first);
+    for _ in 0..20 {
+        assert_eq!(program.call("look").status(), 200);
+    }
+    discovery.publish(&in_service(&[&first, &second])[1..]);
+    assert_eq!(program.call("post").body, b"second");
+    drop(crowd);
+    assert_eq!(program.call("post").body, b"second");
+}
+
+/// A client in the midst of a head is not sent away for another one that only connects.
+#[test]
+fn a_client_that_has_begun_a_request_is_not_the_one_to_go() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("served")));
+    let mut config = config(refusing(), &in_service(&[&upstream]));
+    config["limits"]["sockets"] = DESCRIPTORS.into(); // room for twenty callers
+    let program = Program::start_limited(&config, DESCRIPTORS);
+    let whole = request("post", LONG, "b");
+    let (begin, rest) = whole.split_at(whole.len() / 2);
+    let mut writing = program.connect();
+    writing.write(begin);
+    // It has been read once one that came after it is answered.
+    assert_eq!(program.call("look").status(), 200);
+    let crowd: Vec<Caller> = (0..60).filter_map(|_| program.try_connect()).collect();
+    assert_eq!(program.call("look").status(), 200);
+    writing.write(rest);
+    assert_eq!(writing.answer().expect("an answer").body, b"served");
+    drop(crowd);
+}
+
+/// A restart while the descriptors of the former process were filled: the next one is ready, and finds its list though
+/// the crowd is there from its first moment and discovery comes back late.
+#[test]
+fn a_process_that_starts_under_a_crowd_is_ready_and_follows_discovery() {
+    let (stale, present) =
+        (Upstream::start(|_| Act::Answer(ok("stale"))), Upstream::start(|_| Act::Answer(ok("present"))));
+    let discovery = Discovery::start_failing("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    let (program, _crowd) = crowded(&discovery, &stale);
+    let mut front = program.connect();
+    front.write("GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n");
+    assert_eq!(front.answer().expect("an answer").status(), 200);
+    discovery.publish(&in_service(&[&stale, &present])[1..]);
+    assert_eq!(program.call("post").body, b"present");
+}
+
+/// The system gives no descriptor to accept with: what is idle goes, and accepting goes on.
+#[test]
+fn accepting_goes_on_after_the_descriptors_have_run_out() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("served")));
+    // The configuration promises more than the system has.
+    let mut config = config(refusing(), &in_service(&[&upstream]));
+    config["limits"]["sockets"] = 1024.into();
+    let mut program = Program::start_limited(&config, 64);
+    let crowd: Vec<Caller> = (0..CROWD).filter_map(|_| program.try_connect()).collect();
+    program.logged("cannot take a connection");
+    drop(crowd);
+    until("it serves again", || {
+        let caller = program.try_connect();
+        let served =
+            caller.and_then(|mut caller| caller.call("look", LONG, "")).is_some_and(|a| a.status() == 200);
+        served || {
+            std::thread::sleep(Duration::from_millis(20));
+            false
+        }
+    });
+}
--- /dev/null
+++ b/tests/upstream_connections.rs
@@ -0,0 +1,167 @@
+//! Connections to upstreams that break. What an upstream can have run decides what the balancer owes: work that never ran
+//! is sent again, unsafe work that may have run fails, keyed work is repeated.
+
+mod common;
+
+use common::*;
+use serde_json::json;
+use socket2::SockRef;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::Duration;
+use woadstall_standin::http1::*;
+use woadstall_standin::late::LateListener;
+
+/// An upstream that handles each connection as it is told, and tells how many there were.
+fn raw(handle: impl Fn(TcpStream) + Send + 'static) -> (SocketAddr, Receiver<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (tell, connected) = channel();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            tell.send(()).ok();
+            handle(stream);
+        }
+    });
+    (address, connected)
+}
+
+fn reset(stream: &TcpStream) {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO)).unwrap();
+}
+
+/// Reads a request with an empty body to its end.
+fn read_request(stream: &mut TcpStream) {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).unwrap();
+        head.push(byte[0]);
+    }
+}
+
+/// A program that goes to `first` before it knows of `second`.
+struct Pair {
+    program: Program,
+    second: Upstream,
+}
+
+impl Pair {
+    /// Both are listed: calls go to either, in turn.
+    fn start(first: SocketAddr) -> Self {
+        let second = Upstream::start(|_| Act::Answer(ok("second")));
+        let list = [target("s-first", first, "in_service"), target("s-second", second.address, "in_service")];
+        let mut config = config(refusing(), &list);
+        config["settings"]["Limits"]["ConnectTimeoutNs"] = json!(300_000_000);
+        Self { program: Program::start(&config), second }
+    }
+}
+
+/// Two calls go to both of them in turn; the bodies are of this size. Returns how many were served.
+fn served_of_two(pair: &Pair, class: &str, body: &str) -> usize {
+    let call = |_| pair.program.connect().call(class, LONG, body).expect("an answer").status();
+    (0..2).map(call).filter(|status| *status == 200).count()
+}
+
+/// The connection breaks while the request is written: it never ran.
+#[test]
+fn a_reset_before_the_last_byte_never_ran() {
+    let (first, connected) = raw(|mut stream| {
+        stream.read_exact(&mut [0; 256]).unwrap();
+        reset(&stream);
+    });
+    let pair = Pair::start(first);
+    let body = "b".repeat(16 << 20); // more than the buffers of both sockets
+    assert_eq!(served_of_two(&pair, "post", &body), 2, "unsafe work is sent again");
+    connected.recv_timeout(PATIENCE).expect("the first one was tried");
+    assert_eq!(pair.second.requests(), 2);
+}
+
+/// The connection breaks behind the request's last byte: it may have run.
+#[test]
+fn a_reset_behind_the_last_byte_may_have_run() {
+    for (class, served) in [("post", 1), ("pay", 2)] {
+        let (first, connected) = raw(|mut stream| {
+            read_request(&mut stream);
+            reset(&stream);
+        });
+        let pair = Pair::start(first);
+        assert_eq!(served_of_two(&pair, class, ""), served, "{class}");
+        connected.recv_timeout(PATIENCE).expect("the first one was tried");
+        assert_eq!(pair.second.requests(), served, "{class}");
+    }
+}
+
+/// An answer whose end is that of its connection, and a reset instead of that end, with all of it written before.
+#[test]
+fn a_reset_is_no_end_of_an_answer() {
+    for (class, served) in [("post", 1), ("pay", 2)] {
+        let (first, connected) = raw(|mut stream| {
+            read_request(&mut stream);
+            stream.write_all(b"HTTP/1.1 200 OK\r\n\r\na part of it").unwrap();
+            // Until the other side has it, a reset would take it back.
+            std::thread::sleep(Duration::from_millis(100));
+            reset(&stream);
+        });
+        let pair = Pair::start(first);
+        assert_eq!(served_of_two(&pair, class, ""), served, "{class}");
+        connected.recv_timeout(PATIENCE).expect("the first one was tried");
+        assert_eq!(pair.second.requests(), served, "{class}");
+    }
+}
+
+/// The same with an answer that is passed on as it comes: its caller can tell that it is not whole.
+#[test]
+fn a_reset_is_no_end_of_a_large_answer() {
+    let (first, _connected) = raw(|mut stream| {
+        read_request(&mut stream);
+        let head = "HTTP/1.1 200 OK\r\n\r\n";
+        stream.write_all(format!("{head}{}", "c".repeat(200 << 10)).as_bytes()).unwrap();
+        std::thread::sleep(Duration::from_millis(100));
+        reset(&stream);
+    });
+    let program = Program::start(&config(refusing(), &[target("s-0", first, "in_service")]));
+    let mut caller = program.connect();
+    caller.send("post", LONG, "");
+    assert!(caller.chunked_answer().is_none());
+}
+
+/// A connection that comes up after its time: the attempt went elsewhere, and nothing is written to it.
+#[test]
+fn a_connection_that_comes_up_too_late_is_not_written_to() {
+    let mut late = LateListener::start();
+    let pair = Pair::start(late.address());
+    assert_eq!(served_of_two(&pair, "post", "b"), 2);
+    assert_eq!(pair.second.requests(), 2);
+    if let Some(mut stream) = late.accept(Duration::from_secs(3)) {
+        let mut came = Vec::new();
+        stream.read_to_end(&mut came).unwrap_or(0);
+        assert!(came.is_empty(), "{}", String::from_utf8_lossy(&came));
+    }
+}
+
+/// Told to drain while a connection to it comes up: nothing is written to it.
+#[test]
+fn nothing_begins_at_an_upstream_that_drains_while_it_is_dialled() {
+    let mut late = LateListener::start();
+    let other = Upstream::start(|_| Act::Answer(ok("other")));
+    let discovery = Discovery::start();
+    let config = config(discovery.address, &[target("s-late", late.address(), "in_service")]);
+    discovery.set(&[target("s-late", late.address(), "in_service")]);
+    let program = Program::start(&config);
+    discovery.watched();
+    let mut caller = program.connect();
+    caller.send("post", LONG, "b");
+    late.dialled();
+    discovery.publish(&[
+        target("s-late", late.address(), "terminating"),
+        target("s-other", other.address, "in_service"),
+    ]);
+    if let Some(mut stream) = late.accept(Duration::from_secs(8)) {
+        let mut came = Vec::new();
+        stream.read_to_end(&mut came).unwrap_or(0);
+        assert!(came.is_empty(), "{}", String::from_utf8_lossy(&came));
+    }
+    assert_eq!(caller.answer().expect("an answer").body, b"other");
+}
