--- a/tests/upstream_connections.rs
+++ b/tests/upstream_connections.rs
@@ -6,10 +6,10 @@
 use common::*;
 use serde_json::json;
 use socket2::SockRef;
-use std::io::{Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, channel};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use woadstall_standin::http1::*;
 use woadstall_standin::late::LateListener;
 
@@ -165,3 +165,54 @@
     }
     assert_eq!(caller.answer().expect("an answer").body, b"other");
 }
+
+/// An upstream whose answers carry more than belongs to them, and then one that answers a request twice: its second answer
+/// crosses the next request on that connection.
+fn answering_twice() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for (number, stream) in listener.incoming().map_while(Result::ok).enumerate() {
+            std::thread::spawn(move || twice(number, stream));
+        }
+    });
+    address
+}
+
+fn twice(number: usize, stream: TcpStream) {
+    let mut output = stream.try_clone().unwrap();
+    let mut input = BufReader::new(stream);
+    for before in 0.. {
+        let Some(request) = Message::read(&mut input) else { return };
+        let answer = ok(&String::from_utf8_lossy(&request.body));
+        let text = match (number, before) {
+            (0, 0) => answer + "more than belongs to it",
+            (_, 0) => answer,
+            _ => ok("the answer to the request before") + &answer,
+        };
+        if output.write_all(text.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+/// Once an upstream was seen to break the protocol, a connection rests before its next request: what comes meanwhile is
+/// taken for no answer.
+#[test]
+fn a_second_answer_is_not_taken_for_that_of_the_next_request() {
+    const REST: Duration = Duration::from_millis(20);
+    let program = Program::start(&config(refusing(), &[target("s-0", answering_twice(), "in_service")]));
+    let mut caller = program.connect();
+    assert_eq!(caller.call("post", LONG, "first").unwrap().body, b"first");
+    // On a machine too busy to ask again within the rest, a try tells nothing.
+    let judged = (0..200).any(|_| {
+        std::thread::sleep(REST * 2); // all connections have rested, and are closed by their second answers in turn
+        let asked = Instant::now();
+        let one = caller.call("post", LONG, "one").unwrap();
+        let two = caller.call("post", LONG, "two").unwrap();
+        let judged = asked.elapsed() < REST;
+        assert!(!judged || two.body == b"two", "{}", String::from_utf8_lossy(&two.body));
+        judged && one.body == b"one"
+    });
+    assert!(judged, "no try was fast enough");
+}
