Rig: the test of a broken bound times its calls out between two looks at the logs

The rig reads logs at whole seconds, and the calls of this test timed out at 2.0 s: the line came just before or just after that look (seen at 2.0 s, 3.0 s, or not at all before the end; once in four plays on the former text and once in a full run of all tests). Their deadline is 1.5 s now; the bound stays 3 s.

--- a/crates/rig/tests/common/mod.rs
+++ b/crates/rig/tests/common/mod.rs
@@ -68,9 +68,14 @@
 
 /// A folder with a scenario of so many seconds, in which temporary files of the run lie too.
 pub fn folder(seconds: u32, more: &str) -> tempfile::TempDir {
-    let folder = tempfile::tempdir().unwrap();
     let small = SMALL.replace("time = \"4 s\"", &format!("time = \"{seconds} s\""));
-    std::fs::write(folder.path().join("scenario.toml"), small + more).unwrap();
+    folder_of(&(small + more))
+}
+
+/// A folder with this scenario.
+pub fn folder_of(scenario: &str) -> tempfile::TempDir {
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("scenario.toml"), scenario).unwrap();
     folder
 }
 
@@ -99,7 +104,11 @@
 }
 
 pub fn play(seconds: u32, more: &str, arguments: &[&str]) -> Value {
-    let folder = folder(seconds, more);
+    play_folder(&folder(seconds, more), arguments)
+}
+
+/// Plays the scenario in a folder.
+pub fn play_folder(folder: &tempfile::TempDir, arguments: &[&str]) -> Value {
     let told = told(&run(folder.path(), arguments).output().unwrap());
     if told["kept"] == true {
         assert_eq!(runs(folder.path()), Vec::<PathBuf>::new());
--- a/crates/rig/tests/judge.rs
+++ b/crates/rig/tests/judge.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{all_kept, alone, broken, play};
+use common::{SMALL, all_kept, alone, broken, folder_of, play, play_folder};
 
 const ROLL: &str = "\n[[fault]]\nat = \"500 ms\"\nuntil = \"2 s\"\npart = 0.34\nwhat = \"roll\"\n";
 
@@ -74,7 +74,11 @@
     let silent = "\n[[fault]]\nat = \"0 s\"\nwhat = \"silent\"\n[[bound]]\nname = \"served\"\n\
         what = { served = { from = \"0 s\", until = \"2 s\", least = 0.5 } }\n\
         [[bound]]\nname = \"told\"\nwhat = { told = { topic = \"zone\", from = \"0 s\", least = 1, within = \"3 s\" } }\n";
-    let told = play(3, silent, &[]);
+    // Logs are read at whole seconds: the calls time out between two of them, not at one.
+    let scenario = SMALL
+        .replace("time = \"4 s\"", "time = \"3 s\"")
+        .replace("deadline = \"2 s\"", "deadline = \"1500 ms\"");
+    let told = play_folder(&folder_of(&(scenario + silent)), &[]);
     assert_eq!((&told["kept"], &told["bounds"][0]["kept"]), (&false.into(), &false.into()));
     assert_eq!(told["bounds"][0]["seen"], 0.0);
     assert_eq!(
