Runtime and engine: calls and messages have modules of their own

balance.rs held the shared state, the tasks, a call's life and the tail of its answer (566 lines); engine.rs the state machine and all of its message types (549). Moved as they are: runtime/call.rs, engine/messages.rs. No behaviour changes; the tests of engine, runtime and daemon pass.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -18,9 +18,11 @@
 
 mod engine;
 mod members;
+mod messages;
 
-pub use engine::{Call, Command, Ended, Engine, Input, NET_AFTER, Observed, Outstanding, Send, Verdict};
+pub use engine::{Engine, NET_AFTER};
 pub use members::{Entry, Listed, Peer};
+pub use messages::{Call, Command, Ended, Input, Observed, Outstanding, Send, Verdict};
 pub use woadstall_decisions::api as decisions;
 pub use woadstall_decisions::api::{
     Learned, Lifecycle, LoadReport, Outcome, RequestId, ServerId, Settings, Time,
--- a/crates/runtime/src/balance.rs
+++ b/crates/runtime/src/balance.rs
@@ -1,25 +1,23 @@
 //! The engine behind a mutex, calls that drive their own attempts, and the tasks that go with them.
 
+use crate::call::Held;
 use crate::slot::{Order, Slot};
-use crate::{Attempt, Clock, Step, Transport};
+use crate::{Clock, Transport};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
-use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
-use std::task::Poll;
 use std::time::Duration;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::{Notify, watch};
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout};
 use woadstall_discovery::{Follow, Listing, Update, follow};
 use woadstall_engine::decisions::{Verdict as Finding, ZoneId};
 use woadstall_engine::{
     Call, Command, Ended, Engine, Input, Learned, Listed, Observed, Outcome, Outstanding, Peer, RequestId,
-    Send as SendOrder, ServerId, Settings, Time, Verdict,
+    ServerId, Settings, Time, Verdict,
 };
 use woadstall_settings::{Change, Names};
 
@@ -88,11 +86,10 @@
     pub listed: Option<(u64, Vec<Upstream>)>,
 }
 
-type Core = Engine<Arc<Slot>, ()>;
-type Running<A> = Pin<Box<dyn Future<Output = Step<A>> + Send>>;
+pub(crate) type Core = Engine<Arc<Slot>, ()>;
 
-struct Locked {
-    engine: Core,
+pub(crate) struct Locked {
+    pub(crate) engine: Core,
     next_id: u32,
     /// What the ringing task sleeps until.
     planned: Time,
@@ -100,27 +97,27 @@
     busy: bool,
 }
 
-struct Shared<T> {
+pub(crate) struct Shared<T> {
     locked: Mutex<Locked>,
-    transport: T,
-    clock: Clock,
+    pub(crate) transport: T,
+    pub(crate) clock: Clock,
     names: Names,
     asked: bool,
     known: u64,
-    may_cancel: bool,
+    pub(crate) may_cancel: bool,
     subscribe: UnboundedSender<()>,
     earlier: Notify,
     ready: watch::Sender<bool>,
     log: Log,
-    runtime: Handle,
+    pub(crate) runtime: Handle,
 }
 
 impl<T: Transport> Shared<T> {
-    fn lock(&self) -> MutexGuard<'_, Locked> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Locked> {
         self.locked.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn tell(self: &Arc<Self>, locked: &mut Locked, input: Input<'_, Arc<Slot>, ()>) {
+    pub(crate) fn tell(self: &Arc<Self>, locked: &mut Locked, input: Input<'_, Arc<Slot>, ()>) {
         locked.engine.handle(self.clock.now(), input);
         self.carry_out(locked);
     }
@@ -186,7 +183,7 @@
         }
     }
 
-    fn ended(self: &Arc<Self>, id: RequestId, attempt: u32, ended: Ended<()>) {
+    pub(crate) fn ended(self: &Arc<Self>, id: RequestId, attempt: u32, ended: Ended<()>) {
         self.tell(&mut self.lock(), Input::Ended { id, attempt, ended });
     }
 }
@@ -386,181 +383,6 @@
             shared.tell(&mut locked, Input::Call(call));
             id
         };
-        Held { shared: shared.clone(), id, slot, request, running: None, begun: None, answered: false }
-            .drive()
-            .await
-    }
-}
-
-/// An attempt that is out.
-struct Outgoing<A> {
-    number: u32,
-    attempt: Attempt,
-    running: Running<A>,
-}
-
-/// A call and the attempt that it has out.
-struct Held<T: Transport> {
-    shared: Arc<Shared<T>>,
-    id: RequestId,
-    slot: Arc<Slot>,
-    request: T::Request,
-    running: Option<Outgoing<T::Answer>>,
-    /// The attempt whose answer has begun, until that is handed over: its end is this call's to tell.
-    begun: Option<u32>,
-    answered: bool,
-}
-
-impl<T: Transport> Held<T> {
-    async fn drive(mut self) -> Verdict<T::Answer> {
-        let mut brought = None;
-        loop {
-            let event = poll_fn(|cx| {
-                if let Poll::Ready(order) = self.slot.poll_next(cx) {
-                    return Poll::Ready(Ok(order));
-                }
-                match &mut self.running {
-                    Some(out) => out.running.as_mut().poll(cx).map(Err),
-                    None => Poll::Pending,
-                }
-            });
-            match event.await {
-                Ok(Order::Send(send)) => self.start(&send),
-                Ok(Order::Withdraw(attempt)) => {
-                    if let Some(out) = self.running.take_if(|out| out.number == attempt) {
-                        self.withdraw(out);
-                    }
-                }
-                Ok(Order::Answer(verdict)) => {
-                    self.answered = true;
-                    return match (verdict, brought) {
-                        (Verdict::Served(()), Some(Brought::Whole(answer))) => Verdict::Served(answer),
-                        (Verdict::Served(()), Some(Brought::Begun(attempt, make))) => {
-                            self.begun = None; // its end is the tail's to tell from here on
-                            let shared: Arc<dyn Ends> = self.shared.clone();
-                            Verdict::Served(make(Tail { ends: Some((shared, self.id, attempt)) }))
-                        }
-                        (Verdict::Refused(after), _) => Verdict::Refused(after),
-                        (Verdict::Served(()) | Verdict::Failed, _) => Verdict::Failed,
-                    };
-                }
-                Err(Step::Ended(Ended { outcome, answer, load })) => {
-                    let Some(Outgoing { number: attempt, .. }) = self.running.take() else { continue };
-                    let served = answer.is_some().then_some(());
-                    brought = answer.map(Brought::Whole);
-                    self.shared.ended(self.id, attempt, Ended { outcome, answer: served, load });
-                }
-                Err(Step::Started(make)) => {
-                    let Some(Outgoing { number: attempt, .. }) = self.running.take() else { continue };
-                    self.begun = Some(attempt);
-                    brought = Some(Brought::Begun(attempt, make));
-                    let begun = Input::Started { id: self.id, attempt, answer: () };
-                    self.shared.tell(&mut self.shared.lock(), begun);
-                }
-            }
-        }
-    }
-
-    /// Makes an attempt, unless its upstream was listed as draining or gone since it was decided on.
-    fn start(&mut self, send: &SendOrder) {
-        if !self.shared.lock().engine.takes_new(&send.to) {
-            return self.shared.ended(self.id, send.attempt, Outcome::Moot.into());
-        }
-        let clock = &self.shared.clock;
-        let until = clock.instant(send.until);
-        let begin_by = (send.begin_by < Time::MAX).then(|| clock.instant(send.begin_by));
-        let attempt = Attempt::new(send.to, clock.instant(send.deadline), begin_by);
-        let made = self.shared.transport.attempt(&mut self.request, &attempt);
-        let running = Box::pin(limited(until, attempt.clone(), made));
-        self.running = Some(Outgoing { number: send.attempt, attempt, running });
-    }
-
-    /// Withdraws an attempt, and tells whether it can have run.
-    fn withdraw(&self, out: Outgoing<T::Answer>) {
-        let outcome = if out.attempt.revoke() { Outcome::Moot } else { Outcome::Cancelled };
-        drop(out.running);
-        self.shared.ended(self.id, out.number, outcome.into());
-    }
-}
-
-/// An attempt that is given up at a time. One that has not begun by then never ran.
-async fn limited<A>(until: Instant, attempt: Attempt, made: impl Future<Output = Step<A>>) -> Step<A> {
-    let ended = timeout_at(until, made).await;
-    ended.unwrap_or_else(|_| {
-        let outcome = if attempt.revoke() { Outcome::ConnectFailed } else { Outcome::Timeout };
-        Step::Ended(outcome.into())
-    })
-}
-
-/// The answer that a call's own attempt brought.
-enum Brought<A> {
-    Whole(A),
-    Begun(u32, Box<dyn FnOnce(Tail) -> A + Send>),
-}
-
-impl<T: Transport> Drop for Held<T> {
-    /// The caller has left, or has its answer: what is out is withdrawn, and what was to be sent is not.
-    fn drop(&mut self) {
-        let orders = self.slot.take_all();
-        let left_out = self.running.take();
-        if !self.answered {
-            self.shared.tell(&mut self.shared.lock(), Input::Gone(self.id));
-        }
-        for order in orders {
-            if let Order::Send(send) = order {
-                self.shared.ended(self.id, send.attempt, Outcome::Moot.into());
-            }
-        }
-        if let Some(attempt) = self.begun.take() {
-            self.shared.ended(self.id, attempt, Outcome::Cancelled.into());
-        }
-        let Some(out) = left_out else { return };
-        // What has not begun is not to begin for a caller that has left, as when its connection still comes up.
-        if self.shared.may_cancel || out.attempt.revoke() {
-            return self.withdraw(out);
-        }
-        let (shared, id, attempt) = (self.shared.clone(), self.id, out.number);
-        self.shared.runtime.spawn(async move {
-            let ended = match out.running.await {
-                Step::Ended(Ended { outcome, load, .. }) => Ended { outcome, answer: None, load },
-                Step::Started(_) => Outcome::Cancelled.into(),
-            };
-            shared.ended(id, attempt, ended);
-        });
-    }
-}
-
-/// Takes the ends of attempts whose answers are read elsewhere.
-trait Ends: Send + Sync {
-    fn end(self: Arc<Self>, id: RequestId, attempt: u32, outcome: Outcome);
-}
-
-impl<T: Transport> Ends for Shared<T> {
-    fn end(self: Arc<Self>, id: RequestId, attempt: u32, outcome: Outcome) {
-        self.ended(id, attempt, outcome.into());
-    }
-}
-
-/// The rest of an answer that has begun. It tells the attempt's end once; dropped, that it was withdrawn.
-pub struct Tail {
-    ends: Option<(Arc<dyn Ends>, RequestId, u32)>,
-}
-
-impl Tail {
-    /// The answer has ended so.
-    pub fn end(mut self, outcome: Outcome) {
-        self.tell(outcome);
-    }
-
-    fn tell(&mut self, outcome: Outcome) {
-        if let Some((ends, id, attempt)) = self.ends.take() {
-            ends.end(id, attempt, outcome);
-        }
-    }
-}
-
-impl Drop for Tail {
-    fn drop(&mut self) {
-        self.tell(Outcome::Cancelled);
+        Held::new(shared.clone(), id, slot, request).drive().await
     }
 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -13,11 +13,13 @@
 
 mod attempt;
 mod balance;
+mod call;
 mod clock;
 mod slot;
 
 pub use attempt::Attempt;
-pub use balance::{Ask, Balance, Log, Observations, Setup, Tail, Upstream};
+pub use balance::{Ask, Balance, Log, Observations, Setup, Upstream};
+pub use call::Tail;
 pub use clock::Clock;
 pub use woadstall_engine as engine;
 
