Discovery that is asked: watches are spread, and a silent one is opened anew at once

A watch draws its wait between 10 and 20 s, is overdue 0.75 s after it, and is then opened anew at once on a new connection; only if that fails as well the module is told of a failure.

--- a/crates/discovery/src/client.rs
+++ b/crates/discovery/src/client.rs
@@ -2,6 +2,7 @@
 
 use crate::listing::Listing;
 use bytes::Bytes;
+use fastrand::Rng;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::Request;
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -17,11 +18,14 @@
 /// How long a watch may wait where an agent on the own machine answers, at no cost. A change counts as told 6 s after a
 /// watch fell silent: even the second silent call in a row must be given up well before.
 const WAIT_PUSHED: Duration = Duration::from_secs(1);
-/// How long a watch may wait where one service answers all balancers: it is spared calls.
-const WAIT_ASKED: Duration = Duration::from_secs(20);
+/// How long a watch may wait where one service answers all balancers: it is spared calls. Each watch draws its own wait
+/// between these: it works through calls in turn, and those of balancers that started together, or whose watches fell
+/// silent together, would come together again and again.
+const SHORTEST_WAIT_ASKED: Duration = Duration::from_secs(10);
+const LONGEST_WAIT_ASKED: Duration = Duration::from_secs(20);
 /// Silence beyond its wait after which a watch has failed. A change counts as told 2 s after that wait, and the next
-/// call takes its time.
-const OVERDUE: Duration = Duration::from_secs(1);
+/// call has to come through until then, behind those of others.
+const OVERDUE: Duration = Duration::from_millis(750);
 /// How long a call for the whole list may take.
 const WHOLE_LIST_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long a connection may take to come up: a dial that goes on for the time of a watch would hide a service that is
@@ -55,6 +59,8 @@
     pub known: Option<u64>,
     /// Discovery answers only when asked: a watch begins when one is subscribed.
     pub asked: bool,
+    /// Spreads the calls of balancers.
+    pub seed: u64,
 }
 
 /// Tells `tell` of every change, until that says that nobody wants to hear of it. Another address ends what was asked of
@@ -65,13 +71,14 @@
     mut subscribed: UnboundedReceiver<()>,
     mut addresses: watch::Receiver<SocketAddr>,
 ) {
-    let Follow { mut known, asked } = follow;
+    let Follow { mut known, asked, seed } = follow;
+    let mut random = Rng::with_seed(seed);
     loop {
         let address = *addresses.borrow_and_update();
         tokio::select! {
             biased;
             changed = addresses.changed() => if changed.is_err() { return },
-            () = follow_one(address, known, asked, &mut tell, &mut subscribed) => return,
+            () = follow_one(address, known, asked, &mut random, &mut tell, &mut subscribed) => return,
         }
         known = None;
     }
@@ -84,16 +91,18 @@
     address: SocketAddr,
     known: Option<u64>,
     asked: bool,
+    random: &mut Rng,
     tell: &mut impl FnMut(Update) -> bool,
     subscribed: &mut UnboundedReceiver<()>,
 ) {
-    let wait = if asked { WAIT_ASKED } else { WAIT_PUSHED };
     let mut watch = Watch { address, sender: None };
     let (mut rev, mut whole, mut failures) = (known.unwrap_or(0), known.is_none(), 0_u32);
     if asked && !whole && subscribed.recv().await.is_none() {
         return;
     }
+    let mut reopened = false;
     loop {
+        let wait = if asked { wait_asked(random) } else { WAIT_PUSHED };
         let (path, patience) = match whole {
             true => ("/v1/servers".to_owned(), WHOLE_LIST_TIMEOUT),
             false => (format!("/v1/servers?after={rev}&wait_ms={}", wait.as_millis()), wait + OVERDUE),
@@ -109,7 +118,7 @@
                     tell(Update::Note(format!("discovery answers again after {failures} failures")));
                 }
                 let unchanged = listing.rev == rev;
-                (rev, whole, failures) = (listing.rev, false, 0);
+                (rev, whole, failures, reopened) = (listing.rev, false, 0, false);
                 if !tell(Update::Listed(listing)) {
                     return;
                 }
@@ -123,6 +132,10 @@
                     tell(Update::Note(format!("discovery failed: {error}")));
                 }
                 failures = failures.saturating_add(1);
+                // A watch that has fallen silent is opened anew at once: what it missed may be told already.
+                if asked && !whole && error.is::<NoAnswer>() && !std::mem::replace(&mut reopened, true) {
+                    continue;
+                }
                 if asked {
                     while subscribed.try_recv().is_ok() {} // what was asked before this failure
                     if !tell(Update::Failed) || subscribed.recv().await.is_none() {
@@ -136,6 +149,17 @@
     }
 }
 
+/// How long a watch waits where one service answers all balancers.
+fn wait_asked(random: &mut Rng) -> Duration {
+    let spread = LONGEST_WAIT_ASKED - SHORTEST_WAIT_ASKED;
+    SHORTEST_WAIT_ASKED + spread.mul_f64(random.f64())
+}
+
+/// A call has taken longer than it may.
+#[derive(Debug, thiserror::Error)]
+#[error("no answer in time")]
+struct NoAnswer;
+
 /// How long to wait after so many failed calls in a row.
 fn backoff(failures: u32) -> Duration {
     let doublings = failures.saturating_sub(1).min(16);
@@ -153,7 +177,7 @@
         path: &str,
         patience: Duration,
     ) -> Result<Listing, Box<dyn Error + Send + Sync>> {
-        timeout(patience, self.exchange(path)).await.map_err(|_| "no answer in time")?
+        timeout(patience, self.exchange(path)).await.map_err(|_| NoAnswer)?
     }
 
     async fn exchange(&mut self, path: &str) -> Result<Listing, Box<dyn Error + Send + Sync>> {
--- a/crates/runtime/src/balance.rs
+++ b/crates/runtime/src/balance.rs
@@ -104,6 +104,7 @@
     names: Names,
     asked: bool,
     known: u64,
+    seed: u64,
     pub(crate) may_cancel: bool,
     subscribe: UnboundedSender<()>,
     earlier: Notify,
@@ -258,6 +259,7 @@
             names,
             asked,
             known: known.rev,
+            seed,
             may_cancel,
             subscribe,
             earlier: Notify::new(),
@@ -277,7 +279,8 @@
         let Some(subscribed) = subscribed else { return };
         let shared = Arc::downgrade(&self.shared);
         let hear = move |update| shared.upgrade().map(|shared| shared.hear(update)).is_some();
-        let from = Follow { known: Some(self.shared.known), asked: self.shared.asked };
+        let from =
+            Follow { known: Some(self.shared.known), asked: self.shared.asked, seed: self.shared.seed };
         let task = tokio::spawn(follow(from, hear, subscribed, addresses)).abort_handle();
         self.tasks.0.lock().unwrap_or_else(PoisonError::into_inner).push(task);
     }
--- a/tests/discovery_failures.rs
+++ b/tests/discovery_failures.rs
@@ -78,6 +78,39 @@
     two.taken(&program);
 }
 
+/// Where discovery is asked, a watch may wait, and a change counts as told 2 s after that wait: a silent one is opened anew
+/// at once, with no wait for a turn before it.
+#[test]
+fn a_silent_watch_on_a_service_that_is_asked_is_opened_anew_in_time() {
+    let two = Two::start();
+    let list = two.list(5);
+    let discovery = scripted(move |call, _| match call {
+        0 => Act::Silence,
+        1 => Act::Answer(ok(&list)),
+        _ => Act::Silence,
+    });
+    let program = Program::start(&asked(two.config(discovery.address)));
+    let watch = discovery.request();
+    let silent = Instant::now();
+    let wait: f64 =
+        watch.first_line.split("wait_ms=").nth(1).unwrap().split(' ').next().unwrap().parse().unwrap();
+    discovery.request();
+    let late = silent.elapsed().as_secs_f64() - wait / 1e3;
+    assert!((0.0..1.5).contains(&late), "opened anew {late:.2} s after its wait");
+    two.taken(&program);
+}
+
+/// Balancers that start together do not come together again and again: each watch has its own wait.
+#[test]
+fn watches_on_a_service_that_is_asked_are_spread() {
+    let unchanged = r#"{"rev":1,"all":false,"targets":[]}"#;
+    let discovery = scripted(move |_, _| Act::Answer(ok(unchanged)));
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let _program = Program::start(&asked(config(discovery.address, &in_service(&[&upstream]))));
+    let waits: std::collections::HashSet<String> = (0..8).map(|_| discovery.request().first_line).collect();
+    assert!(waits.len() > 4, "{waits:?}");
+}
+
 /// Where discovery is asked: a dial that never comes up is given up, not waited for as long as a watch.
 #[test]
 fn a_dial_that_never_comes_up_is_given_up_in_time() {
