A streamed answer that still comes at its deadline is passed on; only one that stands still is given up

Cause: gave streamed answers their request's deadline (`ReplyBody::is_expired`, and `Seen::is_answer_overdue` 0.25 s after it), whether or not they moved.

An answer is given up half a second past its time (until then it only earns nothing) if it has stood still for a second, at its upstream or at its client. The timer in the body goes; one look serves all.

--- a/src/net/gate.rs
+++ b/src/net/gate.rs
@@ -17,12 +17,12 @@
 const MOST_AHEAD: usize = 2 * MOST_HEAD;
 /// Headers of a request at most, as in hyper.
 const MOST_HEADERS: usize = 100;
-/// Bytes in a millisecond at which a body must come at least, and how long it may stand still.
+/// Bytes in a millisecond at which a body must come at least.
 const SLOWEST: u64 = 32;
+/// How long a body may stand still, and an answer past its time.
 const STANDSTILL: Duration = Duration::from_secs(1);
-/// How long after its time an answer may still be on its way out: up to half a second it only earns nothing, and the
-/// connections are looked at every fifth of a second.
-const ANSWER_GRACE: Duration = Duration::from_millis(250);
+/// How long after its time an answer may still come to its end: until then it only earns nothing.
+const ANSWER_GRACE: Duration = Duration::from_millis(500);
 /// Reads so close to each other count as one.
 const ONE_READ: Duration = Duration::from_millis(2);
 
@@ -67,6 +67,8 @@
     left_unread: bool,
     /// The caller takes nothing of its answer just now.
     blocked: bool,
+    /// When the caller last took something of an answer.
+    moved: Instant,
     /// Until when the latest answer is of any use, and whether hyper has all of it.
     answer: Option<(Instant, bool)>,
 }
@@ -91,6 +93,7 @@
             waiting: None,
             left_unread: false,
             blocked: false,
+            moved: now,
             answer: None,
         }
     }
@@ -117,14 +120,15 @@
 
     /// An answer goes out that is of use until then; `whole` where hyper has all of it.
     pub fn answering(&mut self, until: Instant, whole: bool) {
-        self.answer = Some((until, whole));
+        (self.answer, self.moved) = (Some((until, whole)), Instant::now());
     }
 
-    /// Whether the caller still waits for a part of an answer that is of no use any more.
+    /// Whether an answer that is of no use any more stands still, at its upstream or at its caller. One that moves is
+    /// passed on: to cut it off would be this side's fault.
     fn is_answer_overdue(&self) -> bool {
-        let overdue =
-            |(until, whole): (Instant, bool)| until.elapsed() > ANSWER_GRACE && (!whole || self.blocked);
-        self.answer.is_some_and(overdue)
+        let Some((until, whole)) = self.answer else { return false };
+        let owed = !whole || self.blocked;
+        owed && until.elapsed() > ANSWER_GRACE && self.moved.elapsed() > STANDSTILL
     }
 
     /// Whether a whole request is owed for longer than this, or a body stands still or comes too slowly after it.
@@ -348,7 +352,11 @@
         parts: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = self.stream.poll_write_parts(cx, parts);
-        lock(&self.seen).blocked = written.is_pending();
+        let mut seen = lock(&self.seen);
+        seen.blocked = written.is_pending();
+        if matches!(written, Poll::Ready(Ok(bytes)) if bytes > 0) {
+            seen.moved = Instant::now();
+        }
         written
     }
 
--- a/src/net/server/reply.rs
+++ b/src/net/server/reply.rs
@@ -12,15 +12,15 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::time::Instant;
 use woadstall_transport::{Answer, named_by_connection};
 
 /// An answer as hyper writes it.
 pub type Reply = Response<ReplyBody>;
 
-/// The body of an answer. One that comes bit by bit breaks off when its request's time is over.
+/// The body of an answer.
 pub struct ReplyBody {
     answer: Answer,
     streamed: Option<Streamed>,
@@ -30,7 +30,6 @@
 struct Streamed {
     begun: Begun,
     deadline: Instant,
-    expiry: Pin<Box<Sleep>>,
     seen: Arc<Mutex<Seen>>,
 }
 
@@ -52,14 +51,9 @@
         self.answer.is_whole()
     }
 
-    /// Has an answer that is not whole end by a time, and tells when it has.
+    /// Tells when an answer that is not whole has come to its end.
     pub fn stream(&mut self, begun: Begun, deadline: Instant, seen: Arc<Mutex<Seen>>) {
-        let expiry = Box::pin(sleep_until(deadline));
-        self.streamed = Some(Streamed { begun, deadline, expiry, seen });
-    }
-
-    fn is_expired(&mut self, cx: &mut Context<'_>) -> bool {
-        self.streamed.as_mut().is_some_and(|streamed| streamed.expiry.as_mut().poll(cx).is_ready())
+        self.streamed = Some(Streamed { begun, deadline, seen });
     }
 }
 
@@ -71,14 +65,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        let frame = match Pin::new(&mut self.answer).poll_frame(cx) {
-            Poll::Ready(frame) => frame,
-            Poll::Pending if self.is_expired(cx) => {
-                self.answer = Bytes::new().into(); // which withdraws the attempt
-                return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
-            }
-            Poll::Pending => return Poll::Pending,
-        };
+        let frame = ready!(Pin::new(&mut self.answer).poll_frame(cx));
         let over = frame.is_none() || self.answer.is_end_stream();
         if let Some(streamed) = self.streamed.as_mut().filter(|_| over) {
             streamed.begun.whole();
