Settings: classes that succeed others are a type instead of a pair

ClassSuccession { class, predecessor } in place of (usize, usize) called heirs, in decisions, engine, runtime and settings.

--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -202,6 +202,15 @@
     pub started: Option<Time>,
 }
 
+/// A class that is new in changed settings and had another position under its name before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClassSuccession {
+    /// Position of the new class.
+    pub class: usize,
+    /// Position of the class before it, whose latency holds for it until it has its own.
+    pub predecessor: usize,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -243,14 +243,14 @@
         }
     }
 
-    /// Takes new settings. A class keeps its position; `heirs` names new ones, each with the one whose
-    /// latency holds for it until it has its own. Fewer attempts bind requests under way as well.
-    pub fn retune(&mut self, settings: Settings, heirs: &[(usize, usize)]) -> Result<(), SettingsError> {
+    /// Takes new settings. A class keeps its position; `new` names those that had another before.
+    /// Fewer attempts bind requests under way as well.
+    pub fn retune(&mut self, settings: Settings, new: &[ClassSuccession]) -> Result<(), SettingsError> {
         settings.check()?;
         let classes = settings.classes.len().max(self.classes.len());
         self.classes.resize(classes, Latency::default());
-        for &(new, old) in heirs {
-            self.classes[new] = self.classes[old].clone();
+        for succession in new {
+            self.classes[succession.class] = self.classes[succession.predecessor].clone();
         }
         self.shed.demand.resize(classes, Recent::default());
         self.shed.tenants.resize(settings.tenants.len(), Recent::default());
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -6,8 +6,8 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 use woadstall_decisions::Balancer;
 use woadstall_decisions::api::{
-    Action, Demand, Duration, End, Event, Learned, Lifecycle, Outcome, RequestId, ServerId, Settings,
-    SettingsError, Time,
+    Action, ClassSuccession, Demand, Duration, End, Event, Learned, Lifecycle, Outcome, RequestId, ServerId,
+    Settings, SettingsError, Time,
 };
 
 /// The safety net answers this much after a request's time, when the module should long have done so.
@@ -150,11 +150,11 @@
         self.members.len()
     }
 
-    /// Takes new settings: classes keep their positions, and `heirs` are the new ones, each with the one whose
-    /// latency holds for it at first. Fewer attempts bind requests under way as well.
-    pub fn retune(&mut self, settings: Settings, heirs: &[(usize, usize)]) -> Result<(), SettingsError> {
+    /// Takes new settings: classes keep their positions, and `new` are those that had another one before. Fewer attempts
+    /// bind requests under way as well.
+    pub fn retune(&mut self, settings: Settings, new: &[ClassSuccession]) -> Result<(), SettingsError> {
         let most = settings.max_attempts;
-        self.balancer.retune(settings, heirs)?;
+        self.balancer.retune(settings, new)?;
         self.max_attempts = most;
         Ok(())
     }
--- a/crates/runtime/src/balance.rs
+++ b/crates/runtime/src/balance.rs
@@ -312,8 +312,9 @@
 
     /// Takes new settings, see [`Engine::retune`]. The error names the setting at fault, and nothing has changed.
     pub fn retune(&self, change: Change) -> Result<(), String> {
-        let Change { settings, heirs } = change;
-        self.shared.lock().engine.retune(settings, &heirs).map_err(|error| format!("settings: {error}"))
+        let Change { settings, successions } = change;
+        let retuned = self.shared.lock().engine.retune(settings, &successions);
+        retuned.map_err(|error| format!("settings: {error}"))
     }
 
     /// What is worth knowing for a process that takes over, and the names of the upstreams in it.
--- a/crates/settings/src/terms.rs
+++ b/crates/settings/src/terms.rs
@@ -1,7 +1,7 @@
 //! Settings that change while requests are under way.
 
 use crate::Names;
-use woadstall_decisions::api::{Class, Effect, Group, Settings};
+use woadstall_decisions::api::{Class, ClassSuccession, Effect, Group, Settings};
 
 /// Positions of classes at most, over all changes: guards the memory, and the time that shedding takes.
 pub const MOST_CLASSES: usize = 1024;
@@ -24,8 +24,8 @@
 pub struct Change {
     /// The settings with all classes that ever were.
     pub settings: Settings,
-    /// Classes that are new, each with the position of the one that had its name before.
-    pub heirs: Vec<(usize, usize)>,
+    /// Classes that are new and had another position under their names before.
+    pub successions: Vec<ClassSuccession>,
 }
 
 impl Terms {
@@ -52,14 +52,16 @@
         }
         let (mut settings, mut all) = (new.clone(), self.names.clone());
         settings.classes = self.as_set();
-        let (mut in_force, mut heirs) = (Vec::new(), Vec::new());
+        let (mut in_force, mut successions) = (Vec::new(), Vec::new());
         for (class, name) in new.classes.iter().zip(&names.classes) {
             let same = |at: &usize| all.classes[*at] == *name && settings.classes[*at] == *class;
             let at = (0..all.classes.len()).find(same).unwrap_or_else(|| {
-                heirs.extend(self.class(name).map(|before| (all.classes.len(), before)));
+                let position = all.classes.len();
+                let succession = |predecessor| ClassSuccession { class: position, predecessor };
+                successions.extend(self.class(name).map(succession));
                 all.classes.push(name.clone());
                 settings.classes.push(class.clone());
-                all.classes.len() - 1
+                position
             });
             if in_force.iter().any(|&other: &usize| all.classes[other] == *name) {
                 return Err(format!("settings: class `{name}` is there twice"));
@@ -83,7 +85,7 @@
         let former = self.in_force.clone();
         let mut terms = Self { effects: effects(&settings), settings, names: all, in_force, former };
         terms.tighten();
-        let change = Change { settings: terms.settings.clone(), heirs };
+        let change = Change { settings: terms.settings.clone(), successions };
         Ok((terms, change))
     }
 
@@ -197,7 +199,8 @@
             (Some(2), Some(3), None)
         );
         assert_eq!((second.former("post"), second.former("look")), (Some(1), Some(0)));
-        assert_eq!(change.heirs, [(3, 0)], "what is known of `look` goes on");
+        let succession = ClassSuccession { class: 3, predecessor: 0 };
+        assert_eq!(change.successions, [succession], "what is known of `look` goes on");
         let set = [Effect::Safe, Effect::Unsafe, Effect::Unsafe, Effect::Unsafe];
         for (at, effect) in set.iter().enumerate() {
             assert_eq!(second.effect(at), *effect, "callers know each class as it was set");
@@ -210,7 +213,7 @@
         let (settings, names) = terms(&[("look", "read_like")]);
         let (third, change) = second.retune(&settings, &names).unwrap();
         assert_eq!(third.class("look"), Some(0), "it comes back as it was");
-        assert!(change.heirs.is_empty() && change.settings.classes.len() == 4);
+        assert!(change.successions.is_empty() && change.settings.classes.len() == 4);
         assert_eq!(change.settings.classes[0].effect, Effect::Safe);
         assert_eq!(change.settings.classes[3].effect, Effect::Unsafe, "what came as unsafe stays so");
     }
