--- a/src/net/server/linger.rs
+++ b/src/net/server/linger.rs
@@ -31,12 +31,9 @@
 }
 
 impl Lingering {
-    /// Closes a connection so. Where `most` linger already, the oldest of them is closed as it is.
-    pub fn close(self: &Arc<Self>, stream: SharedStream, most: usize) {
+    /// Closes a connection so.
+    pub fn close(self: &Arc<Self>, stream: SharedStream) {
         let mut open = lock(&self.open);
-        while open.tasks.len() >= most.max(1) {
-            open.tasks.pop_first().into_iter().for_each(|(_, oldest)| oldest.abort());
-        }
         let number = open.next;
         open.next += 1;
         let lingering = self.clone();
@@ -49,10 +46,12 @@
         open.tasks.insert(number, task.abort_handle());
     }
 
-    /// Closes all of them as they are.
-    pub fn close_all(&self) {
-        let tasks = std::mem::take(&mut lock(&self.open).tasks);
-        tasks.values().for_each(AbortHandle::abort);
+    /// Lets no more than this linger on: the oldest beyond that are closed as they are.
+    pub fn keep(&self, most: usize) {
+        let mut open = lock(&self.open);
+        while open.tasks.len() > most {
+            open.tasks.pop_first().into_iter().for_each(|(_, oldest)| oldest.abort());
+        }
         self.closed.notify_one();
     }
 
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -203,7 +203,7 @@
                     super::log(format_args!("cannot take a connection: {error}"));
                     if is_local(&error) {
                         self.close_idle();
-                        self.lingering.close_all();
+                        self.lingering.keep(0);
                         self.balance.transport().close_all();
                         sleep(ACCEPT_PAUSE).await;
                     }
@@ -235,6 +235,7 @@
         let (caller, gate) = Caller::new(surplus, stream);
         let number = self.next_caller.fetch_add(1, Ordering::Relaxed);
         lock(&self.callers).insert(number, caller.clone());
+        self.bound_lingering();
         let place = Place { server: self.clone(), number, caller };
         tokio::spawn(place.serve(gate, closing.clone()));
     }
@@ -247,8 +248,14 @@
 
     /// Closes a connection that its caller may still be writing to.
     fn linger(&self, stream: SharedStream) {
+        self.lingering.close(stream);
+        self.bound_lingering();
+    }
+
+    /// Those that linger may have the descriptors of places that nobody has, and a few beside.
+    fn bound_lingering(&self) {
         let places = self.config.limits.callers.saturating_sub(self.count());
-        self.lingering.close(stream, places + LINGERING_BESIDE);
+        self.lingering.keep(places + LINGERING_BESIDE);
     }
 
     /// Whether answers end their connections.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Descriptors that it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
     /// Resident memory, in KiB.
     pub fn memory(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -73,6 +73,39 @@
     assert_eq!(program.call("post").body, b"present");
 }
 
+/// Connections that are being closed while their clients still hold them give way to those that are taken.
+#[test]
+fn connections_that_linger_take_no_descriptors_from_others() {
+    const CALLERS: usize = 68;
+    let upstream = Upstream::start(|message| match message.body == b"held" {
+        true => Act::Silence,
+        false => Act::Answer(ok("served")),
+    });
+    let mut config = config(refusing(), &in_service(&[&upstream]));
+    config["limits"]["sockets"] = 200.into(); // room for so many callers, and as many connections to upstreams
+    let program = Program::start_limited(&config, 1024);
+    let at_fault = request("post", LONG, "")
+        .replace("Content-Length: 0", "Content-Length: 0\r\nTransfer-Encoding: chunked");
+    let ended: Vec<Caller> = (0..CALLERS)
+        .map(|_| {
+            let mut caller = program.connect();
+            caller.write(&at_fault);
+            assert_eq!(caller.answer().expect("an answer").status(), 400);
+            caller
+        })
+        .collect();
+    let held: Vec<Caller> = (0..CALLERS)
+        .map(|_| {
+            let mut caller = program.connect();
+            caller.send("post", LONG, "held");
+            upstream.request();
+            caller
+        })
+        .collect();
+    assert!(program.descriptors() <= 200, "{} descriptors", program.descriptors());
+    drop((ended, held));
+}
+
 /// The system gives no descriptor to accept with: what is idle goes, and accepting goes on.
 #[test]
 fn accepting_goes_on_after_the_descriptors_have_run_out() {
