--- /dev/null
+++ b/crates/control/src/configuration.rs
@@ -0,0 +1,284 @@
+//! The operator's configuration: routes, services, limits. Read from JSON, checked whole.
+
+use crate::reader::{Findings, Reader};
+use serde_json::Value;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::Duration;
+
+/// What may be done with a request that failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteType {
+    /// It may run more than once.
+    Safe,
+    /// It may run once a try at most.
+    NonIdempotent,
+    /// A stream of events; it may run once a try at most, unless it may be resumed.
+    Streaming,
+}
+
+/// Where requests of a host and a path prefix go.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Its name.
+    pub name: String,
+    /// The host, in lower case.
+    pub host: String,
+    /// The beginning of the path, with a slash at both ends.
+    pub path_prefix: String,
+    /// What may be repeated.
+    pub route_type: RouteType,
+    /// The longest time for which a request may be held.
+    pub timeout: Duration,
+    /// The time within which an answer, or a stream's first event, earns its full worth.
+    pub target_latency: Duration,
+    /// Its rank; 0 is the highest.
+    pub priority: u8,
+    /// The services that it may go to, with their weights.
+    pub targets: Vec<(String, u64)>,
+    /// The most upstreams that one request may go to.
+    pub max_attempts: u32,
+    /// Whether requests name parts of their prompts, which upstreams keep.
+    pub session_affinity: bool,
+    /// Whether a stream may be taken up at another upstream.
+    pub resumable: bool,
+    /// The regions in which it may be served; all where there is none.
+    pub allowed_regions: Vec<String>,
+}
+
+impl Route {
+    /// Whether a request may run a second time after it may have run.
+    pub fn is_idempotent(&self) -> bool {
+        match self.route_type {
+            RouteType::Safe => true,
+            RouteType::NonIdempotent => false,
+            RouteType::Streaming => self.resumable,
+        }
+    }
+}
+
+/// The engine of a model service's upstreams.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Engine {
+    /// Requests in one batch.
+    pub capacity: u64,
+    /// Tokens that running requests and kept prompts share.
+    pub kv_capacity_tokens: u64,
+}
+
+/// A service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Its name.
+    pub name: String,
+    /// The path of its health check.
+    pub health_check: String,
+    /// Connections that an upstream takes from all callers together.
+    pub max_connections: u64,
+    /// How long an upstream is cold after a start during traffic.
+    pub cold_start: Duration,
+    /// Requests a second that a cold upstream bears; 0 where there is no such bound.
+    pub warmup_per_s: f64,
+    /// The engine, where it serves a model.
+    pub engine: Option<Engine>,
+}
+
+/// What a client may send, and how long it may take or stay idle.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// Bytes of a head.
+    pub max_header_bytes: usize,
+    /// Bytes of a body.
+    pub max_body_bytes: usize,
+    /// The time for a head.
+    pub header_timeout: Duration,
+    /// How long a connection may rest.
+    pub idle_timeout: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            max_header_bytes: 16 << 10,
+            max_body_bytes: 4 << 20,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+/// A configuration that was checked.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Configuration {
+    /// Its version.
+    pub generation: u64,
+    /// The routes.
+    pub routes: Vec<Route>,
+    /// The services by name.
+    pub services: BTreeMap<String, Service>,
+    /// The limits.
+    pub limits: Limits,
+    by_host: HashMap<String, Vec<usize>>,
+}
+
+impl Configuration {
+    /// Reads and checks a configuration whole. The findings name each fault with its place.
+    pub fn read(document: &Value) -> Result<Self, Findings> {
+        let findings = &mut Findings::default();
+        let root = Reader::new(document);
+        if !document.is_object() {
+            findings.add(root.place(), "must be an object");
+            return Err(std::mem::take(findings));
+        }
+        let generation = root.field("generation").whole(findings);
+        let mut services = BTreeMap::new();
+        for item in root.field("services").items(findings) {
+            let service = read_service(&item, findings);
+            if services.insert(service.name.clone(), service).is_some() {
+                findings.add(item.field("name").place(), "is the name of another service too");
+            }
+        }
+        let routes = root.field("routes").items(findings);
+        let routes: Vec<Route> = routes.iter().map(|item| read_route(item, &services, findings)).collect();
+        check_places(&routes, findings);
+        let limits = read_limits(&root.field("limits"), findings);
+        if !findings.is_empty() {
+            return Err(std::mem::take(findings));
+        }
+        let mut by_host: HashMap<String, Vec<usize>> = HashMap::new();
+        for (index, route) in routes.iter().enumerate() {
+            by_host.entry(route.host.clone()).or_default().push(index);
+        }
+        for indices in by_host.values_mut() {
+            indices.sort_by_key(|index| std::cmp::Reverse(routes[*index].path_prefix.len()));
+        }
+        Ok(Self { generation, routes, services, limits, by_host })
+    }
+
+    /// The route of a request: the one of its host with the longest prefix that begins the path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = host.rsplit_once(':').filter(|(_, port)| is_port(port)).map_or(host, |(name, _)| name);
+        let indices = match self.by_host.get(host) {
+            Some(indices) => indices,
+            None => self.by_host.get(&host.to_ascii_lowercase())?,
+        };
+        indices.iter().map(|index| &self.routes[*index]).find(|route| path.starts_with(&route.path_prefix))
+    }
+}
+
+fn is_port(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit())
+}
+
+fn millis(reader: &Reader<'_>, default: u64, findings: &mut Findings) -> Duration {
+    Duration::from_millis(reader.whole_or(default, findings))
+}
+
+fn read_service(item: &Reader<'_>, findings: &mut Findings) -> Service {
+    let engine = item.field("engine");
+    let engine = engine.value().is_some().then(|| Engine {
+        capacity: engine.field("capacity").whole_or(1, findings).max(1),
+        kv_capacity_tokens: engine.field("kv_capacity_tokens").whole_or(u64::MAX, findings),
+    });
+    let cold_start = item.field("cold_start_s").number_or(0.0, findings);
+    Service {
+        name: item.field("name").text(findings),
+        health_check: item.field("health_check").optional_text(findings).unwrap_or_default(),
+        max_connections: item.field("max_connections").whole_or(u64::MAX, findings),
+        cold_start: Duration::try_from_secs_f64(cold_start).unwrap_or(Duration::ZERO),
+        warmup_per_s: item.field("warmup_per_s").number_or(0.0, findings),
+        engine,
+    }
+}
+
+fn read_route(item: &Reader<'_>, services: &BTreeMap<String, Service>, findings: &mut Findings) -> Route {
+    let path_prefix = item.field("path_prefix").text(findings);
+    if !path_prefix.is_empty() && !(path_prefix.starts_with('/') && path_prefix.ends_with('/')) {
+        findings.add(item.field("path_prefix").place(), "must begin and end with a slash");
+    }
+    let route_type = item.field("route_type");
+    let route_type = match route_type.text(findings).as_str() {
+        "safe" => RouteType::Safe,
+        "streaming" => RouteType::Streaming,
+        "non_idempotent" | "" => RouteType::NonIdempotent,
+        other => {
+            findings.add(route_type.place(), format!("{other:?} is no type of route"));
+            RouteType::NonIdempotent
+        }
+    };
+    let timeout = item.field("timeout_ms");
+    let timeout_ms = timeout.whole(findings);
+    if timeout.value().and_then(Value::as_u64) == Some(0) {
+        findings.add(timeout.place(), "must be above 0");
+    }
+    let regions = item.field("allowed_regions").items(findings);
+    Route {
+        name: item.field("name").text(findings),
+        host: item.field("host").text(findings).to_ascii_lowercase(),
+        path_prefix,
+        route_type,
+        timeout: Duration::from_millis(timeout_ms),
+        target_latency: millis(&item.field("target_latency_ms"), timeout_ms, findings),
+        priority: u8::try_from(item.field("priority").whole_or(0, findings)).unwrap_or(u8::MAX),
+        targets: read_targets(item, services, findings),
+        max_attempts: u32::try_from(item.field("max_attempts").whole_or(1, findings)).unwrap_or(u32::MAX),
+        session_affinity: item.field("session_affinity").flag_or(false, findings),
+        resumable: item.field("resumable").flag_or(false, findings),
+        allowed_regions: regions.iter().map(|region| region.text(findings)).collect(),
+    }
+}
+
+fn read_targets(
+    item: &Reader<'_>,
+    services: &BTreeMap<String, Service>,
+    findings: &mut Findings,
+) -> Vec<(String, u64)> {
+    let split = item.field("traffic_split");
+    let named = |reader: &Reader<'_>, findings: &mut Findings| {
+        let service = reader.text(findings);
+        if !service.is_empty() && !services.contains_key(&service) {
+            findings.add(reader.place(), format!("names an unknown service {service:?}"));
+        }
+        service
+    };
+    if split.value().is_none() {
+        return vec![(named(&item.field("service"), findings), 1)];
+    }
+    let mut targets = Vec::new();
+    for target in split.items(findings) {
+        let service = named(&target.field("service"), findings);
+        targets.push((service, target.field("weight").whole(findings)));
+    }
+    if targets.iter().map(|(_, weight)| weight).sum::<u64>() == 0 {
+        findings.add(split.place(), "has weights that add up to 0");
+    }
+    targets
+}
+
+/// Two routes must not share a host and a prefix, nor a name.
+fn check_places(routes: &[Route], findings: &mut Findings) {
+    let (mut places, mut names) = (HashSet::new(), HashSet::new());
+    for (index, route) in routes.iter().enumerate() {
+        if !places.insert((&route.host, &route.path_prefix)) {
+            findings.add(format!("routes[{index}]"), "shares its host and path prefix with another route");
+        }
+        if !names.insert(&route.name) {
+            findings.add(format!("routes[{index}].name"), "is the name of another route too");
+        }
+    }
+}
+
+fn read_limits(reader: &Reader<'_>, findings: &mut Findings) -> Limits {
+    let default = Limits::default();
+    let size = |field: &Reader<'_>, default: usize, findings: &mut Findings| {
+        usize::try_from(field.whole_or(default as u64, findings)).unwrap_or(usize::MAX)
+    };
+    let time = |field: &Reader<'_>, default: Duration, findings: &mut Findings| {
+        millis(field, u64::try_from(default.as_millis()).unwrap_or(u64::MAX), findings)
+    };
+    Limits {
+        max_header_bytes: size(&reader.field("max_header_bytes"), default.max_header_bytes, findings),
+        max_body_bytes: size(&reader.field("max_body_bytes"), default.max_body_bytes, findings),
+        header_timeout: time(&reader.field("header_timeout_ms"), default.header_timeout, findings),
+        idle_timeout: time(&reader.field("idle_timeout_ms"), default.idle_timeout, findings),
+    }
+}
--- /dev/null
+++ b/crates/control/src/reader.rs
@@ -0,0 +1,139 @@
+//! A reader of paths over JSON: it collects findings with their place instead of stopping at the first one.
+
+use serde_json::Value;
+use std::fmt;
+
+/// Something wrong at a place of a document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// The place, as in `routes[3].timeout_ms`.
+    pub place: String,
+    /// What is wrong there.
+    pub problem: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.place, self.problem)
+    }
+}
+
+/// All findings of a document, one a line.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Findings(pub Vec<Finding>);
+
+impl Findings {
+    /// Adds one.
+    pub fn add(&mut self, place: impl Into<String>, problem: impl Into<String>) {
+        self.0.push(Finding { place: place.into(), problem: problem.into() });
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|finding| writeln!(f, "{finding}"))
+    }
+}
+
+impl std::error::Error for Findings {}
+
+/// A value at a place of a document.
+#[derive(Clone, Debug)]
+pub struct Reader<'a> {
+    value: Option<&'a Value>,
+    place: String,
+}
+
+impl<'a> Reader<'a> {
+    /// The whole document.
+    pub fn new(document: &'a Value) -> Self {
+        Self { value: Some(document), place: String::new() }
+    }
+
+    /// The place, as findings name it.
+    pub fn place(&self) -> &str {
+        if self.place.is_empty() { "(document)" } else { &self.place }
+    }
+
+    /// The value, if there is one; `null` counts as none.
+    pub fn value(&self) -> Option<&'a Value> {
+        self.value.filter(|value| !value.is_null())
+    }
+
+    /// A field of an object.
+    pub fn field(&self, name: &str) -> Self {
+        let place = match self.place.is_empty() {
+            true => name.to_owned(),
+            false => format!("{}.{name}", self.place),
+        };
+        Self { value: self.value.and_then(|value| value.get(name)), place }
+    }
+
+    /// The items of an array; none where the value is absent.
+    pub fn items(&self, findings: &mut Findings) -> Vec<Self> {
+        let Some(value) = self.value() else { return Vec::new() };
+        let Some(items) = value.as_array() else {
+            findings.add(self.place(), "must be an array");
+            return Vec::new();
+        };
+        let item = |(index, value)| Self { value: Some(value), place: format!("{}[{index}]", self.place) };
+        items.iter().enumerate().map(item).collect()
+    }
+
+    /// A string that must be there and must not be empty.
+    pub fn text(&self, findings: &mut Findings) -> String {
+        match self.value().map(Value::as_str) {
+            Some(Some(text)) if !text.is_empty() => text.to_owned(),
+            Some(Some(_)) => self.wrong("must not be empty", findings),
+            Some(None) => self.wrong("must be a string", findings),
+            None => self.wrong("is missing", findings),
+        }
+    }
+
+    /// A string, or none where the value is absent.
+    pub fn optional_text(&self, findings: &mut Findings) -> Option<String> {
+        self.value().map(|_| self.text(findings))
+    }
+
+    /// A whole number that must be there.
+    pub fn whole(&self, findings: &mut Findings) -> u64 {
+        match self.value().map(Value::as_u64) {
+            Some(Some(number)) => number,
+            Some(None) => self.wrong("must be a whole number, 0 or more", findings),
+            None => self.wrong("is missing", findings),
+        }
+    }
+
+    /// A whole number, or `default` where the value is absent.
+    pub fn whole_or(&self, default: u64, findings: &mut Findings) -> u64 {
+        if self.value().is_some() { self.whole(findings) } else { default }
+    }
+
+    /// A number that is 0 or more, or `default` where the value is absent.
+    pub fn number_or(&self, default: f64, findings: &mut Findings) -> f64 {
+        match self.value().map(Value::as_f64) {
+            Some(Some(number)) if number >= 0.0 => number,
+            Some(_) => self.wrong("must be a number, 0 or more", findings),
+            None => default,
+        }
+    }
+
+    /// A truth value, or `default` where the value is absent.
+    pub fn flag_or(&self, default: bool, findings: &mut Findings) -> bool {
+        match self.value().map(Value::as_bool) {
+            Some(Some(flag)) => flag,
+            Some(None) => self.wrong("must be true or false", findings),
+            None => default,
+        }
+    }
+
+    fn wrong<T: Default>(&self, problem: &str, findings: &mut Findings) -> T {
+        findings.add(self.place(), problem);
+        T::default()
+    }
+}
--- /dev/null
+++ b/crates/control/src/wire.rs
@@ -0,0 +1,217 @@
+//! The project's own protocol between its processes: typed messages in `nanoserde` binary, in frames with a version, a
+//! length and a checksum.
+
+use crate::balancers::Heartbeat;
+use crate::command::{Command, Outcome};
+use crate::feed::Event;
+use crate::registry::Registration;
+use nanoserde::{DeBin, SerBin};
+use thiserror::Error;
+use woadstall_consensus::{Member, Message};
+
+/// The version of the protocol. Another one is refused.
+pub const VERSION: u16 = 1;
+/// Bytes of a frame's head: version, reserved, length, checksum.
+pub const HEAD_BYTES: usize = 12;
+/// Bytes of a frame at most: a snapshot of the configuration and its history.
+pub const MOST_BYTES: usize = 16 << 20;
+
+/// A control machine as others reach it.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct ControlMachine {
+    /// Its replica's identity and internal address.
+    pub member: Member,
+    /// Its zone.
+    pub zone: String,
+    /// Its region.
+    pub region: String,
+    /// Where operators and upstreams reach it.
+    pub control: String,
+}
+
+/// What one process tells another.
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+pub enum Packet {
+    /// Begins a connection between control machines.
+    Hello {
+        /// Who speaks.
+        machine: ControlMachine,
+        /// The machines that it has heard of, itself among them.
+        known: Vec<ControlMachine>,
+    },
+    /// A message of the replicated log.
+    Consensus(Message),
+    /// A replica asks to become a member.
+    Join(Member),
+    /// Registrations that have changed, or all of them; answered with `RegistrationsTaken`.
+    Registrations {
+        /// The sender's number of this packet.
+        number: u64,
+        /// The registrations, with times as of sending.
+        registrations: Vec<Registration>,
+    },
+    /// Registrations were taken.
+    RegistrationsTaken {
+        /// The number that they came under.
+        number: u64,
+    },
+    /// Upstreams were heard from, with the sequence numbers of their heartbeats.
+    Renewals(Vec<Renewal>),
+    /// Heartbeats of balancers.
+    Balancers(Vec<Heartbeat>),
+    /// An order that came to a machine that does not lead.
+    Order {
+        /// The sender's number of it.
+        number: u64,
+        /// The order.
+        command: Command,
+    },
+    /// What came of an order; `None` where that is not clear.
+    OrderDone {
+        /// The number that it came under.
+        number: u64,
+        /// The outcome.
+        outcome: Option<Outcome>,
+    },
+    /// Asks for the position up to which a read must have applied the log.
+    Read {
+        /// The sender's number of it.
+        number: u64,
+    },
+    /// Answers a read; `None` where this machine can't.
+    ReadDone {
+        /// The number that it came under.
+        number: u64,
+        /// The position.
+        index: Option<u64>,
+    },
+    /// A balancer asks for the change feed.
+    Subscribe {
+        /// Its name.
+        balancer: String,
+        /// The epoch of the journal that it has read, or 0.
+        epoch: u64,
+        /// The offset behind what it has read.
+        offset: u64,
+        /// The position of the configuration's log that it has applied.
+        index: u64,
+    },
+    /// All that a balancer needs to begin.
+    Snapshot {
+        /// The epoch of the journal.
+        epoch: u64,
+        /// The offset from which to go on.
+        offset: u64,
+        /// The encoded state of the configuration, empty where the balancer has this one or a newer one.
+        state: Vec<u8>,
+        /// All registrations.
+        registrations: Vec<Registration>,
+    },
+    /// What has come since.
+    Events {
+        /// The offset behind them.
+        offset: u64,
+        /// The events.
+        events: Vec<Event>,
+    },
+    /// Sent when nothing else is: how the machine stands.
+    Status {
+        /// Whether it hears of a leader that holds a quorum.
+        in_quorum: bool,
+        /// The control machines that it knows.
+        machines: Vec<ControlMachine>,
+        /// Balancers that are ready.
+        balancers: u32,
+        /// Balancers that are ready, by zone.
+        zones: Vec<ZoneBalancers>,
+    },
+    /// A balancer's heartbeat to a monitor.
+    Heartbeat(Heartbeat),
+}
+
+/// An upstream that was heard from.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct Renewal {
+    /// The upstream's id.
+    pub id: String,
+    /// The number of its heartbeat.
+    pub sequence: u64,
+}
+
+/// How many balancers a zone has.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct ZoneBalancers {
+    /// The zone.
+    pub zone: String,
+    /// Its ready balancers.
+    pub balancers: u32,
+}
+
+/// A frame can't be read.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum WireError {
+    /// Another version of the protocol.
+    #[error("protocol version {0} instead of {VERSION}")]
+    Version(u16),
+    /// Longer than any frame may be.
+    #[error("a frame of {0} bytes, {MOST_BYTES} at most")]
+    TooLong(usize),
+    /// Shorter than its head says.
+    #[error("a frame that is cut short")]
+    Short,
+    /// Damaged on its way.
+    #[error("a frame whose checksum does not fit")]
+    Checksum,
+    /// Not a message of this protocol.
+    #[error("a message that can't be decoded: {0}")]
+    Encoding(String),
+}
+
+impl Packet {
+    /// The packet as a frame.
+    pub fn frame(&self) -> Vec<u8> {
+        let mut bytes = vec![0; HEAD_BYTES];
+        self.ser_bin(&mut bytes);
+        let length = (bytes.len() - HEAD_BYTES) as u32;
+        let checksum = crc32fast::hash(&bytes[HEAD_BYTES..]);
+        bytes[..2].copy_from_slice(&VERSION.to_le_bytes());
+        bytes[4..8].copy_from_slice(&length.to_le_bytes());
+        bytes[8..12].copy_from_slice(&checksum.to_le_bytes());
+        bytes
+    }
+
+    /// The length of a frame's payload, from its head.
+    pub fn payload_length(head: &[u8; HEAD_BYTES]) -> Result<usize, WireError> {
+        let version = u16::from_le_bytes([head[0], head[1]]);
+        if version != VERSION {
+            return Err(WireError::Version(version));
+        }
+        let length = u32::from_le_bytes([head[4], head[5], head[6], head[7]]) as usize;
+        if length > MOST_BYTES { Err(WireError::TooLong(length)) } else { Ok(length) }
+    }
+
+    /// The packet of a frame's head and payload.
+    pub fn decode(head: &[u8; HEAD_BYTES], payload: &[u8]) -> Result<Self, WireError> {
+        if Self::payload_length(head)? != payload.len() {
+            return Err(WireError::Short);
+        }
+        let checksum = u32::from_le_bytes([head[8], head[9], head[10], head[11]]);
+        if crc32fast::hash(payload) != checksum {
+            return Err(WireError::Checksum);
+        }
+        let mut offset = 0;
+        let packet =
+            Self::de_bin(&mut offset, payload).map_err(|error| WireError::Encoding(error.to_string()))?;
+        if offset == payload.len() {
+            Ok(packet)
+        } else {
+            Err(WireError::Encoding("surplus bytes".to_owned()))
+        }
+    }
+
+    /// The packet of a whole datagram.
+    pub fn decode_datagram(bytes: &[u8]) -> Result<Self, WireError> {
+        let (head, payload) = bytes.split_first_chunk().ok_or(WireError::Short)?;
+        Self::decode(head, payload)
+    }
+}
--- a/src/net/gate.rs
+++ b/crates/inbound/src/gate.rs
@@ -315,6 +315,7 @@
     }
 }
 
+/// Locks, also where a holder has panicked.
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/net/server/linger.rs
+++ b/crates/inbound/src/linger.rs
@@ -1,7 +1,7 @@
 //! Lingering close: a connection that is closed while bytes of the peer are unread is reset, and the reset overtakes
 //! what was written last. So the sending side is ended first, what still comes is dropped, and then it is closed.
 
-use super::super::gate::lock;
+use crate::gate::lock;
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use std::sync::{Arc, Mutex};
--- /dev/null
+++ b/crates/node/src/core/mod.rs
@@ -0,0 +1,294 @@
+//! The core process: a control machine on sockets and its disk.
+
+mod api;
+mod disk;
+mod peers;
+
+use crate::settings::NodeSettings;
+use api::Call;
+use disk::Disk;
+use peers::Links;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::mpsc::SyncSender;
+use std::time::{Duration, Instant};
+use thiserror::Error;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::time::{MissedTickBehavior, interval};
+use woadstall_consensus::{DurableState, Member, ReplicaId, Snapshot};
+use woadstall_control::machine::{Action, Answer, Machine, MachineSettings, founding_snapshot};
+use woadstall_control::shards::hash;
+use woadstall_control::wire::{ControlMachine, Packet};
+use woadstall_storage::{Storage, StorageError};
+
+/// How often the machine is told the time.
+const TICK: Duration = Duration::from_millis(50);
+/// How long calls are answered after SIGTERM, while leadership moves.
+const LEAVING: Duration = Duration::from_millis(600);
+
+/// The process can't run.
+#[derive(Debug, Error)]
+pub enum CoreError {
+    /// A field that this role needs is missing in the settings.
+    #[error("the settings of a core process lack {0}")]
+    Missing(&'static str),
+    /// The disk can't be used.
+    #[error("storage: {0}")]
+    Storage(#[from] StorageError),
+    /// A socket or signal can't be set up.
+    #[error("{what}: {source}")]
+    Io {
+        /// What was tried.
+        what: String,
+        /// What the system says.
+        source: std::io::Error,
+    },
+}
+
+/// What happens to a core process.
+#[derive(Debug)]
+pub(crate) enum Event {
+    /// A link to another machine has come up.
+    LinkUp(String),
+    /// A packet has come from another machine.
+    Packet {
+        /// Its internal address.
+        from: String,
+        /// The packet.
+        packet: Packet,
+    },
+    /// A balancer asks for the feed.
+    Subscribe {
+        /// The number of its connection.
+        subscriber: u64,
+        /// What it asks.
+        packet: Packet,
+        /// Where packets for it go.
+        queue: mpsc::Sender<Packet>,
+    },
+    /// A balancer's connection has ended.
+    Unsubscribe(u64),
+    /// Records are durable.
+    Persisted(u64),
+    /// A call of an operator, an upstream or a client, and where its answer goes.
+    Call(Call, SyncSender<Reply>),
+}
+
+/// The answer to a call, as the HTTP side needs it.
+#[derive(Clone, Debug)]
+pub(crate) enum Reply {
+    /// An answer of the machine.
+    Answer(Answer),
+    /// The balancers for a client.
+    Balancers(Vec<String>),
+    /// How the machine stands, as JSON.
+    Status(String),
+}
+
+/// Runs until SIGTERM.
+pub fn run(settings: &NodeSettings) -> Result<(), CoreError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(io("the runtime"))?;
+    runtime.block_on(serve(settings))
+}
+
+fn io(what: &str) -> impl FnOnce(std::io::Error) -> CoreError {
+    let what = what.to_owned();
+    move |source| CoreError::Io { what, source }
+}
+
+async fn serve(settings: &NodeSettings) -> Result<(), CoreError> {
+    let control = settings.listens("control").ok_or(CoreError::Missing("listen.control"))?;
+    let folder = settings.data_dir.as_ref().ok_or(CoreError::Missing("data_dir"))?;
+    let mut storage = Storage::open(folder)?;
+    let durable = match storage.state() {
+        Some(state) => state.clone(),
+        None => {
+            let state = first_state(settings, control);
+            storage.initialize(state.clone())?;
+            state
+        }
+    };
+    let internal = settings.internal_address();
+    let member = Member { id: durable.id, address: internal.to_string() };
+    log::info!("core starts id={:x} address={internal} last={}", durable.id, durable.log.last_index());
+    let machine = ControlMachine {
+        member,
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        control: control.to_string(),
+    };
+    let machine_settings = MachineSettings {
+        machine,
+        seeds: settings.seeds.iter().map(|seed| settings.internal_address_of(*seed).to_string()).collect(),
+        heartbeat_ms: settings.heartbeat_ms,
+        epoch: fastrand::u64(1..),
+    };
+    let (events, received) = mpsc::unbounded_channel();
+    let listener = TcpListener::bind(internal).await.map_err(io("the internal address"))?;
+    let datagrams = UdpSocket::bind(internal).await.map_err(io("the internal address, UDP"))?;
+    tokio::spawn(peers::accept(listener, events.clone()));
+    tokio::spawn(peers::receive(datagrams, events.clone()));
+    api::start(settings, control, &events)?;
+    let process = Process {
+        started: Instant::now(),
+        machine: Machine::new(machine_settings, durable, 0, fastrand::u64(..)),
+        links: Links::new(events.clone()),
+        disk: Disk::start(storage, events),
+        subscribers: BTreeMap::new(),
+        calls: HashMap::new(),
+        next_token: 0,
+        zones: settings.zones.clone(),
+    };
+    process.run(received).await
+}
+
+/// The state of a machine with an empty disk. Only at the very first start, and only on the seeds, is the group founded;
+/// any other machine joins it under a new identity.
+fn first_state(settings: &NodeSettings, control: SocketAddr) -> DurableState {
+    let is_founder = settings.bootstrap && settings.seeds.contains(&control);
+    if !is_founder {
+        let id = fastrand::u64(1..);
+        return DurableState::new(id, Snapshot::default());
+    }
+    let founder = |seed: &SocketAddr| Member {
+        id: founder_id(*seed),
+        address: settings.internal_address_of(*seed).to_string(),
+    };
+    let founders: Vec<Member> = settings.seeds.iter().map(founder).collect();
+    DurableState::new(founder_id(control), founding_snapshot(&founders))
+}
+
+fn founder_id(seed: SocketAddr) -> ReplicaId {
+    hash(&seed.to_string()).max(1)
+}
+
+struct Process {
+    started: Instant,
+    machine: Machine,
+    links: Links,
+    disk: Disk,
+    subscribers: BTreeMap<u64, mpsc::Sender<Packet>>,
+    calls: HashMap<u64, SyncSender<Reply>>,
+    next_token: u64,
+    zones: BTreeMap<String, String>,
+}
+
+impl Process {
+    async fn run(mut self, mut events: UnboundedReceiver<Event>) -> Result<(), CoreError> {
+        let mut terminate = signal(SignalKind::terminate()).map_err(io("SIGTERM"))?;
+        let mut hangup = signal(SignalKind::hangup()).map_err(io("SIGHUP"))?;
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut leaving: Option<Instant> = None;
+        self.carry_out();
+        loop {
+            tokio::select! {
+                event = events.recv() => match event {
+                    Some(event) => self.handle(event),
+                    None => return Ok(()),
+                },
+                _ = ticks.tick() => self.machine.tick(self.now()),
+                _ = hangup.recv() => log::info!("SIGHUP: a core process takes nothing new from its settings while it runs"),
+                _ = terminate.recv() => {
+                    log::info!("SIGTERM: leadership is handed over");
+                    self.machine.leave(self.now());
+                    leaving = Some(Instant::now());
+                }
+            }
+            // What has come meanwhile is handled before anything is sent.
+            while let Ok(event) = events.try_recv() {
+                self.handle(event);
+            }
+            self.carry_out();
+            if leaving.is_some_and(|since| since.elapsed() > LEAVING) {
+                return Ok(());
+            }
+        }
+    }
+
+    fn now(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now();
+        match event {
+            Event::LinkUp(address) => self.machine.link_up(now, &address),
+            Event::Packet { packet: Packet::Heartbeat(heartbeat), .. } => {
+                self.machine.heartbeat(now, heartbeat)
+            }
+            Event::Packet { from, packet } => self.machine.packet(now, &from, packet),
+            Event::Subscribe { subscriber, packet, queue } => {
+                self.subscribers.insert(subscriber, queue);
+                self.machine.subscribe(now, subscriber, &packet);
+            }
+            Event::Unsubscribe(subscriber) => {
+                self.subscribers.remove(&subscriber);
+                self.machine.unsubscribe(subscriber);
+            }
+            Event::Persisted(sequence) => self.machine.persisted(now, sequence),
+            Event::Call(call, reply) => self.call(now, call, reply),
+        }
+    }
+
+    fn call(&mut self, now: u64, call: Call, reply: SyncSender<Reply>) {
+        self.next_token += 1;
+        let token = self.next_token;
+        match call {
+            Call::Order(command) => {
+                self.calls.insert(token, reply);
+                self.machine.order(now, token, command);
+            }
+            Call::ReadConfiguration => {
+                self.calls.insert(token, reply);
+                self.machine.read(now, token);
+            }
+            Call::Register(registration) => {
+                self.calls.insert(token, reply);
+                self.machine.register(now, token, registration);
+            }
+            Call::Deregister(id) => {
+                self.calls.insert(token, reply);
+                self.machine.deregister(now, token, &id);
+            }
+            Call::Resolve { zone } => {
+                let zones = &self.zones;
+                let balancers = self.machine.resolve(&zone, |zone| zones.get(zone).cloned());
+                reply.try_send(Reply::Balancers(balancers)).ok();
+            }
+            Call::Status => {
+                let status = api::status(&self.machine, now);
+                reply.try_send(Reply::Status(status)).ok();
+            }
+        }
+    }
+
+    fn carry_out(&mut self) {
+        for action in self.machine.take_actions() {
+            match action {
+                Action::Connect { address } => self.links.keep(address),
+                Action::Send { address, packet } => self.links.send(&address, packet),
+                Action::Persist { sequence, record } => self.disk.write(sequence, record),
+                Action::Answer { token, answer } => {
+                    if let Some(reply) = self.calls.remove(&token) {
+                        reply.try_send(Reply::Answer(answer)).ok();
+                    }
+                }
+                Action::Deliver { subscriber, packet } => {
+                    let queue = self.subscribers.get(&subscriber);
+                    // A reader that is too slow is cut off; it comes back and gets a snapshot.
+                    if queue.is_some_and(|queue| queue.try_send(packet).is_err()) {
+                        self.subscribers.remove(&subscriber);
+                        self.machine.unsubscribe(subscriber);
+                    }
+                }
+                Action::Log(line) => log::info!("{line}"),
+            }
+        }
+    }
+}
+
+pub(crate) type Events = UnboundedSender<Event>;
--- /dev/null
+++ b/crates/node/src/front/feeds.rs
@@ -0,0 +1,176 @@
+//! Reads the change feed, from two control machines at a time: what one that is cut off does not hear of, the other one
+//! tells. Each feed holds all commands behind its beginning in order, so whichever tells of one first may be followed.
+
+use super::Front;
+use crate::link;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use std::{io, mem};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+use woadstall_control::feed::Event;
+use woadstall_control::shards::hash;
+use woadstall_control::state::ControlState;
+use woadstall_control::wire::Packet;
+use woadstall_inbound::lock;
+
+/// Feeds that are read at a time.
+const FEEDS: usize = 2;
+/// A machine that has told nothing for so long is left: it tells its status twice a second.
+const SILENT: Duration = Duration::from_millis(1_800);
+/// How many statuses without a quorum a machine may tell before it is left.
+const WITHOUT_QUORUM: u32 = 2;
+/// Wait before the next machine is tried.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// Which machines are read now, so that the feeds differ.
+type Sources = Arc<Mutex<Vec<Option<SocketAddr>>>>;
+
+/// How far a feed was read.
+#[derive(Clone, Copy, Debug, Default)]
+struct Position {
+    epoch: u64,
+    offset: u64,
+}
+
+/// Starts reading.
+pub(super) fn start(front: &Arc<Front>) {
+    let sources: Sources = Arc::new(Mutex::new(vec![None; FEEDS]));
+    for number in 0..FEEDS {
+        tokio::spawn(follow(front.clone(), number, sources.clone()));
+    }
+}
+
+async fn follow(front: Arc<Front>, number: usize, sources: Sources) {
+    let mut tries = 0;
+    let mut last: Option<(SocketAddr, Position)> = None;
+    loop {
+        let candidates = candidates(&front, number);
+        let taken: Vec<SocketAddr> = {
+            let mut sources = lock(&sources);
+            sources[number] = None;
+            sources.iter().flatten().copied().collect()
+        };
+        let free: Vec<SocketAddr> =
+            candidates.iter().copied().filter(|address| !taken.contains(address)).collect();
+        let Some(address) = free.get(tries % free.len().max(1)).copied() else {
+            sleep(PAUSE).await;
+            continue;
+        };
+        lock(&sources)[number] = Some(address);
+        let mut position =
+            last.filter(|(former, _)| *former == address).map(|(_, position)| position).unwrap_or_default();
+        match read_from(&front, address, &mut position).await {
+            Ok(()) => tries += 1,
+            Err(error) => {
+                log::debug!("feed ended from={address}: {error}");
+                tries += 1;
+            }
+        }
+        last = Some((address, position));
+        sleep(PAUSE).await;
+    }
+}
+
+/// The machines in the order in which a feed prefers them: the first feed those that are near, the others any, each
+/// balancer in an order of its own.
+fn candidates(front: &Front, number: usize) -> Vec<SocketAddr> {
+    let settings = &front.settings;
+    let distance = |zone: &str, region: &str| match (zone == settings.zone, region == settings.region) {
+        (true, _) => 0,
+        (false, true) => 1,
+        (false, false) => 2,
+    };
+    let mut ordered: Vec<(u8, u64, SocketAddr)> = Vec::new();
+    for machine in front.machines() {
+        let Ok(address) = machine.member.address.parse::<SocketAddr>() else { continue };
+        let rank = if number == 0 { distance(&machine.zone, &machine.region) } else { 0 };
+        ordered.push((rank, hash(&(&settings.node, number, &machine.member.address)), address));
+    }
+    ordered.sort_unstable();
+    let mut all: Vec<SocketAddr> = ordered.into_iter().map(|(_, _, address)| address).collect();
+    for seed in &settings.seeds {
+        let address = settings.internal_address_of(*seed);
+        if !all.contains(&address) {
+            all.push(address);
+        }
+    }
+    all
+}
+
+async fn read_from(front: &Arc<Front>, address: SocketAddr, position: &mut Position) -> io::Result<()> {
+    let mut stream: TcpStream = link::connect(address).await?;
+    let index = lock(&front.state).index;
+    let Position { epoch, offset } = *position;
+    let balancer = front.settings.node.clone();
+    link::write(&mut stream, &Packet::Subscribe { balancer, epoch, offset, index }).await?;
+    let mut without_quorum = 0;
+    loop {
+        let packet = timeout(SILENT, link::read(&mut stream)).await??;
+        match packet {
+            Packet::Snapshot { epoch, offset, state, registrations } => {
+                *position = Position { epoch, offset };
+                if !state.is_empty() {
+                    take_snapshot(front, &state);
+                }
+                lock(&front.router).snapshot(front.now(), &registrations);
+            }
+            Packet::Events { offset, events } => {
+                position.offset = offset;
+                events.into_iter().for_each(|event| take_event(front, event));
+            }
+            Packet::Status { in_quorum, machines, zones, .. } => {
+                front.count_balancers(&zones);
+                without_quorum = if in_quorum { 0 } else { without_quorum + 1 };
+                if in_quorum || front.machines().is_empty() {
+                    *lock(&front.machines) = machines;
+                }
+                if without_quorum > WITHOUT_QUORUM {
+                    return Ok(());
+                }
+            }
+            other => {
+                return Err(io::Error::new(
+                    io::ErrorKind::InvalidData,
+                    format!("{:?}", mem::discriminant(&other)),
+                ));
+            }
+        }
+    }
+}
+
+/// Takes the state over, unless a newer one is in force: versions never go back.
+fn take_snapshot(front: &Front, bytes: &[u8]) {
+    match ControlState::decode(bytes) {
+        Ok(state) => front.update_state(|current| {
+            if state.index > current.index {
+                *current = state;
+            }
+        }),
+        Err(error) => log::error!("snapshot refused: {error}"),
+    }
+}
+
+fn take_event(front: &Front, event: Event) {
+    match event {
+        Event::Committed { index, command } => front.update_state(|state| {
+            if index > state.index {
+                let outcome = state.apply(index, &command);
+                log::info!(
+                    "order applied index={index} outcome={outcome:?} generation={}",
+                    state.generation()
+                );
+            }
+        }),
+        Event::Registered(registration) => {
+            log::info!(
+                "registration id={} service={} status={:?}",
+                registration.id,
+                registration.service,
+                registration.status
+            );
+            lock(&front.router).register(front.now(), &registration);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/front/forward.rs
@@ -0,0 +1,276 @@
+//! A client's request, from its head to its answer.
+
+use super::Front;
+use super::attempt::{Attempted, DEADLINE, Outbound, REQUEST_ID, attempt};
+use super::reply::{Reply, ReplyBody, refusal, text};
+use super::stream;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::header::{HOST, HeaderMap};
+use hyper::{Request, Response, StatusCode};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::time::Instant;
+use woadstall_control::configuration::{Configuration, Route, RouteType, Service};
+use woadstall_control::shards::hash;
+use woadstall_inbound::lock;
+use woadstall_routing::{Decision, Query, Refusal, Target, UpstreamId};
+use woadstall_transport::end_to_end;
+
+/// When a client may come back to a balancer that knows no configuration yet.
+const NO_CONFIGURATION: Duration = Duration::from_millis(400);
+/// When one may come back whose body finds no room.
+const NO_ROOM: Duration = Duration::from_millis(500);
+/// The part of the memory that bodies of open requests may fill.
+const BODIES: usize = 3;
+/// Attempts whose connection does not come up, at most.
+const MOST_UNSENT: u32 = 4;
+/// Upstreams that may turn one request away: it has run on none of them.
+const MOST_REJECTIONS: u32 = 2;
+/// Tokens of a shared beginning from which on it pays to go where it was read: reading them takes some ten milliseconds.
+const LONG_PROMPT: u64 = 1_024;
+
+/// How far a request has got with its attempts.
+pub(super) struct Course {
+    pub route: Arc<Route>,
+    pub service: Arc<Service>,
+    shared_prompt: Option<u64>,
+    tried: Vec<UpstreamId>,
+    sends: u32,
+    unsent: u32,
+    rejections: u32,
+    may_have_run: bool,
+    retry_after: Duration,
+}
+
+/// No further attempt is made.
+pub(super) struct GivenUp;
+
+impl Course {
+    /// The upstream for the next attempt.
+    pub fn next(&mut self, front: &Front) -> Result<Target, GivenUp> {
+        let spent = self.sends >= self.route.max_attempts.max(1)
+            || self.unsent >= MOST_UNSENT
+            || self.rejections >= MOST_REJECTIONS;
+        if spent {
+            return Err(GivenUp);
+        }
+        let now = front.now();
+        let mut router = lock(&front.router);
+        if self.sends + self.rejections > 0 && !router.take_repeat(now, &self.service.name) {
+            return Err(GivenUp);
+        }
+        let query = Query {
+            route: &self.route,
+            service: &self.service,
+            shared_prompt: self.shared_prompt,
+            tried: &self.tried,
+        };
+        match router.choose(now, &query) {
+            Decision::Send(target) => {
+                self.tried.push(target.id.clone());
+                Ok(target)
+            }
+            Decision::Refuse(Refusal { retry_after, none_usable }) => {
+                self.retry_after = retry_after;
+                if none_usable && self.tried.is_empty() {
+                    log::debug!("no upstream for service={}", self.service.name);
+                }
+                Err(GivenUp)
+            }
+        }
+    }
+
+    /// The request went to an upstream, which may have run it.
+    pub fn sent(&mut self) {
+        self.sends += 1;
+        self.may_have_run = true;
+    }
+
+    /// The upstream has turned it away.
+    pub fn rejected(&mut self) {
+        self.rejections += 1;
+    }
+
+    /// The answer to a request that is given up: at once, and a promise only where it has not run.
+    fn give_up(&self) -> Reply {
+        if self.may_have_run {
+            return text(StatusCode::BAD_GATEWAY, "no answer came\n");
+        }
+        refusal(self.retry_after)
+    }
+}
+
+/// Answers a request.
+pub(super) async fn reply(front: &Arc<Front>, request: Request<Incoming>) -> Reply {
+    let arrived = Instant::now();
+    let Some(configuration) = front.configuration() else { return refusal(NO_CONFIGURATION) };
+    let Some(route) = route_of(&configuration, &request) else {
+        return text(StatusCode::NOT_FOUND, "no such route\n");
+    };
+    let Some(id) = request.headers().get(REQUEST_ID).cloned() else {
+        return text(StatusCode::BAD_REQUEST, "Request-Id is missing\n");
+    };
+    let route = Arc::new(route.clone());
+    let given = request.headers().get(DEADLINE).and_then(|value| value.to_str().ok()?.trim().parse().ok());
+    let patience = given.map_or(route.timeout, Duration::from_millis).min(route.timeout);
+    let (mut head, body) = request.into_parts();
+    let mut room = Room { held: &front.bodies, bytes: 0 };
+    let body = match whole_body(
+        body,
+        &mut room,
+        configuration.limits.max_body_bytes,
+        front.settings.memory / BODIES,
+    )
+    .await
+    {
+        Ok(body) => body,
+        Err(reply) => return *reply,
+    };
+    let shared_prompt = route.session_affinity.then(|| shared_prompt(&head.headers)).flatten();
+    end_to_end(&mut head.headers);
+    let service = target_service(&route).and_then(|name| configuration.services.get(name));
+    let Some(service) = service.cloned().map(Arc::new) else {
+        return text(StatusCode::BAD_GATEWAY, "the route has no service\n");
+    };
+    lock(&front.router).request(front.now(), &service.name);
+    let outbound = Outbound {
+        head,
+        body,
+        id,
+        priority: route.priority,
+        deadline: arrived + patience,
+        is_stream: route.route_type == RouteType::Streaming,
+    };
+    let course = Course {
+        route,
+        service,
+        shared_prompt,
+        tried: Vec::new(),
+        sends: 0,
+        unsent: 0,
+        rejections: 0,
+        may_have_run: false,
+        retry_after: NO_CONFIGURATION,
+    };
+    carry(front, course, outbound).await
+}
+
+/// Sends a request to upstreams until one answers or no further attempt may be made.
+async fn carry(front: &Arc<Front>, mut course: Course, outbound: Outbound) -> Reply {
+    while let Ok(target) = course.next(front) {
+        if Instant::now() >= outbound.deadline {
+            break;
+        }
+        match attempt(front, &outbound, target).await {
+            Attempted::NotSent => course.unsent += 1,
+            Attempted::Rejected => course.rejected(),
+            Attempted::Broken => {
+                course.sent();
+                if !course.route.is_idempotent() {
+                    break;
+                }
+            }
+            Attempted::TimedOut => {
+                return text(StatusCode::GATEWAY_TIMEOUT, "no answer came in time\n");
+            }
+            Attempted::Whole(parts, body) => return Response::from_parts(parts, ReplyBody::Whole(body)),
+            Attempted::Begun(begun) => {
+                course.sent();
+                let parts = begun.parts.clone();
+                return Response::from_parts(parts, stream::pass_on(front, course, outbound, *begun));
+            }
+        }
+    }
+    course.give_up()
+}
+
+fn route_of<'a>(configuration: &'a Configuration, request: &Request<Incoming>) -> Option<&'a Route> {
+    let named = request.headers().get(HOST).and_then(|host| host.to_str().ok());
+    let host = request.uri().authority().map(|authority| authority.as_str()).or(named)?;
+    configuration.route(host, request.uri().path())
+}
+
+/// One of the route's services, drawn by their weights.
+fn target_service(route: &Route) -> Option<&str> {
+    let total: u64 = route.targets.iter().map(|(_, weight)| weight).sum();
+    let mut drawn = fastrand::u64(..total.max(1));
+    for (service, weight) in &route.targets {
+        match drawn.checked_sub(*weight) {
+            None => return Some(service),
+            Some(rest) => drawn = rest,
+        }
+    }
+    None
+}
+
+/// The hash of the long beginning that a prompt shares with others: the parts up to the one that makes it long. The last
+/// part is the request's own.
+fn shared_prompt(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get("prompt-prefix")?.to_str().ok()?;
+    let parts: Vec<(&str, u64)> = value
+        .split(',')
+        .filter_map(|part| part.trim().split_once(':'))
+        .filter_map(|(id, tokens)| Some((id, tokens.trim().parse().ok()?)))
+        .collect();
+    let (_, shared) = parts.split_last()?;
+    let mut ids = Vec::new();
+    let mut total = 0;
+    for (id, tokens) in shared {
+        ids.push(*id);
+        total += tokens;
+        if total >= LONG_PROMPT {
+            return Some(hash(&ids));
+        }
+    }
+    None
+}
+
+/// Room in the memory for a body.
+struct Room<'a> {
+    held: &'a AtomicUsize,
+    bytes: usize,
+}
+
+impl Room<'_> {
+    /// Takes so many bytes more, if they are left of what all bodies may hold.
+    fn grow(&mut self, bytes: usize, most: usize) -> bool {
+        let before = self.held.fetch_add(bytes, Ordering::Relaxed);
+        self.bytes += bytes;
+        before + bytes <= most
+    }
+}
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        self.held.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+/// Reads a body to its end.
+async fn whole_body(
+    mut body: Incoming,
+    room: &mut Room<'_>,
+    most_bytes: usize,
+    most_held: usize,
+) -> Result<Bytes, Box<Reply>> {
+    let too_large = || Box::new(text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"));
+    if body.size_hint().lower() > most_bytes as u64 {
+        return Err(too_large());
+    }
+    let mut all = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Box::new(text(StatusCode::BAD_REQUEST, "the body is broken\n")))?;
+        let Ok(data) = frame.into_data() else { continue };
+        if all.len() + data.len() > most_bytes {
+            return Err(too_large());
+        }
+        if !room.grow(data.len(), most_held) {
+            return Err(Box::new(refusal(NO_ROOM)));
+        }
+        all.extend_from_slice(&data);
+    }
+    Ok(all.freeze())
+}
--- /dev/null
+++ b/crates/node/src/front/heartbeat.rs
@@ -0,0 +1,73 @@
+//! Tells a few control machines that this balancer is there.
+
+use super::Front;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+use woadstall_control::balancers::Heartbeat;
+use woadstall_control::shards::{MONITORS, monitors};
+use woadstall_control::wire::Packet;
+
+/// How often.
+const EVERY: Duration = Duration::from_millis(400);
+
+/// Starts; a notification sends at once.
+pub(super) fn start(front: &Arc<Front>) -> Arc<Notify> {
+    let now = Arc::new(Notify::new());
+    tokio::spawn(announce(front.clone(), now.clone()));
+    now
+}
+
+async fn announce(front: Arc<Front>, at_once: Arc<Notify>) {
+    let socket = match UdpSocket::bind(SocketAddr::new(front.settings.ip, 0)).await {
+        Ok(socket) => socket,
+        Err(error) => {
+            log::error!("no socket for heartbeats: {error}");
+            return;
+        }
+    };
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let incarnation = since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(0));
+    for sequence in 1.. {
+        let heartbeat = Heartbeat {
+            name: front.settings.node.clone(),
+            incarnation,
+            sequence,
+            address: front.settings.listens("front").map(|address| address.to_string()).unwrap_or_default(),
+            zone: front.settings.zone.clone(),
+            ready: front.is_ready(),
+        };
+        let frame = Packet::Heartbeat(heartbeat).frame();
+        for monitor in monitors_of(&front) {
+            socket.send_to(&frame, monitor).await.ok();
+        }
+        timeout(EVERY, at_once.notified()).await.ok();
+        if front.leaving.load(Ordering::Relaxed) {
+            at_once.notify_one(); // keeps on telling it, though not in a loop
+            tokio::time::sleep(EVERY / 2).await;
+        }
+    }
+}
+
+/// The machines that follow this balancer on the ring, and one of its own zone: behind a cut that one is all there is. The
+/// seeds, before any is known.
+fn monitors_of(front: &Front) -> Vec<SocketAddr> {
+    let machines = front.machines();
+    if machines.is_empty() {
+        let seeds = front.settings.seeds.iter();
+        return seeds.map(|seed| front.settings.internal_address_of(*seed)).collect();
+    }
+    let addresses = machines.iter().map(|machine| machine.member.address.as_str());
+    let mut chosen = monitors(&front.settings.node, addresses, MONITORS);
+    let near = machines.iter().find(|machine| machine.zone == front.settings.zone);
+    if let Some(near) = near.map(|machine| machine.member.address.as_str())
+        && !chosen.contains(&near)
+    {
+        chosen.push(near);
+    }
+    chosen.into_iter().filter_map(|address| address.parse().ok()).collect()
+}
--- /dev/null
+++ b/crates/node/src/front/mod.rs
@@ -0,0 +1,194 @@
+//! The front process: takes clients' requests and carries them to upstreams.
+
+mod attempt;
+mod clients;
+mod events;
+mod feeds;
+mod forward;
+mod heartbeat;
+mod pool;
+mod readiness;
+mod reply;
+mod stream;
+
+use crate::settings::NodeSettings;
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use thiserror::Error;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::{MissedTickBehavior, interval, sleep};
+use woadstall_control::configuration::Configuration;
+use woadstall_control::state::ControlState;
+use woadstall_control::wire::{ControlMachine, ZoneBalancers};
+use woadstall_inbound::{listen, lock};
+use woadstall_routing::{Fleet, Place, Router};
+
+/// How often what is over is forgotten.
+const SWEEP_EVERY: Duration = Duration::from_secs(1);
+/// How long a balancer counts among those that share budgets after it was last told of, in milliseconds: one that can't be
+/// heard of may go on sending.
+const COUNTED: u64 = 30_000;
+
+/// The process can't run.
+#[derive(Debug, Error)]
+pub enum FrontError {
+    /// A field that this role needs is missing in the settings.
+    #[error("the settings of a front process lack {0}")]
+    Missing(&'static str),
+    /// A socket or signal can't be set up.
+    #[error("{what}: {source}")]
+    Io {
+        /// What was tried.
+        what: String,
+        /// What the system says.
+        source: std::io::Error,
+    },
+}
+
+/// What all parts of a front share.
+pub(crate) struct Front {
+    pub settings: NodeSettings,
+    started: Instant,
+    /// The configuration and evacuations that are in force here.
+    state: Mutex<ControlState>,
+    pub router: Mutex<Router>,
+    pub pool: pool::Pool,
+    machines: Mutex<Vec<ControlMachine>>,
+    /// The most balancers of each zone that were told of lately, and when.
+    counted: Mutex<BTreeMap<String, Vec<(u64, u32)>>>,
+    /// SIGTERM has come.
+    pub leaving: AtomicBool,
+    /// Bytes of the bodies of open requests.
+    pub bodies: AtomicUsize,
+}
+
+impl Front {
+    fn new(settings: NodeSettings) -> Self {
+        let place = Place { region: settings.region.clone(), zones: settings.zones.clone() };
+        let router = Router::new(place, settings.bounds, fastrand::u64(..));
+        Self {
+            started: Instant::now(),
+            state: Mutex::default(),
+            router: Mutex::new(router),
+            pool: pool::Pool::new(settings.max_fds),
+            machines: Mutex::default(),
+            counted: Mutex::default(),
+            leaving: AtomicBool::new(false),
+            bodies: AtomicUsize::new(0),
+            settings,
+        }
+    }
+
+    /// Milliseconds since the start.
+    pub fn now(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        lock(&self.state).configuration.clone()
+    }
+
+    /// Whether clients may come.
+    pub fn is_ready(&self) -> bool {
+        !self.leaving.load(Ordering::Relaxed) && lock(&self.state).configuration.is_some()
+    }
+
+    /// The control machines that are known.
+    pub fn machines(&self) -> Vec<ControlMachine> {
+        lock(&self.machines).clone()
+    }
+
+    /// Changes the state, and tells the router of evacuations.
+    fn update_state(&self, change: impl FnOnce(&mut ControlState)) {
+        let mut state = lock(&self.state);
+        let before = state.evacuated.clone();
+        change(&mut state);
+        if state.evacuated != before {
+            log::info!("evacuated zones: {:?}", state.evacuated);
+            let configuration = state.configuration.clone();
+            let cold = |service: &str| {
+                let service =
+                    configuration.as_ref().and_then(|configuration| configuration.services.get(service));
+                service.map_or(Duration::ZERO, |service| service.cold_start)
+            };
+            lock(&self.router).set_evacuated(self.now(), &state.evacuated, cold);
+        }
+    }
+
+    /// Hears how many balancers each zone has. The most of late count: a bound is shared by all who may still send.
+    fn count_balancers(&self, zones: &[ZoneBalancers]) {
+        let now = self.now();
+        let mut counted = lock(&self.counted);
+        for ZoneBalancers { zone, balancers } in zones {
+            let lately = counted.entry(zone.clone()).or_default();
+            lately.retain(|(at, count)| now < at + COUNTED && count > balancers);
+            lately.push((now, *balancers));
+        }
+        let mut fleet = Fleet::default();
+        for (zone, lately) in counted.iter() {
+            let region = self.settings.zones.get(zone).cloned().unwrap_or_default();
+            let most = lately.iter().map(|(_, count)| *count).max().unwrap_or(0);
+            *fleet.by_region.entry(region).or_default() += most;
+        }
+        lock(&self.router).set_fleet(fleet);
+    }
+}
+
+/// Runs until SIGTERM, and then until what was taken is answered.
+pub fn run(settings: NodeSettings) -> Result<(), FrontError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(io("the runtime"))?;
+    let ended = runtime.block_on(serve(settings));
+    runtime.shutdown_background();
+    ended
+}
+
+fn io(what: &str) -> impl FnOnce(std::io::Error) -> FrontError {
+    let what = what.to_owned();
+    move |source| FrontError::Io { what, source }
+}
+
+async fn serve(settings: NodeSettings) -> Result<(), FrontError> {
+    let address = settings.listens("front").ok_or(FrontError::Missing("listen.front"))?;
+    let front = Arc::new(Front::new(settings));
+    let mut terminate = signal(SignalKind::terminate()).map_err(io("SIGTERM"))?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(io("SIGHUP"))?;
+    let listener = listen(address).map_err(io("the address for clients"))?;
+    if let Some(ready) = front.settings.listens("ready") {
+        readiness::start(ready, front.clone())?;
+    }
+    log::info!("front starts address={address}");
+    feeds::start(&front);
+    let announcing = heartbeat::start(&front);
+    let (stop, stopping) = watch::channel(false);
+    let clients = tokio::spawn(clients::serve(front.clone(), listener, stopping));
+    let mut sweeps = interval(SWEEP_EVERY);
+    sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = sweeps.tick() => {
+                lock(&front.router).sweep(front.now());
+                front.pool.sweep();
+            }
+            _ = hangup.recv() => log::info!("SIGHUP: the seeds are read again"),
+            _ = terminate.recv() => break,
+        }
+    }
+    log::info!("SIGTERM: no longer ready");
+    front.leaving.store(true, Ordering::Relaxed);
+    announcing.notify_one();
+    stop.send_replace(true);
+    let grace = Duration::from_millis(front.settings.grace_ms).saturating_sub(GRACE_MARGIN);
+    tokio::select! {
+        _ = clients => log::info!("all requests are answered"),
+        () = sleep(grace) => log::warn!("requests are still open at the end of the grace period"),
+    }
+    Ok(())
+}
+
+/// How long before the end of the grace period the process ends by itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,22 @@
+//! Which upstream a request goes to, or when it may come back.
+//!
+//! The design is Ribbon's: a balancer stays in its region unless the region's health says otherwise, round robin passes
+//! over tripped and over-full upstreams, breakers trip after a few consecutive failures. Requests that share a long
+//! beginning of their prompts go to the same upstream where it has room, since it keeps what it has read.
+//!
+//! No I/O, no clock: times are milliseconds of the caller's clock, randomness is seeded.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod breaker;
+mod budget;
+mod locality;
+mod router;
+mod upstream;
+
+pub use breaker::Breaker;
+pub use budget::{ColdShare, RetryBudget};
+pub use locality::{Locality, RegionLoad};
+pub use router::{Bounds, Decision, Fleet, Place, Query, Refusal, Router, Target};
+pub use upstream::{Outcome, UpstreamId};
--- /dev/null
+++ b/crates/routing/src/upstream.rs
@@ -0,0 +1,99 @@
+//! What a balancer knows of one upstream.
+
+use crate::breaker::Breaker;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use woadstall_control::registry::{Registration, Status};
+
+/// The id of an upstream's incarnation.
+pub type UpstreamId = Arc<str>;
+
+/// How a request at an upstream has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was answered.
+    Answered,
+    /// The upstream turned it away unseen.
+    Rejected,
+    /// No connection came up.
+    Unreachable,
+    /// The connection broke, or what came was no answer to it.
+    Broken,
+    /// It was given up here: its client left, or its time was over before an answer was due.
+    Withdrawn,
+}
+
+/// An upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct Upstream {
+    pub id: UpstreamId,
+    pub address: SocketAddr,
+    pub service: String,
+    pub zone: String,
+    pub region: String,
+    pub capacity: u64,
+    pub status: Status,
+    pub sequence: u64,
+    /// Until when it is cold.
+    pub cold_until: u64,
+    /// When requests were sent to it while it was cold, oldest first.
+    pub cold_sends: VecDeque<u64>,
+    pub breaker: Breaker,
+    /// Requests of this balancer that it has now.
+    pub in_flight: u32,
+    /// It has said that it is full, and is passed over until then.
+    pub full_until: u64,
+    /// Not in the newest snapshot: it is forgotten then, unless it is told of again.
+    pub unconfirmed_since: Option<u64>,
+}
+
+/// Sends to a cold upstream that are remembered.
+const COLD_SENDS: usize = 64;
+
+impl Upstream {
+    pub fn new(now: u64, registration: &Registration, region: String, address: SocketAddr) -> Self {
+        Self {
+            id: registration.id.as_str().into(),
+            address,
+            service: registration.service.clone(),
+            zone: registration.zone.clone(),
+            region,
+            capacity: registration.capacity.max(1),
+            status: registration.status,
+            sequence: registration.sequence,
+            cold_until: now + registration.cold_remaining_ms,
+            cold_sends: VecDeque::new(),
+            breaker: Breaker::default(),
+            in_flight: 0,
+            full_until: 0,
+            unconfirmed_since: None,
+        }
+    }
+
+    /// Takes a newer registration over.
+    pub fn update(&mut self, now: u64, registration: &Registration) {
+        self.unconfirmed_since = None;
+        let old = (self.sequence, self.status);
+        if self.status == Status::Gone || (registration.sequence, registration.status) < old {
+            if registration.status != Status::Gone {
+                return;
+            }
+        }
+        self.status = registration.status;
+        self.sequence = registration.sequence;
+        self.capacity = registration.capacity.max(1);
+        self.cold_until = now + registration.cold_remaining_ms;
+    }
+
+    pub fn is_cold(&self, now: u64) -> bool {
+        now < self.cold_until
+    }
+
+    pub fn note_cold_send(&mut self, now: u64) {
+        self.cold_sends.push_back(now);
+        if self.cold_sends.len() > COLD_SENDS {
+            self.cold_sends.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/storage/src/lib.rs
@@ -0,0 +1,151 @@
+//! The durable state of a replica in a ring of preallocated files.
+//!
+//! Each file is a *segment*: a header, a checkpoint of the whole state, then records that were added since. When a
+//! segment is full, the next one in the ring begins with a new checkpoint, so the newest segment with a complete
+//! checkpoint is all that a restart needs. Checksums include the segment's sequence number and the record's offset:
+//! what an earlier use of the file left behind is never taken for a record.
+//!
+//! After a loss of power each write since the last sync may be there, missing or torn. Reading stops at the first
+//! record that does not check; everything before it was written before the last sync or is a correct later write.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod segment;
+
+use segment::{Item, Reader, Segment};
+use std::fs::{self, File};
+use std::io;
+use std::path::{Path, PathBuf};
+use thiserror::Error;
+use woadstall_consensus::{DurableState, Record, ReplicaId};
+
+/// Files in the ring. A checkpoint is written to one while the last complete one is in another; the third lets a write
+/// that failed be repeated elsewhere.
+const SEGMENTS: usize = 3;
+/// Bytes of a file. A checkpoint holds one configuration and the entries since it, both bounded well below this.
+const SEGMENT_BYTES: u64 = 24 << 20;
+
+/// Why the state could not be read or written.
+#[derive(Debug, Error)]
+pub enum StorageError {
+    /// The disk refused an operation.
+    #[error("{path}: {source}")]
+    Io {
+        /// The file or folder.
+        path: PathBuf,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The state is larger than a segment.
+    #[error("the state of {bytes} bytes does not fit a segment of {SEGMENT_BYTES}")]
+    TooLarge {
+        /// The bytes of a checkpoint.
+        bytes: usize,
+    },
+    /// No state is there yet.
+    #[error("the storage was not initialized")]
+    Uninitialized,
+}
+
+impl StorageError {
+    fn at(path: &Path) -> impl FnOnce(io::Error) -> Self {
+        let path = path.to_owned();
+        move |source| Self::Io { path, source }
+    }
+}
+
+/// The open ring.
+#[derive(Debug)]
+pub struct Storage {
+    files: Vec<(PathBuf, File)>,
+    state: Option<DurableState>,
+    current: Option<Segment>,
+    last_sequence: u64,
+}
+
+impl Storage {
+    /// Opens or creates the files in a folder and reads what is there.
+    pub fn open(folder: &Path) -> Result<Self, StorageError> {
+        fs::create_dir_all(folder).map_err(StorageError::at(folder))?;
+        let files = (0..SEGMENTS)
+            .map(|number| open_file(&folder.join(format!("segment-{number}"))))
+            .collect::<Result<Vec<_>, _>>()?;
+        File::open(folder).and_then(|folder| folder.sync_all()).map_err(StorageError::at(folder))?;
+        let mut newest = None;
+        for (path, file) in &files {
+            let Some(reader) = Reader::open(file).map_err(StorageError::at(path))? else { continue };
+            let sequence = reader.sequence();
+            let Some(state) = reader.replay().map_err(StorageError::at(path))? else { continue };
+            if newest.as_ref().is_none_or(|(best, _)| sequence > *best) {
+                newest = Some((sequence, state));
+            }
+        }
+        // An incomplete segment behind the newest complete one is written again under its number: to go on to the one after it
+        // could in the end reach the file of the only complete checkpoint.
+        let last_sequence = newest.as_ref().map_or(0, |(sequence, _)| *sequence);
+        let state = newest.map(|(_, state)| state);
+        Ok(Self { files, state, current: None, last_sequence })
+    }
+
+    /// The state as of the last write; `None` where the disk is empty.
+    pub fn state(&self) -> Option<&DurableState> {
+        self.state.as_ref()
+    }
+
+    /// Begins with a new state, durably.
+    pub fn initialize(&mut self, state: DurableState) -> Result<(), StorageError> {
+        self.state = Some(state);
+        self.checkpoint()
+    }
+
+    /// Makes records durable, all with one sync. After an error nothing of them may be relied on, and the next call writes
+    /// them again together with its own.
+    pub fn write(&mut self, records: &[Record]) -> Result<(), StorageError> {
+        let state = self.state.as_mut().ok_or(StorageError::Uninitialized)?;
+        records.iter().for_each(|record| state.fold(record));
+        let Some(mut segment) = self.current.take() else { return self.checkpoint() };
+        let mut bytes = Vec::new();
+        for record in records {
+            segment.encode(&Item::Record(record.clone()), &mut bytes);
+        }
+        if !segment.has_room(bytes.len(), SEGMENT_BYTES) {
+            return self.checkpoint();
+        }
+        let (path, file) = &self.files[segment.file];
+        segment.write(file, &bytes).map_err(StorageError::at(path))?;
+        self.current = Some(segment);
+        Ok(())
+    }
+
+    /// The replica that this disk belongs to.
+    pub fn id(&self) -> Option<ReplicaId> {
+        self.state.as_ref().map(|state| state.id)
+    }
+
+    fn checkpoint(&mut self) -> Result<(), StorageError> {
+        let state = self.state.as_ref().ok_or(StorageError::Uninitialized)?;
+        let sequence = self.last_sequence + 1;
+        let file = (sequence % SEGMENTS as u64) as usize;
+        let mut segment = Segment::new(file, sequence);
+        let bytes = segment.encode_checkpoint(state);
+        if bytes.len() as u64 > SEGMENT_BYTES / 2 {
+            return Err(StorageError::TooLarge { bytes: bytes.len() });
+        }
+        let (path, opened) = &self.files[file];
+        segment.write(opened, &bytes).map_err(StorageError::at(path))?;
+        self.last_sequence = sequence;
+        self.current = Some(segment);
+        Ok(())
+    }
+}
+
+fn open_file(path: &Path) -> Result<(PathBuf, File), StorageError> {
+    let opened = File::options().read(true).write(true).create(true).truncate(false).open(path);
+    let file = opened.map_err(StorageError::at(path))?;
+    let length = file.metadata().map_err(StorageError::at(path))?.len();
+    if length != SEGMENT_BYTES {
+        file.set_len(SEGMENT_BYTES).and_then(|()| file.sync_all()).map_err(StorageError::at(path))?;
+    }
+    Ok((path.to_owned(), file))
+}
--- /dev/null
+++ b/crates/storage/src/segment.rs
@@ -0,0 +1,175 @@
+//! One file of the ring.
+
+use nanoserde::{DeBin, SerBin};
+use std::fs::File;
+use std::io::{self, Read, Seek, SeekFrom, Write};
+use woadstall_consensus::{DurableState, Entry, Record, ReplicaId, Snapshot};
+
+/// Begins each segment that was ever used.
+const MAGIC: u64 = 0x0102_7741_4453_544c;
+/// The version of the format; another one is not read.
+const VERSION: u32 = 1;
+/// Bytes of a header: magic, version, sequence, checksum.
+const HEADER_BYTES: usize = 24;
+/// Bytes before each record: its length and checksum.
+const PREFIX_BYTES: usize = 8;
+/// Bytes read at a time.
+const READ_BYTES: usize = 64 << 10;
+
+/// What a segment holds.
+#[derive(Clone, Debug, SerBin, DeBin)]
+pub enum Item {
+    /// The beginning of a checkpoint.
+    Begin { id: ReplicaId, term: u64, vote: ReplicaId, snapshot: Snapshot },
+    /// Entries of a checkpoint.
+    Entries(Vec<Entry>),
+    /// The end of a checkpoint.
+    End,
+    /// A record that was added behind it.
+    Record(Record),
+}
+
+/// A segment that is being written.
+#[derive(Debug)]
+pub struct Segment {
+    /// The file's position in the ring.
+    pub file: usize,
+    sequence: u64,
+    offset: u64,
+}
+
+impl Segment {
+    pub fn new(file: usize, sequence: u64) -> Self {
+        Self { file, sequence, offset: 0 }
+    }
+
+    pub fn has_room(&self, bytes: usize, most: u64) -> bool {
+        self.offset + bytes as u64 <= most
+    }
+
+    /// Encodes an item as the next one behind `bytes`, which are to be written next.
+    pub fn encode(&self, item: &Item, bytes: &mut Vec<u8>) {
+        let payload = item.serialize_bin();
+        let offset = self.offset + bytes.len() as u64;
+        let checksum = checksum(self.sequence, offset, &payload);
+        bytes.extend_from_slice(&(payload.len() as u32).to_le_bytes());
+        bytes.extend_from_slice(&checksum.to_le_bytes());
+        bytes.extend_from_slice(&payload);
+    }
+
+    /// The header and the whole state.
+    pub fn encode_checkpoint(&self, state: &DurableState) -> Vec<u8> {
+        let mut bytes = header(self.sequence);
+        let (id, term, vote) = (state.id, state.term, state.vote);
+        let snapshot = state.log.snapshot().clone();
+        self.encode(&Item::Begin { id, term, vote, snapshot }, &mut bytes);
+        self.encode(&Item::Entries(state.log.entries().to_vec()), &mut bytes);
+        self.encode(&Item::End, &mut bytes);
+        bytes
+    }
+
+    /// Writes bytes behind what is there, and waits until they are durable.
+    pub fn write(&mut self, mut file: &File, bytes: &[u8]) -> io::Result<()> {
+        file.seek(SeekFrom::Start(self.offset))?;
+        file.write_all(bytes)?;
+        file.sync_data()?;
+        self.offset += bytes.len() as u64;
+        Ok(())
+    }
+}
+
+/// Reads a segment.
+pub struct Reader<'a> {
+    file: &'a File,
+    sequence: u64,
+    offset: u64,
+    buffer: Vec<u8>,
+}
+
+impl<'a> Reader<'a> {
+    /// A reader behind the header; `None` where there is no sound header.
+    pub fn open(mut file: &'a File) -> io::Result<Option<Self>> {
+        let mut bytes = [0; HEADER_BYTES];
+        file.seek(SeekFrom::Start(0))?;
+        if let Err(error) = file.read_exact(&mut bytes) {
+            return if error.kind() == io::ErrorKind::UnexpectedEof { Ok(None) } else { Err(error) };
+        }
+        let sequence = u64::from_le_bytes(bytes[12..20].try_into().unwrap_or_default());
+        if bytes[..] != header(sequence)[..] {
+            return Ok(None);
+        }
+        Ok(Some(Self { file, sequence, offset: HEADER_BYTES as u64, buffer: Vec::new() }))
+    }
+
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// The state; `None` where the checkpoint is not complete.
+    pub fn replay(mut self) -> io::Result<Option<DurableState>> {
+        let Some(Item::Begin { id, term, vote, snapshot }) = self.next()? else { return Ok(None) };
+        let Some(Item::Entries(entries)) = self.next()? else { return Ok(None) };
+        let Some(Item::End) = self.next()? else { return Ok(None) };
+        let mut state = DurableState::new(id, snapshot);
+        state.fold(&Record::Term { term, vote });
+        state.fold(&Record::Append(entries));
+        while let Some(item) = self.next()? {
+            let Item::Record(record) = item else { break };
+            state.fold(&record);
+        }
+        Ok(Some(state))
+    }
+
+    /// The next item; `None` at the first that does not check.
+    fn next(&mut self) -> io::Result<Option<Item>> {
+        if !self.fill(PREFIX_BYTES)? {
+            return Ok(None);
+        }
+        let number = |at: usize| u32::from_le_bytes(self.buffer[at..at + 4].try_into().unwrap_or_default());
+        let (length, expected) = (number(0) as usize, number(4));
+        if length == 0 || !self.fill(PREFIX_BYTES + length)? {
+            return Ok(None);
+        }
+        let payload = &self.buffer[PREFIX_BYTES..PREFIX_BYTES + length];
+        if checksum(self.sequence, self.offset, payload) != expected {
+            return Ok(None);
+        }
+        let item = Item::deserialize_bin(payload).ok();
+        self.buffer.drain(..PREFIX_BYTES + length);
+        self.offset += (PREFIX_BYTES + length) as u64;
+        Ok(item)
+    }
+
+    /// Reads until so many bytes are in the buffer; `false` where the file ends before.
+    fn fill(&mut self, bytes: usize) -> io::Result<bool> {
+        let mut file = self.file;
+        while self.buffer.len() < bytes {
+            let have = self.buffer.len();
+            self.buffer.resize(have + READ_BYTES, 0);
+            let got = file.read(&mut self.buffer[have..]);
+            self.buffer.truncate(have + *got.as_ref().unwrap_or(&0));
+            if got? == 0 {
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+}
+
+fn header(sequence: u64) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(HEADER_BYTES);
+    bytes.extend_from_slice(&MAGIC.to_le_bytes());
+    bytes.extend_from_slice(&VERSION.to_le_bytes());
+    bytes.extend_from_slice(&sequence.to_le_bytes());
+    let checksum = crc32fast::hash(&bytes);
+    bytes.extend_from_slice(&checksum.to_le_bytes());
+    bytes
+}
+
+fn checksum(sequence: u64, offset: u64, payload: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&sequence.to_le_bytes());
+    hasher.update(&offset.to_le_bytes());
+    hasher.update(payload);
+    hasher.finalize()
+}
--- a/crates/transport/src/http1/connection.rs
+++ b/crates/transport/src/http1/connection.rs
@@ -31,8 +31,10 @@
 }
 
 /// A connection to an upstream. Dropping it closes it.
-pub(super) struct Connection {
+pub struct Connection {
+    /// Takes the next request.
     pub sender: SendRequest<Outgoing>,
+    /// How far the present request has got.
     pub progress: Arc<Progress>,
     stream: SharedStream,
     task: AbortHandle,
@@ -42,7 +44,12 @@
 impl Connection {
     /// Connects.
     pub async fn open(address: SocketAddr, counts: Arc<Counts>) -> io::Result<Self> {
-        let stream = SharedStream::new(TcpStream::connect(address).await?)?;
+        Self::over(TcpStream::connect(address).await?, counts).await
+    }
+
+    /// Takes a socket that is connected.
+    pub async fn over(tcp: TcpStream, counts: Arc<Counts>) -> io::Result<Self> {
+        let stream = SharedStream::new(tcp)?;
         let progress = Arc::<Progress>::default();
         let socket = Socket::new(stream.clone(), progress.clone(), counts.clone());
         let builder = &mut Builder::new();
@@ -77,7 +84,7 @@
 
 /// How far a request has got on its way out.
 #[derive(Default)]
-pub(super) struct Progress {
+pub struct Progress {
     /// The last of its body is in hyper's hands.
     pub body_taken: AtomicBool,
     /// Its last byte is written: the upstream may run it from here on.
@@ -88,7 +95,7 @@
 
 /// What is counted over all connections.
 #[derive(Default)]
-pub(super) struct Counts {
+pub struct Counts {
     /// Connections that are open.
     pub open: AtomicUsize,
     /// Requests that were written to their last byte.
@@ -109,7 +116,7 @@
 }
 
 /// The body of a request, which notes when it was taken.
-pub(super) struct Outgoing {
+pub struct Outgoing {
     data: Option<Bytes>,
     progress: Arc<Progress>,
 }
--- a/crates/transport/src/http1/mod.rs
+++ b/crates/transport/src/http1/mod.rs
@@ -8,9 +8,8 @@
 mod tests;
 
 pub use self::answer::Answer;
-pub use self::connection::is_local;
+pub use self::connection::{Connection, Counts, Outgoing, Progress, is_local};
 
-use self::connection::{Connection, Counts};
 use self::exchange::{Exchanged, Finished, Sizes, exchange};
 use self::pool::Pool;
 use crate::shared::lock;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -13,10 +13,10 @@
 mod stream;
 
 pub use classify::code;
-pub use http1::{Answer, Http1, is_local, load_report};
+pub use http1::{Answer, Connection, Counts, Http1, Outgoing, Progress, is_local, load_report};
 #[cfg(feature = "http2")]
 pub use http2::{Http2, Inbound, InboundError, Limits, grpc_timeout_of};
 #[cfg(feature = "http2")]
 pub use outbound::{BodyError, Outbound};
-pub use shared::{is_grpc, named_by_connection};
+pub use shared::{end_to_end, is_grpc, named_by_connection};
 pub use stream::SharedStream;
--- a/crates/transport/src/shared.rs
+++ b/crates/transport/src/shared.rs
@@ -1,6 +1,8 @@
 //! What both protocols, and the fronts, need of headers and locks.
 
-use http::header::{CONNECTION, CONTENT_TYPE};
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, DATE, EXPECT, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
 use http::{HeaderMap, HeaderName};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -10,6 +12,16 @@
     values.flat_map(|value| value.split(',')).filter_map(|name| name.trim().parse().ok()).collect()
 }
 
+/// Leaves the headers that are meant for the other end, not for this connection.
+pub fn end_to_end(headers: &mut HeaderMap) {
+    let named = named_by_connection(headers);
+    let hop = [CONNECTION, CONTENT_LENGTH, DATE, EXPECT, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
+    let others = ["keep-alive", "proxy-connection", "x-load-report"].map(HeaderName::from_static);
+    for name in hop.into_iter().chain(others).chain(named) {
+        headers.remove(name);
+    }
+}
+
 /// Whether a message is one of gRPC.
 pub fn is_grpc(headers: &HeaderMap) -> bool {
     headers.get(CONTENT_TYPE).is_some_and(|kind| kind.as_bytes().starts_with(b"application/grpc"))
--- a/src/main.rs
+++ b/src/main.rs
@@ -93,6 +93,9 @@
 }
 
 fn main() -> ExitCode {
+    if let Some(code) = woadstall_node::command_line::run() {
+        return code;
+    }
     match Arguments::parse().command {
         Some(Command::Check { files }) => check::files(&files, &mut std::io::stdout().lock()),
         Some(Command::Instances { admin, json }) => told(instances(admin, json)),
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -2,7 +2,6 @@
 
 use super::evacuation::{self, Evacuating};
 use super::figures::{Figures, Now};
-use super::gate::lock;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -19,6 +18,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
+use woadstall_inbound::lock;
 use woadstall_instances_net::Instances;
 use woadstall_runtime::Balance;
 use woadstall_transport::Http1;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,7 +5,6 @@
 pub mod config;
 pub mod evacuation;
 mod figures;
-mod gate;
 pub mod instances;
 pub mod members;
 pub mod places;
@@ -14,7 +13,6 @@
 use config::Config;
 use evacuation::Evacuating;
 use figures::Figures;
-use socket2::{Domain, Protocol, Socket, Type};
 use std::fmt;
 use std::io::{self, Write};
 use std::net::SocketAddr;
@@ -25,6 +23,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use woadstall_handover::{State, socket};
+use woadstall_inbound::listen;
 use woadstall_instances_net::Instances;
 use woadstall_runtime::{Balance, Setup};
 use woadstall_settings::Terms;
@@ -53,20 +52,6 @@
     };
 }
 
-/// Connections that wait to be taken at most.
-const BACKLOG: i32 = 1024;
-
-/// Listens where another process of this program may listen too: its successor at an upgrade.
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    socket.set_reuse_port(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
-    TcpListener::from_std(socket.into())
-}
-
 /// The settings that requests are taken under.
 pub struct InService {
     terms: Terms,
--- a/src/net/server/connection.rs
+++ b/src/net/server/connection.rs
@@ -1,7 +1,6 @@
 //! A caller's connection, from its first byte to its close.
 
 use super::super::figures::Begun;
-use super::super::gate::{Gate, MOST_HEAD, Seen, lock};
 use super::Server;
 use super::reply::{Reply, refusal};
 use super::request::class_in_path;
@@ -17,6 +16,7 @@
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep};
+use woadstall_inbound::{Gate, MOST_HEAD, Seen, lock};
 use woadstall_transport::SharedStream;
 
 /// How often a connection that is to be closed but has a request open, or a part of one, is looked at.
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -1,17 +1,14 @@
 //! The callers' side: takes connections, has their requests answered, and ends in order.
 
 mod connection;
-mod linger;
 mod reply;
 mod request;
 
 use self::connection::{COME_BACK, Caller, Place};
-use self::linger::Lingering;
-use self::reply::{Reply, ReplyBody, end_to_end, refusal, status};
+use self::reply::{Reply, ReplyBody, refusal, status};
 use self::request::{Asked, Rejection, Room, TOO_LARGE, whole_body};
 use super::config::Config;
 use super::figures::Figures;
-use super::gate::{Seen, lock};
 use super::{InService, MOST_BODY};
 use hyper::body::{Body, Incoming};
 use hyper::{Request, StatusCode, Version};
@@ -23,8 +20,9 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout};
 use woadstall_engine::Verdict;
+use woadstall_inbound::{Lingering, Seen, lock};
 use woadstall_runtime::{Ask, Balance};
-use woadstall_transport::{Http1, SharedStream, is_local};
+use woadstall_transport::{Http1, SharedStream, end_to_end, is_local};
 
 /// How long connections are still taken after a signal to stop: callers hear of it late.
 const GO_ON: Duration = Duration::from_millis(500);
--- a/src/net/server/reply.rs
+++ b/src/net/server/reply.rs
@@ -1,13 +1,9 @@
 //! Answers to callers.
 
 use super::super::figures::Begun;
-use super::super::gate::{Seen, lock};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, DATE, EXPECT, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
-};
+use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use std::io;
 use std::pin::Pin;
@@ -15,7 +11,8 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::time::Instant;
-use woadstall_transport::{Answer, named_by_connection};
+use woadstall_inbound::{Seen, lock};
+use woadstall_transport::Answer;
 
 /// An answer as hyper writes it.
 pub type Reply = Response<ReplyBody>;
@@ -107,13 +104,3 @@
     }
     reply
 }
-
-/// Leaves the headers that are meant for the other end, not for this connection.
-pub fn end_to_end(headers: &mut HeaderMap) {
-    let named = named_by_connection(headers);
-    let hop = [CONNECTION, CONTENT_LENGTH, DATE, EXPECT, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
-    let others = ["keep-alive", "proxy-connection", "x-load-report"].map(HeaderName::from_static);
-    for name in hop.into_iter().chain(others).chain(named) {
-        headers.remove(name);
-    }
-}
