Recovery: committed position and registrations are on disk, first elections come soon

Ruled out: start of the processes (0.1 s), feeds. Change: the position that is known to be committed is a record; registrations are kept as hints; replicas that have just started or see no leader ask for votes within 0.25 to 0.6 s (a pre-vote disturbs nobody).

--- a/crates/consensus/src/durable.rs
+++ b/crates/consensus/src/durable.rs
@@ -17,6 +17,9 @@
     Append(Vec<Entry>),
     /// A snapshot, which replaces what it covers.
     Install(Snapshot),
+    /// All entries up to this position are committed. It may be behind; it lets a replica that starts again apply what it has
+    /// before there is a leader.
+    Commit(u64),
 }
 
 /// The durable state of a replica: the fold over its records.
@@ -30,12 +33,14 @@
     pub vote: ReplicaId,
     /// The log.
     pub log: Log,
+    /// A position up to which the log was known to be committed.
+    pub commit: u64,
 }
 
 impl DurableState {
     /// The state of a new replica. One that founds the group begins with its members; one that joins with none.
     pub fn new(id: ReplicaId, founding: Snapshot) -> Self {
-        Self { id, term: 0, vote: 0, log: Log::new(founding, Vec::new()) }
+        Self { id, term: 0, vote: 0, commit: founding.index, log: Log::new(founding, Vec::new()) }
     }
 
     /// Folds one record into the state.
@@ -44,6 +49,7 @@
             Record::Term { term, vote } => (self.term, self.vote) = (*term, *vote),
             Record::Append(entries) => self.log.append(entries),
             Record::Install(snapshot) => self.log.install(snapshot.clone()),
+            Record::Commit(index) => self.commit = self.commit.max(*index),
         }
     }
 }
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -6,6 +6,10 @@
 use crate::message::{Body, Message};
 use std::collections::{BTreeSet, VecDeque};
 
+/// When a replica that has just started asks for votes, in milliseconds: one that follows a leader hears of it within a
+/// heartbeat.
+const FIRST_ELECTION: std::ops::Range<u64> = 250..600;
+
 /// Times in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
@@ -110,7 +114,7 @@
             now,
             term: state.term.max(snapshot.term),
             vote: state.vote,
-            commit: snapshot.index,
+            commit: snapshot.index.max(state.commit.min(state.log.last_index())),
             applied: snapshot.index,
             durable: state.log.last_index(),
             log: state.log,
@@ -128,7 +132,9 @@
         if snapshot.index > 0 {
             replica.outputs.push_back(Output::Restore(snapshot));
         }
-        replica.reset_election_timer();
+        replica.apply_up_to_commit();
+        // Nobody was heard yet, and a pre-vote disturbs no leader that is there.
+        replica.election_due = now + replica.random.u64(FIRST_ELECTION);
         replica
     }
 
@@ -192,6 +198,10 @@
             self.lead();
         } else if self.now >= self.election_due {
             self.reset_election_timer();
+            if self.leader().is_none() {
+                // Whoever could not be reached may be there soon.
+                self.election_due = self.now + self.random.u64(FIRST_ELECTION);
+            }
             if self.log.members().is_voter(self.id) {
                 self.ask_for_votes(true, false);
             } else {
@@ -309,7 +319,13 @@
         self.persist(Record::Append(entries));
     }
 
+    /// Applies what is newly committed, and has the disk remember how far that is.
     pub(crate) fn apply_committed(&mut self) {
+        self.persist(Record::Commit(self.commit));
+        self.apply_up_to_commit();
+    }
+
+    fn apply_up_to_commit(&mut self) {
         while self.applied < self.commit {
             let Some(entry) = self.log.get(self.applied + 1).cloned() else { return };
             self.applied += 1;
--- a/crates/control/src/machine/feeds.rs
+++ b/crates/control/src/machine/feeds.rs
@@ -57,6 +57,9 @@
 
     /// Appends an event to the journal and tells it to all readers.
     pub(super) fn publish(&mut self, event: Event) {
+        if matches!(event, Event::Registered(_)) {
+            self.registry_version += 1;
+        }
         self.journal.append(event.clone());
         let offset = self.journal.end();
         for subscriber in self.subscribers.keys() {
--- a/crates/control/src/machine/mod.rs
+++ b/crates/control/src/machine/mod.rs
@@ -9,7 +9,7 @@
 use crate::balancers::{Balancers, Heartbeat};
 use crate::command::Command;
 use crate::feed::{Event, Journal};
-use crate::registry::Registry;
+use crate::registry::{Registration, Registry};
 use crate::state::ControlState;
 use crate::wire::{ControlMachine, Packet, Renewal};
 use feeds::Subscriber;
@@ -151,6 +151,8 @@
     applied: u64,
     quorum_since: Option<u64>,
     was_leader: bool,
+    /// Counts changes of registrations.
+    registry_version: u64,
 }
 
 /// The snapshot that founders begin with: the seeds are its voters. All founders make the same one, so there is one group
@@ -192,6 +194,7 @@
             applied: 0,
             quorum_since: None,
             was_leader: false,
+            registry_version: 0,
             settings,
         };
         for seed in machine.settings.seeds.clone() {
@@ -216,6 +219,22 @@
         &self.replica
     }
 
+    /// Counts changes of the registrations that are worth keeping.
+    pub fn registry_version(&self) -> u64 {
+        self.registry_version
+    }
+
+    /// Takes over the registrations that an earlier process of this machine kept. They are hints: whatever is heard goes
+    /// before them.
+    pub fn remember(&mut self, registrations: Vec<Registration>) {
+        self.merge_all(registrations);
+    }
+
+    /// All registrations, with their times as of now.
+    pub fn registrations(&self) -> Vec<Registration> {
+        self.registry.all(self.now)
+    }
+
     /// The registrations.
     pub fn registry(&self) -> &Registry {
         &self.registry
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -2,11 +2,13 @@
 
 mod api;
 mod disk;
+mod hints;
 mod peers;
 
 use crate::settings::NodeSettings;
 use api::Call;
 use disk::Disk;
+use hints::Hints;
 use peers::Links;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -25,6 +27,8 @@
 
 /// How often the machine is told the time.
 const TICK: Duration = Duration::from_millis(50);
+/// How often changed registrations are written to the disk at most.
+const KEEP_EVERY: Duration = Duration::from_millis(500);
 /// How long calls are answered after SIGTERM, while leadership moves.
 const LEAVING: Duration = Duration::from_millis(600);
 
@@ -132,11 +136,17 @@
     tokio::spawn(peers::accept(listener, events.clone()));
     tokio::spawn(peers::receive(datagrams, events.clone()));
     api::start(settings, control, &events)?;
+    let (hints, registrations) = Hints::open(folder);
+    let mut machine = Machine::new(machine_settings, durable, 0, fastrand::u64(..));
+    log::info!("registrations remembered: {}", registrations.len());
+    machine.remember(registrations);
     let process = Process {
         started: Instant::now(),
-        machine: Machine::new(machine_settings, durable, 0, fastrand::u64(..)),
+        machine,
         links: Links::new(events.clone()),
-        disk: Disk::start(storage, events),
+        disk: Disk::start(storage, hints, events),
+        kept: 0,
+        kept_at: Instant::now(),
         subscribers: BTreeMap::new(),
         calls: HashMap::new(),
         next_token: 0,
@@ -170,6 +180,9 @@
     machine: Machine,
     links: Links,
     disk: Disk,
+    /// The version of the registrations that the disk has, and since when.
+    kept: u64,
+    kept_at: Instant,
     subscribers: BTreeMap<u64, mpsc::Sender<Packet>>,
     calls: HashMap<u64, SyncSender<Reply>>,
     next_token: u64,
@@ -203,6 +216,7 @@
                 self.handle(event);
             }
             self.carry_out();
+            self.keep_registrations();
             if leaving.is_some_and(|since| since.elapsed() > LEAVING) {
                 return Ok(());
             }
@@ -266,6 +280,14 @@
         }
     }
 
+    fn keep_registrations(&mut self) {
+        let version = self.machine.registry_version();
+        if version != self.kept && self.kept_at.elapsed() >= KEEP_EVERY {
+            (self.kept, self.kept_at) = (version, Instant::now());
+            self.disk.keep(self.machine.registrations());
+        }
+    }
+
     fn carry_out(&mut self) {
         for action in self.machine.take_actions() {
             match action {
--- a/crates/node/src/front/forward.rs
+++ b/crates/node/src/front/forward.rs
@@ -19,8 +19,9 @@
 use woadstall_routing::{Decision, Query, Refusal, Target, UpstreamId};
 use woadstall_transport::end_to_end;
 
-/// When a client may come back to a balancer that knows no configuration yet.
-const NO_CONFIGURATION: Duration = Duration::from_millis(400);
+/// When a client may come back to a balancer that knows no configuration yet: about the time that an election and a snapshot
+/// take.
+const NO_CONFIGURATION: Duration = Duration::from_millis(1_200);
 /// When one may come back whose body finds no room.
 const NO_ROOM: Duration = Duration::from_millis(500);
 /// The part of the memory that bodies of open requests may fill.
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -12,8 +12,9 @@
 /// How long bytes may stay unacknowledged before a connection counts as dead. A lost packet is sent again within a few
 /// hundred milliseconds, also between regions.
 pub const UNACKNOWLEDGED: Duration = Duration::from_millis(2_000);
-/// How long a connection may take to come up: a round trip between regions, and a packet that is sent again after a second.
-pub const CONNECT: Duration = Duration::from_millis(1_200);
+/// How long a connection may take to come up: some round trips between regions. Trying again is quicker than to wait until a
+/// lost opening packet is sent again.
+pub const CONNECT: Duration = Duration::from_millis(500);
 
 /// Has the kernel end a connection whose peer is silent: bytes that are not acknowledged within `unacknowledged`, or probes
 /// of an idle connection that nobody answers.
--- a/crates/storage/src/segment.rs
+++ b/crates/storage/src/segment.rs
@@ -20,7 +20,7 @@
 #[derive(Clone, Debug, SerBin, DeBin)]
 pub enum Item {
     /// The beginning of a checkpoint.
-    Begin { id: ReplicaId, term: u64, vote: ReplicaId, snapshot: Snapshot },
+    Begin { id: ReplicaId, term: u64, vote: ReplicaId, commit: u64, snapshot: Snapshot },
     /// Entries of a checkpoint.
     Entries(Vec<Entry>),
     /// The end of a checkpoint.
@@ -60,9 +60,9 @@
     /// The header and the whole state.
     pub fn encode_checkpoint(&self, state: &DurableState) -> Vec<u8> {
         let mut bytes = header(self.sequence);
-        let (id, term, vote) = (state.id, state.term, state.vote);
+        let (id, term, vote, commit) = (state.id, state.term, state.vote, state.commit);
         let snapshot = state.log.snapshot().clone();
-        self.encode(&Item::Begin { id, term, vote, snapshot }, &mut bytes);
+        self.encode(&Item::Begin { id, term, vote, commit, snapshot }, &mut bytes);
         self.encode(&Item::Entries(state.log.entries().to_vec()), &mut bytes);
         self.encode(&Item::End, &mut bytes);
         bytes
@@ -107,12 +107,13 @@
 
     /// The state; `None` where the checkpoint is not complete.
     pub fn replay(mut self) -> io::Result<Option<DurableState>> {
-        let Some(Item::Begin { id, term, vote, snapshot }) = self.next()? else { return Ok(None) };
+        let Some(Item::Begin { id, term, vote, commit, snapshot }) = self.next()? else { return Ok(None) };
         let Some(Item::Entries(entries)) = self.next()? else { return Ok(None) };
         let Some(Item::End) = self.next()? else { return Ok(None) };
         let mut state = DurableState::new(id, snapshot);
         state.fold(&Record::Term { term, vote });
         state.fold(&Record::Append(entries));
+        state.fold(&Record::Commit(commit));
         while let Some(item) = self.next()? {
             let Item::Record(record) = item else { break };
             state.fold(&record);
