--- a/crates/control/src/machine/feeds.rs
+++ b/crates/control/src/machine/feeds.rs
@@ -9,13 +9,13 @@
 /// How often a feed tells how its machine stands, in milliseconds.
 pub(super) const STATUS_EVERY: u64 = 500;
 /// How long a balancer is named to clients after it was last heard of: three heartbeats, and the way between machines.
-const BALANCER_ALIVE: u64 = 1_600;
+const BALANCER_ALIVE: u64 = 1_100;
 /// How long a balancer counts among those that share budgets.
 const BALANCER_COUNTS: u64 = 10_000;
 /// Balancers that are named to a client at most.
 const MOST_NAMED: usize = 64;
 /// Seconds for which names of balancers hold with clients.
-pub const RESOLVE_TTL_S: u64 = 2;
+pub const RESOLVE_TTL_S: u64 = 1;
 
 /// A balancer that reads the feed.
 #[derive(Clone, Debug)]
--- a/crates/control/src/machine/mod.rs
+++ b/crates/control/src/machine/mod.rs
@@ -109,7 +109,7 @@
 /// How long a caller is kept waiting at most: after a second it goes to another machine.
 const CALL_PATIENCE: u64 = 900;
 /// How often heartbeats that came are told to the other machines.
-const GOSSIP_EVERY: u64 = 250;
+const GOSSIP_EVERY: u64 = 200;
 /// Bytes and entries of the log behind its snapshot from which on a new one is taken.
 const COMPACT_BYTES: usize = 4 << 20;
 const COMPACT_ENTRIES: usize = 1_000;
--- a/crates/node/src/front/attempt.rs
+++ b/crates/node/src/front/attempt.rs
@@ -75,11 +75,20 @@
     front: Arc<Front>,
     pub target: Target,
     outcome: Outcome,
+    /// Tokens that the upstream has still to read.
+    unread: u64,
 }
 
 impl Held {
     pub fn new(front: &Arc<Front>, target: Target) -> Self {
-        Self { front: front.clone(), target, outcome: Outcome::Withdrawn }
+        let unread = target.reading;
+        Self { front: front.clone(), target, outcome: Outcome::Withdrawn, unread }
+    }
+
+    /// Something has come from the upstream.
+    pub fn heard(&mut self) {
+        let read = std::mem::take(&mut self.unread);
+        lock(&self.front.router).heard(self.front.now(), &self.target.id, read);
     }
 
     /// Ends it.
@@ -91,7 +100,7 @@
 impl Drop for Held {
     fn drop(&mut self) {
         let now = self.front.now();
-        lock(&self.front.router).finish(now, &self.target.id, self.outcome);
+        lock(&self.front.router).finish(now, &self.target.id, self.outcome, self.unread);
     }
 }
 
@@ -152,7 +161,7 @@
         held.end(Outcome::Broken);
         return Attempted::Broken;
     }
-    lock(&front.router).answered(&held.target.id);
+    lock(&front.router).answered(front.now(), &held.target.id);
     let keep = keep_alive(&parts);
     end_to_end(&mut parts.headers);
     if outbound.is_stream && parts.status.is_success() {
--- a/crates/node/src/front/forward.rs
+++ b/crates/node/src/front/forward.rs
@@ -16,7 +16,7 @@
 use woadstall_control::configuration::{Configuration, Route, RouteType, Service};
 use woadstall_control::shards::hash;
 use woadstall_inbound::lock;
-use woadstall_routing::{Decision, Query, Refusal, Target, UpstreamId};
+use woadstall_routing::{Decision, Prompt, Query, Refusal, Target, UpstreamId};
 use woadstall_transport::end_to_end;
 
 /// When a client may come back to a balancer that knows no configuration yet: about the time that an election and a snapshot
@@ -37,7 +37,7 @@
 pub(super) struct Course {
     pub route: Arc<Route>,
     pub service: Arc<Service>,
-    shared_prompt: Option<u64>,
+    prompt: Prompt,
     tried: Vec<UpstreamId>,
     sends: u32,
     unsent: u32,
@@ -63,12 +63,8 @@
         if self.sends + self.rejections > 0 && !router.take_repeat(now, &self.service.name) {
             return Err(GivenUp);
         }
-        let query = Query {
-            route: &self.route,
-            service: &self.service,
-            shared_prompt: self.shared_prompt,
-            tried: &self.tried,
-        };
+        let query =
+            Query { route: &self.route, service: &self.service, prompt: self.prompt, tried: &self.tried };
         match router.choose(now, &query) {
             Decision::Send(target) => {
                 self.tried.push(target.id.clone());
@@ -130,7 +126,7 @@
         Ok(body) => body,
         Err(reply) => return *reply,
     };
-    let shared_prompt = route.session_affinity.then(|| shared_prompt(&head.headers)).flatten();
+    let prompt = if route.session_affinity { prompt_of(&head.headers) } else { Prompt::default() };
     end_to_end(&mut head.headers);
     let service = target_service(&route).and_then(|name| configuration.services.get(name));
     let Some(service) = service.cloned().map(Arc::new) else {
@@ -148,7 +144,7 @@
     let course = Course {
         route,
         service,
-        shared_prompt,
+        prompt,
         tried: Vec::new(),
         sends: 0,
         unsent: 0,
@@ -207,26 +203,27 @@
     None
 }
 
-/// The hash of the long beginning that a prompt shares with others: the parts up to the one that makes it long. The last
+/// What a request tells of its prompt. What it shares with others is the parts up to the one that makes them long; the last
 /// part is the request's own.
-fn shared_prompt(headers: &HeaderMap) -> Option<u64> {
-    let value = headers.get("prompt-prefix")?.to_str().ok()?;
+fn prompt_of(headers: &HeaderMap) -> Prompt {
+    let value = headers.get("prompt-prefix").and_then(|value| value.to_str().ok()).unwrap_or("");
     let parts: Vec<(&str, u64)> = value
         .split(',')
         .filter_map(|part| part.trim().split_once(':'))
         .filter_map(|(id, tokens)| Some((id, tokens.trim().parse().ok()?)))
         .collect();
-    let (_, shared) = parts.split_last()?;
+    let mut prompt = Prompt { tokens: parts.iter().map(|(_, tokens)| tokens).sum(), ..Prompt::default() };
+    let Some((_, shared)) = parts.split_last() else { return prompt };
     let mut ids = Vec::new();
-    let mut total = 0;
     for (id, tokens) in shared {
         ids.push(*id);
-        total += tokens;
-        if total >= LONG_PROMPT {
-            return Some(hash(&ids));
+        prompt.shared_tokens += tokens;
+        if prompt.shared_tokens >= LONG_PROMPT {
+            prompt.shared = Some(hash(&ids));
+            return prompt;
         }
     }
-    None
+    Prompt { shared_tokens: 0, ..prompt }
 }
 
 /// Room in the memory for a body.
--- a/crates/node/src/front/heartbeat.rs
+++ b/crates/node/src/front/heartbeat.rs
@@ -13,7 +13,7 @@
 use woadstall_control::wire::Packet;
 
 /// How often.
-const EVERY: Duration = Duration::from_millis(400);
+const EVERY: Duration = Duration::from_millis(300);
 
 /// Starts; a notification sends at once.
 pub(super) fn start(front: &Arc<Front>) -> Arc<Notify> {
--- a/crates/node/src/front/stream.rs
+++ b/crates/node/src/front/stream.rs
@@ -7,7 +7,6 @@
 use super::reply::ReplyBody;
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue};
 use std::io;
 use std::sync::Arc;
@@ -46,7 +45,7 @@
     let mut buffer = course.route.resumable.then(EventBuffer::default);
     loop {
         let keep = begun.parts.extensions.get::<Keep>().copied().unwrap_or(Keep::Closes);
-        let end = copy(&mut begun.body, outbound.deadline, &mut buffer, client).await;
+        let end = copy(&mut begun, outbound.deadline, &mut buffer, client).await;
         match end {
             End::Complete => {
                 if let Some(rest) = buffer.as_mut().map(EventBuffer::rest).filter(|rest| !rest.is_empty()) {
@@ -76,7 +75,7 @@
 
 /// Copies a body to the client until it ends.
 async fn copy(
-    body: &mut Incoming,
+    begun: &mut Begun,
     deadline: Instant,
     buffer: &mut Option<EventBuffer>,
     client: &mpsc::Sender<io::Result<Bytes>>,
@@ -85,7 +84,7 @@
         let frame = tokio::select! {
             biased;
             () = client.closed() => return End::ClientLeft,
-            frame = timeout_at(deadline, body.frame()) => frame,
+            frame = timeout_at(deadline, begun.body.frame()) => frame,
         };
         let data = match frame {
             Err(_) => return End::TimedOut,
@@ -96,6 +95,7 @@
                 Err(_) => continue,
             },
         };
+        begun.held.heard();
         let data = match buffer {
             Some(buffer) => buffer.push(&data),
             None => data,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,4 +19,4 @@
 pub use budget::{ColdShare, RetryBudget};
 pub use locality::{Locality, RegionLoad};
 pub use router::{Bounds, Decision, Fleet, Place, Query, Refusal, Router, Target};
-pub use upstream::{Outcome, UpstreamId};
+pub use upstream::{Outcome, Prompt, UpstreamId};
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -2,7 +2,7 @@
 
 use crate::budget::{ColdShare, RetryBudget};
 use crate::locality::{Locality, RegionLoad};
-use crate::upstream::{Outcome, Upstream, UpstreamId};
+use crate::upstream::{Outcome, Prompt, Upstream, UpstreamId};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -58,8 +58,8 @@
     pub route: &'a Route,
     /// Its service.
     pub service: &'a Service,
-    /// The hash of the part of its prompt that it shares with others, where that is long.
-    pub shared_prompt: Option<u64>,
+    /// Its prompt, where it goes to a model.
+    pub prompt: Prompt,
     /// Upstreams that it was sent to already.
     pub tried: &'a [UpstreamId],
 }
@@ -75,6 +75,8 @@
     pub is_near: bool,
     /// Connections that this balancer may have to it.
     pub connections: usize,
+    /// The tokens that it is expected to read.
+    pub reading: u64,
 }
 
 /// A request that goes to no upstream now.
@@ -101,6 +103,16 @@
 const OVERFULL: f64 = 1.5;
 /// How long an upstream that has turned a request away as full is passed over, in milliseconds.
 const FULL_PAUSE: u64 = 150;
+/// How long an upstream may tell nothing while requests wait there, before it is passed over, in milliseconds: longer than a
+/// long prompt takes to read beside others. What it is sent until it is known to be gone is lost.
+const SILENT_NEAR: u64 = 600;
+/// The same for another region: two ways between regions more.
+const SILENT_FAR: u64 = 800;
+/// Tokens that an upstream may have to read before it is passed over by requests that could go elsewhere: about one step
+/// of an engine, a tenth of a second.
+const READING: u64 = 4_096;
+/// The same for a request whose prompt it keeps: to read that elsewhere takes longer than to wait.
+const READING_KEPT: u64 = 40_000;
 /// How long an upstream that a new snapshot does not name is kept, in milliseconds: a control machine that has just started
 /// hears of all within a few heartbeats.
 const UNCONFIRMED: u64 = 10_000;
@@ -249,8 +261,9 @@
     }
 
     /// A request at an upstream has ended.
-    pub fn finish(&mut self, now: u64, id: &str, outcome: Outcome) {
+    pub fn finish(&mut self, now: u64, id: &str, outcome: Outcome, unread: u64) {
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
+        upstream.reading = upstream.reading.saturating_sub(unread);
         upstream.in_flight = upstream.in_flight.saturating_sub(1);
         const UNREACHABLE_WEIGHT: u32 = 2;
         match outcome {
@@ -263,9 +276,18 @@
     }
 
     /// An upstream has begun to answer soundly.
-    pub fn answered(&mut self, id: &str) {
+    pub fn answered(&mut self, now: u64, id: &str) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.breaker.succeeded();
+            upstream.silent_since = now;
+        }
+    }
+
+    /// Something has come from an upstream; the first event of a stream tells that it has read so many tokens.
+    pub fn heard(&mut self, now: u64, id: &str, read: u64) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.silent_since = now;
+            upstream.reading = upstream.reading.saturating_sub(read);
         }
     }
 
@@ -339,11 +361,14 @@
         if candidates.is_empty() {
             return None;
         }
-        if let Some(shared) = query.shared_prompt {
+        if let Some(shared) = query.prompt.shared {
             let mut ranked: Vec<&UpstreamId> = candidates.iter().collect();
             ranked.sort_by_cached_key(|id| std::cmp::Reverse(hash(&(shared, &***id))));
-            if let Some(id) = ranked.into_iter().find(|id| self.has_room(now, query, id)) {
-                return Some(id.clone());
+            let fits = |id: &&&UpstreamId| self.has_room(now, query, id) && self.reads_less(id, READING_KEPT);
+            if let Some(id) =
+                ranked.iter().find(fits).or_else(|| ranked.iter().find(|id| self.has_room(now, query, id)))
+            {
+                return Some((*id).clone());
             }
         }
         let cursor =
@@ -352,8 +377,10 @@
         *cursor = cursor.wrapping_add(1);
         let order =
             || (0..candidates.len()).map(|step| &candidates[(begin.wrapping_add(step)) % candidates.len()]);
+        let proposals = || order().take(PROPOSALS.max(candidates.len()));
+        let is_free = |id: &&UpstreamId| self.has_room(now, query, id) && self.reads_less(id, READING);
         if let Some(id) =
-            order().take(PROPOSALS.max(candidates.len())).find(|id| self.has_room(now, query, id))
+            proposals().find(is_free).or_else(|| proposals().find(|id| self.has_room(now, query, id)))
         {
             return Some(id.clone());
         }
@@ -361,9 +388,19 @@
         order().find(|id| self.may_fall_back(now, query, id)).cloned()
     }
 
+    fn reads_less(&self, id: &str, tokens: u64) -> bool {
+        self.upstreams.get(id).is_some_and(|upstream| upstream.reading < tokens)
+    }
+
+    fn is_silent(&self, now: u64, upstream: &Upstream) -> bool {
+        let patience = if upstream.region == self.place.region { SILENT_NEAR } else { SILENT_FAR };
+        upstream.is_silent(now, patience)
+    }
+
     fn has_room(&self, now: u64, query: &Query<'_>, id: &str) -> bool {
         let Some(upstream) = self.upstreams.get(id) else { return false };
         upstream.breaker.allows(now)
+            && !self.is_silent(now, upstream)
             && now >= upstream.full_until
             && f64::from(upstream.in_flight) < self.most_in_flight(upstream)
             && self.is_within_cold_budget(now, query, upstream)
@@ -372,7 +409,7 @@
     /// Whether all that speaks against an upstream is its breaker.
     fn may_fall_back(&self, now: u64, query: &Query<'_>, id: &str) -> bool {
         let Some(upstream) = self.upstreams.get(id) else { return false };
-        !upstream.breaker.allows(now)
+        (!upstream.breaker.allows(now) || self.is_silent(now, upstream))
             && f64::from(upstream.in_flight) < self.most_in_flight(upstream)
             && self.is_within_cold_budget(now, query, upstream)
     }
@@ -401,7 +438,15 @@
         let total = f64::from(self.fleet.total());
         let near = self.place.region.clone();
         let Some(upstream) = self.upstreams.get_mut(id) else { return self.refuse(true) };
+        if upstream.in_flight == 0 {
+            upstream.silent_since = now;
+        }
         upstream.in_flight += 1;
+        let reading = upstream.unread(&query.prompt);
+        upstream.reading += reading;
+        if let Some(shared) = query.prompt.shared {
+            upstream.note_kept(shared);
+        }
         upstream.breaker.sent(now);
         if upstream.is_cold(now) {
             upstream.note_cold_send(now);
@@ -412,6 +457,7 @@
             address: upstream.address,
             is_near: upstream.region == near,
             connections: connections.max(LEAST_CONNECTIONS) as usize,
+            reading,
         })
     }
 
--- a/crates/routing/src/upstream.rs
+++ b/crates/routing/src/upstream.rs
@@ -24,6 +24,17 @@
     Withdrawn,
 }
 
+/// What a request tells of its prompt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// The hash of the long beginning that it shares with others, if it has one.
+    pub shared: Option<u64>,
+    /// The tokens of that beginning.
+    pub shared_tokens: u64,
+    /// All its tokens.
+    pub tokens: u64,
+}
+
 /// An upstream.
 #[derive(Clone, Debug)]
 pub(crate) struct Upstream {
@@ -44,10 +55,18 @@
     pub in_flight: u32,
     /// It has said that it is full, and is passed over until then.
     pub full_until: u64,
+    /// Since when nothing has come from it, while requests of this balancer wait there.
+    pub silent_since: u64,
+    /// Prompt tokens of this balancer's requests that it has not begun to answer.
+    pub reading: u64,
+    /// Beginnings of prompts that this balancer has sent there, the newest last.
+    pub kept: VecDeque<u64>,
     /// Not in the newest snapshot: it is forgotten then, unless it is told of again.
     pub unconfirmed_since: Option<u64>,
 }
 
+/// Beginnings of prompts that are remembered for an upstream.
+const KEPT: usize = 64;
 /// Sends to a cold upstream that are remembered.
 const COLD_SENDS: usize = 64;
 
@@ -67,6 +86,9 @@
             breaker: Breaker::default(),
             in_flight: 0,
             full_until: 0,
+            silent_since: 0,
+            reading: 0,
+            kept: VecDeque::new(),
             unconfirmed_since: None,
         }
     }
@@ -90,6 +112,26 @@
         now < self.cold_until
     }
 
+    /// Whether it has told nothing for so long, though requests wait there.
+    pub fn is_silent(&self, now: u64, patience: u64) -> bool {
+        self.in_flight > 0 && now > self.silent_since + patience
+    }
+
+    /// The tokens of a prompt that it has to read, as far as this balancer knows.
+    pub fn unread(&self, prompt: &Prompt) -> u64 {
+        let is_kept = prompt.shared.is_some_and(|shared| self.kept.contains(&shared));
+        if is_kept { prompt.tokens.saturating_sub(prompt.shared_tokens) } else { prompt.tokens }
+    }
+
+    /// A prompt goes there.
+    pub fn note_kept(&mut self, shared: u64) {
+        self.kept.retain(|other| *other != shared);
+        self.kept.push_back(shared);
+        if self.kept.len() > KEPT {
+            self.kept.pop_front();
+        }
+    }
+
     pub fn note_cold_send(&mut self, now: u64) {
         self.cold_sends.push_back(now);
         if self.cold_sends.len() > COLD_SENDS {
