--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -14,6 +14,12 @@
 /// Milliseconds within which a transfer must have ended; commands are refused until then.
 const TRANSFER_PATIENCE: u64 = 1_000;
 
+/// Milliseconds of silence after which a voter gives way to a newcomer of its zone.
+const REPLACED_AFTER: u64 = 2_000;
+/// Milliseconds of silence after which a voter that is not needed loses its vote: far more than a restart takes, less than
+/// until the next loss. One that comes back joins again.
+const REMOVED_AFTER: u64 = 5_000;
+
 /// How far a follower is.
 #[derive(Debug, Default)]
 struct Progress {
@@ -63,6 +69,12 @@
         self.reads.into_iter()
     }
 
+    /// Whether a follower has not answered for so long.
+    fn is_silent(&self, now: u64, follower: ReplicaId, patience: u64) -> bool {
+        let contact = self.progress.get(&follower).and_then(|progress| progress.contact);
+        now > contact.unwrap_or(self.since) + patience
+    }
+
     /// The latest time at which a quorum had answered.
     pub(crate) fn quorum_contact(&self, replica: &Replica) -> u64 {
         let contact = |member: &Member| {
@@ -188,6 +200,7 @@
             self.heartbeat();
         }
         self.admit_learners();
+        self.remove_silent_voter();
     }
 
     /// Sends to all followers, entries or not, in a new round.
@@ -329,10 +342,27 @@
         Ok(())
     }
 
+    /// Takes the vote of a voter that has long been silent, where enough others are there. Its vote would count against the
+    /// quorum when the next one is lost.
+    fn remove_silent_voter(&mut self) {
+        let Role::Leader(leadership) = &self.role else { return };
+        let (id, now) = (self.id, self.now);
+        let is_silent =
+            |voter: &&Member| voter.id != id && leadership.is_silent(now, voter.id, REMOVED_AFTER);
+        let is_there = |voter: &&Member| {
+            voter.id == id || !leadership.is_silent(now, voter.id, 2 * self.timing.election_min)
+        };
+        let voters = &self.log.members().voters;
+        let silent = voters.iter().find(is_silent).map(|voter| voter.id);
+        if let Some(silent) = silent.filter(|_| voters.iter().filter(is_there).count() >= self.least_voters) {
+            self.remove(silent).ok();
+        }
+    }
+
     /// Makes voters of learners that have caught up, one at a time. A learner at the address of a voter replaces it: that
     /// voter's disk is lost.
     fn admit_learners(&mut self) {
-        let (now, commit) = (self.now, self.commit);
+        let (id, now, commit) = (self.id, self.now, self.commit);
         let Role::Leader(leadership) = &mut self.role else { return };
         let members = self.log.members().clone();
         let progress = &mut leadership.progress;
@@ -347,7 +377,13 @@
         let ready = leadership.learners.iter().find(|(id, _)| caught_up(id));
         let Some(member) = ready.map(|(_, learner)| learner.member.clone()) else { return };
         let mut next = members;
-        let replaced = next.voters.iter().position(|voter| voter.address == member.address);
+        let zones = &self.zones;
+        let zone = zones.get(&member.id);
+        let gives_way = |voter: &Member| {
+            let is_silent = voter.id != id && leadership.is_silent(now, voter.id, REPLACED_AFTER);
+            voter.address == member.address || zone.is_some() && zones.get(&voter.id) == zone && is_silent
+        };
+        let replaced = next.voters.iter().position(gives_way);
         match replaced {
             Some(position) => drop(next.voters.remove(position)),
             None => next.voters.push(member),
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -16,4 +16,4 @@
 pub use durable::{DurableState, Record};
 pub use log::{Entry, Log, Member, Membership, Payload, ReplicaId, Snapshot};
 pub use message::{Body, Message};
-pub use replica::{Output, ProposeError, Replica, Role, Timing};
+pub use replica::{Output, ProposeError, Replica, Role, Settings, Timing};
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -4,7 +4,7 @@
 use crate::leader::{Leadership, Read};
 use crate::log::{Entry, Log, Member, Membership, Payload, ReplicaId, Snapshot};
 use crate::message::{Body, Message};
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// When a replica that has just started asks for votes, in milliseconds: one that follows a leader hears of it within a
 /// heartbeat.
@@ -21,6 +21,16 @@
     pub election_max: u64,
 }
 
+/// What a group is built for.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Its times.
+    pub timing: Timing,
+    /// Voters that must be there beside a silent one before that one's vote is taken: twice the members that may be lost at
+    /// a time, and one.
+    pub least_voters: usize,
+}
+
 /// The role of a replica in its term.
 #[derive(Debug)]
 pub enum Role {
@@ -82,6 +92,9 @@
 pub struct Replica {
     pub(crate) id: ReplicaId,
     pub(crate) timing: Timing,
+    pub(crate) least_voters: usize,
+    /// Zones of replicas, as far as they are known.
+    pub(crate) zones: BTreeMap<ReplicaId, String>,
     pub(crate) now: u64,
     pub(crate) term: u64,
     vote: ReplicaId,
@@ -106,11 +119,14 @@
 
 impl Replica {
     /// A replica as it was when it last ran, at a time in milliseconds.
-    pub fn new(state: DurableState, timing: Timing, now: u64, seed: u64) -> Self {
+    pub fn new(state: DurableState, settings: Settings, now: u64, seed: u64) -> Self {
+        let Settings { timing, least_voters } = settings;
         let snapshot = state.log.snapshot().clone();
         let mut replica = Self {
             id: state.id,
             timing,
+            least_voters,
+            zones: BTreeMap::new(),
             now,
             term: state.term.max(snapshot.term),
             vote: state.vote,
@@ -186,6 +202,11 @@
         }
     }
 
+    /// Hears which zone a replica is in: a newcomer takes the vote of a silent member of its zone.
+    pub fn set_zone(&mut self, id: ReplicaId, zone: String) {
+        self.zones.insert(id, zone);
+    }
+
     /// Takes the outputs.
     pub fn take_outputs(&mut self) -> Vec<Output> {
         self.outputs.drain(..).collect()
--- a/crates/control/src/machine/feeds.rs
+++ b/crates/control/src/machine/feeds.rs
@@ -2,6 +2,7 @@
 
 use super::{Action, Machine};
 use crate::feed::Event;
+use crate::shards::short_hash;
 use crate::state::ControlState;
 use crate::wire::{Packet, ZoneBalancers};
 use std::collections::BTreeMap;
@@ -43,6 +44,8 @@
         self.actions.push(Action::Deliver { subscriber, packet });
         let status = self.status();
         self.actions.push(Action::Deliver { subscriber, packet: status });
+        let balancing = Packet::Balancing(self.balancing());
+        self.actions.push(Action::Deliver { subscriber, packet: balancing });
     }
 
     /// A balancer's connection has ended.
@@ -82,6 +85,14 @@
     }
 
     pub(super) fn tell_status(&mut self) {
+        let balancing = self.balancing();
+        if balancing != self.balancing {
+            self.balancing = balancing.clone();
+            for subscriber in self.subscribers.keys() {
+                let packet = Packet::Balancing(balancing.clone());
+                self.actions.push(Action::Deliver { subscriber: *subscriber, packet });
+            }
+        }
         let status = self.status();
         for subscriber in self.subscribers.keys() {
             self.actions.push(Action::Deliver { subscriber: *subscriber, packet: status.clone() });
@@ -89,16 +100,18 @@
     }
 
     fn status(&self) -> Packet {
-        let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
+        Packet::Status { in_quorum: self.in_quorum(), machines: self.machines() }
+    }
+
+    /// The balancers that share budgets, by zone.
+    fn balancing(&self) -> Vec<ZoneBalancers> {
+        let mut zones: BTreeMap<&str, Vec<u32>> = BTreeMap::new();
         for heartbeat in self.balancers.alive(self.now, BALANCER_COUNTS) {
-            *zones.entry(&heartbeat.zone).or_default() += 1;
+            zones.entry(&heartbeat.zone).or_default().push(short_hash(&heartbeat.name));
         }
-        let zones: Vec<ZoneBalancers> = zones
-            .into_iter()
-            .map(|(zone, balancers)| ZoneBalancers { zone: zone.to_owned(), balancers })
-            .collect();
-        let balancers = zones.iter().map(|zone| zone.balancers).sum();
-        Packet::Status { in_quorum: self.in_quorum(), machines: self.machines(), balancers, zones }
+        let of_zone =
+            |(zone, balancers): (&str, Vec<u32>)| ZoneBalancers { zone: zone.to_owned(), balancers };
+        zones.into_iter().map(of_zone).collect()
     }
 
     /// The balancers that a client of a zone and region goes to: those of its zone, else of its region, else all.
--- a/crates/control/src/machine/mod.rs
+++ b/crates/control/src/machine/mod.rs
@@ -11,14 +11,15 @@
 use crate::feed::{Event, Journal};
 use crate::registry::{Registration, Registry};
 use crate::state::ControlState;
-use crate::wire::{ControlMachine, Packet, Renewal};
+use crate::wire::{ControlMachine, Packet, Renewal, ZoneBalancers};
 use feeds::Subscriber;
 use nanoserde::{DeBin, SerBin};
 use orders::{Order, PendingRead, Proposed};
 use registrations::Spread;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use woadstall_consensus::{
-    DurableState, Entry, Member, Membership, Output, Payload, Record, Replica, ReplicaId, Snapshot, Timing,
+    DurableState, Entry, Member, Membership, Output, Payload, Record, Replica, ReplicaId, Settings, Snapshot,
+    Timing,
 };
 
 /// What the shell has to do, in this order.
@@ -29,6 +30,11 @@
         /// The address.
         address: String,
     },
+    /// Keep that link no longer.
+    Disconnect {
+        /// The address.
+        address: String,
+    },
     /// Send a packet over that link, if it is up.
     Send {
         /// The address.
@@ -93,6 +99,8 @@
     pub seeds: Vec<String>,
     /// How often upstreams send heartbeats, in milliseconds.
     pub heartbeat_ms: u64,
+    /// Machines with a disk that may be lost at a time.
+    pub tolerated: usize,
     /// Tells this process's journal from others.
     pub epoch: u64,
 }
@@ -153,6 +161,8 @@
     was_leader: bool,
     /// Counts changes of registrations.
     registry_version: u64,
+    /// The balancers that were last told to readers.
+    balancing: Vec<ZoneBalancers>,
 }
 
 /// The snapshot that founders begin with: the seeds are its voters. All founders make the same one, so there is one group
@@ -170,7 +180,12 @@
         let journal = Journal::new(settings.epoch);
         let mut machine = Self {
             now,
-            replica: Replica::new(durable, TIMING, now, seed),
+            replica: Replica::new(
+                durable,
+                Settings { timing: TIMING, least_voters: 2 * settings.tolerated + 1 },
+                now,
+                seed,
+            ),
             state: ControlState::default(),
             registry: Registry::default(),
             balancers: Balancers::default(),
@@ -195,6 +210,7 @@
             quorum_since: None,
             was_leader: false,
             registry_version: 0,
+            balancing: Vec::new(),
             settings,
         };
         for seed in machine.settings.seeds.clone() {
@@ -326,7 +342,8 @@
             Packet::Subscribe { .. }
             | Packet::Snapshot { .. }
             | Packet::Events { .. }
-            | Packet::Status { .. } => {}
+            | Packet::Status { .. }
+            | Packet::Balancing(_) => {}
         }
     }
 
@@ -394,6 +411,17 @@
         let now = self.now;
         self.peers
             .retain(|_, peer| now <= peer.heard + FORGET_PEER || members.is_voter(peer.machine.member.id));
+        let is_wanted = |address: &String| {
+            self.peers.contains_key(address)
+                || self.settings.seeds.contains(address)
+                || members.voters.iter().any(|member| member.address == *address)
+        };
+        let unwanted: Vec<String> =
+            self.connected.iter().filter(|address| !is_wanted(address)).cloned().collect();
+        for address in unwanted {
+            self.connected.remove(&address);
+            self.actions.push(Action::Disconnect { address });
+        }
         let hello = self.hello();
         self.broadcast(&hello);
     }
@@ -402,6 +430,7 @@
         let address = machine.member.address.clone();
         self.connect(address.clone());
         if address != self.settings.machine.member.address {
+            self.replica.set_zone(machine.member.id, machine.zone.clone());
             self.peers.insert(address, Peer { machine, heard: self.now });
         }
         for machine in known {
--- a/crates/control/src/shards.rs
+++ b/crates/control/src/shards.rs
@@ -40,6 +40,11 @@
     ring.into_iter().take(most).map(|(_, machine)| machine).collect()
 }
 
+/// A short hash of a name, for lists of many.
+pub fn short_hash(name: &str) -> u32 {
+    (hash(&name) >> 32) as u32
+}
+
 /// A hash that is the same in every process of one program.
 pub fn hash(value: &impl Hash) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/control/src/wire.rs
+++ b/crates/control/src/wire.rs
@@ -120,11 +120,9 @@
         in_quorum: bool,
         /// The control machines that it knows.
         machines: Vec<ControlMachine>,
-        /// Balancers that are ready.
-        balancers: u32,
-        /// Balancers that are ready, by zone.
-        zones: Vec<ZoneBalancers>,
     },
+    /// The balancers that share budgets; told when they change.
+    Balancing(Vec<ZoneBalancers>),
     /// A balancer's heartbeat to a monitor.
     Heartbeat(Heartbeat),
 }
@@ -138,13 +136,13 @@
     pub sequence: u64,
 }
 
-/// How many balancers a zone has.
+/// The balancers of a zone.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub struct ZoneBalancers {
     /// The zone.
     pub zone: String,
-    /// Its ready balancers.
-    pub balancers: u32,
+    /// Hashes of their names.
+    pub balancers: Vec<u32>,
 }
 
 /// A frame can't be read.
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -128,6 +128,7 @@
         machine,
         seeds: settings.seeds.iter().map(|seed| settings.internal_address_of(*seed).to_string()).collect(),
         heartbeat_ms: settings.heartbeat_ms,
+        tolerated: settings.tolerated,
         epoch: fastrand::u64(1..),
     };
     let (events, received) = mpsc::unbounded_channel();
@@ -292,6 +293,7 @@
         for action in self.machine.take_actions() {
             match action {
                 Action::Connect { address } => self.links.keep(address),
+                Action::Disconnect { address } => self.links.drop(&address),
                 Action::Send { address, packet } => self.links.send(&address, packet),
                 Action::Persist { sequence, record } => self.disk.write(sequence, record),
                 Action::Answer { token, answer } => {
--- a/crates/node/src/core/peers.rs
+++ b/crates/node/src/core/peers.rs
@@ -51,6 +51,11 @@
         tokio::spawn(keep_link(address, parsed, packets, self.events.clone()));
     }
 
+    /// Keeps a link no longer.
+    pub fn drop(&mut self, address: &str) {
+        self.queues.remove(address);
+    }
+
     /// Sends a packet, if there is a link with room.
     pub fn send(&self, address: &str, packet: Packet) {
         if let Some(queue) = self.queues.get(address) {
@@ -73,6 +78,9 @@
         }
         sleep(RECONNECT).await;
         while packets.try_recv().is_ok() {}
+        if packets.is_closed() {
+            return;
+        }
     }
 }
 
--- a/crates/node/src/front/feeds.rs
+++ b/crates/node/src/front/feeds.rs
@@ -120,8 +120,8 @@
                 position.offset = offset;
                 events.into_iter().for_each(|event| take_event(front, event));
             }
-            Packet::Status { in_quorum, machines, zones, .. } => {
-                front.count_balancers(&zones);
+            Packet::Balancing(zones) => front.count_balancers(&zones),
+            Packet::Status { in_quorum, machines } => {
                 without_quorum = if in_quorum { 0 } else { without_quorum + 1 };
                 if in_quorum || front.machines().is_empty() {
                     *lock(&front.machines) = machines;
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -21,6 +21,7 @@
 use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use woadstall_control::configuration::Configuration;
+use woadstall_control::shards::short_hash;
 use woadstall_control::state::ControlState;
 use woadstall_control::wire::{ControlMachine, ZoneBalancers};
 use woadstall_inbound::{listen, lock};
@@ -57,8 +58,8 @@
     pub router: Mutex<Router>,
     pub pool: pool::Pool,
     machines: Mutex<Vec<ControlMachine>>,
-    /// The most balancers of each zone that were told of lately, and when.
-    counted: Mutex<BTreeMap<String, Vec<(u64, u32)>>>,
+    /// The balancers that were told of lately: when last, and their zones.
+    counted: Mutex<BTreeMap<u32, (u64, String)>>,
     /// SIGTERM has come.
     pub leaving: AtomicBool,
     /// Bytes of the bodies of open requests.
@@ -119,20 +120,20 @@
         }
     }
 
-    /// Hears how many balancers each zone has. The most of late count: a bound is shared by all who may still send.
+    /// Hears which balancers there are. Those of some time ago count too: a bound is shared by all who may still send.
     fn count_balancers(&self, zones: &[ZoneBalancers]) {
         let now = self.now();
         let mut counted = lock(&self.counted);
         for ZoneBalancers { zone, balancers } in zones {
-            let lately = counted.entry(zone.clone()).or_default();
-            lately.retain(|(at, count)| now < at + COUNTED && count > balancers);
-            lately.push((now, *balancers));
+            for balancer in balancers {
+                counted.insert(*balancer, (now, zone.clone()));
+            }
         }
-        let mut fleet = Fleet::default();
-        for (zone, lately) in counted.iter() {
+        counted.retain(|_, (heard, _)| now < *heard + COUNTED);
+        let mut fleet = Fleet::new(short_hash(&self.settings.node));
+        for (balancer, (_, zone)) in counted.iter() {
             let region = self.settings.zones.get(zone).cloned().unwrap_or_default();
-            let most = lately.iter().map(|(_, count)| *count).max().unwrap_or(0);
-            *fleet.by_region.entry(region).or_default() += most;
+            fleet.by_region.entry(region).or_default().push(*balancer);
         }
         lock(&self.router).set_fleet(fleet);
     }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -66,6 +66,8 @@
     pub bootstrap: bool,
     /// Where lasting files go, on machines with a disk.
     pub data_dir: Option<PathBuf>,
+    /// Machines with a disk that may be lost at a time.
+    pub tolerated: usize,
     /// How often upstreams send heartbeats, in milliseconds.
     pub heartbeat_ms: u64,
     /// Memory of the process, in bytes.
@@ -130,6 +132,10 @@
             },
             bootstrap: root.field("bootstrap").flag_or(false, findings),
             data_dir: root.field("data_dir").optional_text(findings).map(PathBuf::from),
+            tolerated: {
+                let machines = root.field("fault_tolerance").field("machines").whole_or(1, findings);
+                usize::try_from(machines).unwrap_or(1)
+            },
             heartbeat_ms: root.field("heartbeat_ms").whole_or(1_200, findings),
             memory: megabytes(limits.field("memory_mb").whole_or(256, findings)),
             max_fds: usize::try_from(limits.field("max_fds").whole_or(1_024, findings)).unwrap_or(usize::MAX),
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -1,12 +1,13 @@
 //! Budgets that all balancers share: each holds a part, so that the sum stays within the bound without talking.
 
 use std::collections::VecDeque;
+use woadstall_control::shards::hash;
 
 /// A balancer's share of what a cold upstream may get.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ColdShare {
-    /// Requests in one second; may be under 1.
-    pub per_second: f64,
+    /// Requests in one second.
+    pub per_second: usize,
 }
 
 /// The second that the bound holds for, with some room for packets that are held up on their way and arrive together.
@@ -17,29 +18,31 @@
 const COLD_LOCAL: f64 = 0.75;
 
 impl ColdShare {
-    /// The share of one balancer in a bound on the requests of any second.
-    pub fn new(bound: f64, is_local: bool, local_balancers: u32, remote_balancers: u32) -> Self {
+    /// What all balancers of one side, the upstream's region or the other regions, may send in a second.
+    pub fn given(bound: f64, is_local: bool, has_local: bool, has_others: bool) -> usize {
         let given = bound * COLD_GIVEN;
-        let (local, remote) = (f64::from(local_balancers.max(1)), f64::from(remote_balancers.max(1)));
-        let per_second = match (is_local, remote_balancers) {
-            (true, 0) => given / local,
-            (true, _) => given * COLD_LOCAL / local,
-            (false, _) => given * (1.0 - COLD_LOCAL) / remote,
+        let part = match (is_local, has_local, has_others) {
+            (true, _, false) | (false, false, _) => given,
+            (true, _, true) => given * COLD_LOCAL,
+            (false, true, _) => given * (1.0 - COLD_LOCAL),
         };
-        Self { per_second }
+        part as usize
+    }
+
+    /// The share of one balancer. The shares of all sharers add up to the total: where there are fewer requests than sharers,
+    /// some get none, others for each upstream.
+    pub fn of(total: usize, upstream: &str, own: u32, sharers: &[u32]) -> Self {
+        let weight = |balancer: u32| hash(&(upstream, balancer));
+        let mine = (weight(own), own);
+        let others = sharers.iter().filter(|other| **other != own);
+        let rank = others.clone().filter(|other| (weight(**other), **other) < mine).count();
+        let count = others.count() + 1;
+        Self { per_second: total / count + usize::from(rank < total % count) }
     }
 
     /// Whether one more may be sent now, after these sends (oldest first).
     pub fn allows(&self, now: u64, sends: &VecDeque<u64>) -> bool {
-        if self.per_second >= 1.0 {
-            let lately = sends.iter().rev().take_while(|at| now < **at + COLD_WINDOW).count();
-            return (lately as f64) < self.per_second.floor();
-        }
-        if self.per_second <= 0.0 {
-            return false;
-        }
-        let pause = (COLD_WINDOW as f64 / self.per_second) as u64;
-        sends.back().is_none_or(|last| now >= last + pause)
+        sends.iter().rev().take_while(|at| now < **at + COLD_WINDOW).count() < self.per_second
     }
 }
 
@@ -88,11 +91,11 @@
     }
 
     /// Takes one repeat, if there is room, with this many balancers sharing the slack.
-    pub fn take(&mut self, now: u64, slack: f64, balancers: u32) -> bool {
+    pub fn take(&mut self, now: u64, slack: f64, balancers: usize) -> bool {
         let slot = self.slot(now);
         let requests: u32 = self.requests.iter().sum();
         let repeats: u32 = self.repeats.iter().sum();
-        let own = slack * SLACK_GIVEN / f64::from(balancers.max(1));
+        let own = slack * SLACK_GIVEN / balancers.max(1) as f64;
         let room = f64::from(requests) * self.ratio * RATIO_USED + own;
         let may = f64::from(repeats) + 1.0 <= room;
         if may {
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -37,17 +37,42 @@
 /// The balancers that share budgets.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
-    /// Balancers by region.
-    pub by_region: BTreeMap<String, u32>,
+    /// This balancer, as it stands in the lists.
+    own: u32,
+    /// Balancers by region, by hashes of their names.
+    pub by_region: BTreeMap<String, Vec<u32>>,
 }
 
 impl Fleet {
-    fn total(&self) -> u32 {
-        self.by_region.values().sum::<u32>().max(1)
+    /// A fleet as this balancer sees it, without any yet.
+    pub fn new(own: u32) -> Self {
+        Self { own, by_region: BTreeMap::new() }
     }
 
-    fn of(&self, region: &str) -> u32 {
-        self.by_region.get(region).copied().unwrap_or(0)
+    fn total(&self) -> usize {
+        self.by_region.values().map(Vec::len).sum::<usize>().max(1)
+    }
+
+    fn of(&self, region: &str) -> usize {
+        self.by_region.get(region).map_or(0, Vec::len)
+    }
+
+    /// This balancer's share of a cold upstream's bound.
+    fn cold_share(&self, bound: f64, upstream: &str, region: &str) -> ColdShare {
+        let local = self.by_region.get(region).map_or(&[][..], Vec::as_slice);
+        let is_local = local.contains(&self.own);
+        if !self.by_region.values().any(|balancers| balancers.contains(&self.own)) {
+            return ColdShare { per_second: 1 }; // nothing is known of the others yet
+        }
+        let has_others = self.total() > local.len();
+        let total = ColdShare::given(bound, is_local, !local.is_empty(), has_others);
+        let sharers: Vec<u32> = if is_local {
+            local.to_vec()
+        } else {
+            let remote = self.by_region.iter().filter(|(other, _)| *other != region);
+            remote.flat_map(|(_, balancers)| balancers.iter().copied()).collect()
+        };
+        ColdShare::of(total, upstream, self.own, &sharers)
     }
 }
 
@@ -317,7 +342,7 @@
             let (upstreams, healthy, busy, places) = regions.entry(&upstream.region).or_default();
             *upstreams += 1;
             *healthy += usize::from(upstream.breaker.allows(now));
-            *busy += f64::from(upstream.in_flight) * f64::from(self.sharers(&upstream.region));
+            *busy += f64::from(upstream.in_flight) * self.sharers(&upstream.region);
             *places += upstream.capacity as f64;
         }
         let load = |(region, (upstreams, healthy, busy, places)): (&str, (usize, usize, f64, f64))| {
@@ -353,8 +378,8 @@
     }
 
     /// The balancers that send to upstreams of a region.
-    fn sharers(&self, region: &str) -> u32 {
-        self.fleet.of(region).max(1)
+    fn sharers(&self, region: &str) -> f64 {
+        self.fleet.of(region).max(1) as f64
     }
 
     fn pick(&mut self, now: u64, query: &Query<'_>, candidates: &[UpstreamId]) -> Option<UpstreamId> {
@@ -417,7 +442,7 @@
     /// activeConnectionsLimit: this balancer's share of an upstream's places.
     fn most_in_flight(&self, upstream: &Upstream) -> f64 {
         const LEAST: f64 = 2.0;
-        let share = upstream.capacity as f64 * OVERFULL / f64::from(self.sharers(&upstream.region));
+        let share = upstream.capacity as f64 * OVERFULL / self.sharers(&upstream.region);
         share.ceil().max(LEAST)
     }
 
@@ -426,16 +451,13 @@
             return true;
         }
         let bound = query.service.warmup_per_s * self.bounds.cold_over + self.bounds.cold_slack;
-        let is_local = upstream.region == self.place.region;
-        let local = self.fleet.of(&upstream.region);
-        let remote = self.fleet.total().saturating_sub(local);
-        ColdShare::new(bound, is_local, local, remote).allows(now, &upstream.cold_sends)
+        self.fleet.cold_share(bound, &upstream.id, &upstream.region).allows(now, &upstream.cold_sends)
     }
 
     fn send(&mut self, now: u64, query: &Query<'_>, id: &UpstreamId) -> Decision {
         const CONNECTIONS_GIVEN: f64 = 0.9;
         const LEAST_CONNECTIONS: f64 = 2.0;
-        let total = f64::from(self.fleet.total());
+        let total = self.fleet.total() as f64;
         let near = self.place.region.clone();
         let Some(upstream) = self.upstreams.get_mut(id) else { return self.refuse(true) };
         if upstream.in_flight == 0 {
