--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -202,6 +202,14 @@
         }
     }
 
+    /// Whether this replica should ask to join: it has no vote, or no leader has told it anything for so long that its vote may
+    /// have been taken without its knowledge.
+    pub fn wants_to_join(&self) -> bool {
+        let patience = 2 * self.timing.election_max;
+        let is_left = self.leader_heard().is_none_or(|at| self.now > at + patience) && !self.is_leader();
+        !self.members().is_voter(self.id) || is_left
+    }
+
     /// Hears which zone a replica is in: a newcomer takes the vote of a silent member of its zone.
     pub fn set_zone(&mut self, id: ReplicaId, zone: String) {
         self.zones.insert(id, zone);
--- a/crates/control/src/machine/mod.rs
+++ b/crates/control/src/machine/mod.rs
@@ -443,7 +443,7 @@
 
     fn ask_to_join(&mut self) {
         let member = self.settings.machine.member.clone();
-        if !self.replica.members().is_voter(member.id) {
+        if self.replica.wants_to_join() {
             self.broadcast(&Packet::Join(member));
         }
     }
