--- /dev/null
+++ b/crates/control/tests/registry.rs
@@ -0,0 +1,189 @@
+//! Registrations, shards, balancers and the feed.
+
+use proptest::prelude::*;
+use rstest::rstest;
+use std::collections::BTreeMap;
+use woadstall_control::balancers::{Balancers, Heartbeat};
+use woadstall_control::command::Command;
+use woadstall_control::feed::{Event, Journal};
+use woadstall_control::registry::{Merge, Registration, Registry, Status};
+use woadstall_control::shards::{SHARDS, monitors, replica_group, shard_of};
+
+fn registration(sequence: u64, status: Status) -> Registration {
+    Registration {
+        id: "i-1".to_owned(),
+        service: "s".to_owned(),
+        address: "10.0.0.1:80".to_owned(),
+        zone: "z".to_owned(),
+        capacity: 4,
+        sequence,
+        status,
+        cold_remaining_ms: 0,
+        remaining_ms: 0,
+    }
+}
+
+fn status_after(steps: &[(u64, Status)]) -> Status {
+    let mut registry = Registry::default();
+    for (sequence, status) in steps {
+        registry.merge(0, registration(*sequence, *status));
+    }
+    registry.get(0, "i-1").unwrap().status
+}
+
+#[rstest]
+#[case::late_ready(&[(1, Status::Ready), (3, Status::Draining), (2, Status::Ready)], Status::Draining)]
+#[case::ready_again(&[(3, Status::Draining), (4, Status::Ready)], Status::Ready)]
+#[case::gone_stays(&[(3, Status::Gone), (9, Status::Ready)], Status::Gone)]
+#[case::gone_beats_a_higher_number(&[(9, Status::Ready), (3, Status::Gone)], Status::Gone)]
+#[case::silent_until_heard(&[(3, Status::Ready), (3, Status::Silent), (4, Status::Ready)], Status::Ready)]
+#[case::silent_against_old_news(&[(3, Status::Silent), (3, Status::Ready)], Status::Silent)]
+fn the_newest_word_holds(#[case] steps: &[(u64, Status)], #[case] expected: Status) {
+    assert_eq!(status_after(steps), expected);
+}
+
+fn any_status() -> impl Strategy<Value = Status> {
+    prop_oneof![Just(Status::Ready), Just(Status::Silent), Just(Status::Draining), Just(Status::Gone)]
+}
+
+proptest! {
+    #[test]
+    fn machines_that_hear_the_same_agree_whatever_the_order(
+        steps in prop::collection::vec((0..6_u64, any_status()), 1..12),
+        order in any::<prop::sample::Index>(),
+    ) {
+        let mut rotated = steps.clone();
+        rotated.rotate_left(order.index(steps.len()));
+        prop_assert_eq!(status_after(&steps), status_after(&rotated));
+        rotated.reverse();
+        prop_assert_eq!(status_after(&steps), status_after(&rotated));
+    }
+}
+
+#[test]
+fn a_heartbeat_that_says_nothing_new_is_only_a_renewal() {
+    let mut registry = Registry::default();
+    assert_eq!(registry.merge(0, registration(1, Status::Ready)), Merge::Changed);
+    assert_eq!(registry.merge(1_000, registration(2, Status::Ready)), Merge::Renewed);
+    assert_eq!(registry.merge(1_000, registration(2, Status::Ready)), Merge::Old);
+    let cold = Registration { cold_remaining_ms: 3_000, ..registration(3, Status::Ready) };
+    assert_eq!(registry.merge(2_000, cold), Merge::Changed);
+    let warming = Registration { cold_remaining_ms: 2_000, ..registration(4, Status::Ready) };
+    assert_eq!(registry.merge(3_000, warming), Merge::Renewed);
+    assert_eq!(registry.get(4_000, "i-1").unwrap().cold_remaining_ms, 1_000);
+}
+
+#[test]
+fn only_the_owner_judges_silence_and_only_after_the_time() {
+    let mut registry = Registry::default();
+    registry.merge(0, registration(1, Status::Ready));
+    assert!(registry.expire(5_000, 5_000, |_| true).is_empty());
+    assert!(registry.expire(5_001, 5_000, |_| false).is_empty());
+    assert_eq!(registry.expire(5_001, 5_000, |_| true).len(), 1);
+    assert!(registry.expire(9_000, 5_000, |_| true).is_empty(), "it is told once");
+    registry.merge(9_100, registration(2, Status::Ready));
+    assert_eq!(registry.get(9_100, "i-1").unwrap().status, Status::Ready);
+}
+
+#[test]
+fn a_renewal_heard_by_another_machine_counts() {
+    let mut registry = Registry::default();
+    registry.merge(0, registration(1, Status::Ready));
+    registry.renew(4_000, "i-1", 5);
+    registry.renew(4_000, "never", 5);
+    assert!(registry.expire(6_000, 5_000, |_| true).is_empty());
+}
+
+#[test]
+fn what_left_is_forgotten_in_the_end() {
+    let mut registry = Registry::default();
+    registry.merge(0, registration(1, Status::Ready));
+    registry.leave(0, "i-1");
+    registry.forget(60_000);
+    assert_eq!(registry.len(), 1, "a late heartbeat must not bring it back yet");
+    registry.forget(121_000);
+    assert!(registry.is_empty());
+}
+
+fn machines(count: usize) -> Vec<String> {
+    (0..count).map(|number| format!("10.0.{number}.1:7720")).collect()
+}
+
+fn owners(machines: &[String]) -> Vec<&str> {
+    (0..SHARDS).map(|shard| replica_group(shard, machines.iter().map(String::as_str), 3)[0]).collect()
+}
+
+#[test]
+fn shards_are_spread_and_few_move() {
+    let nine = machines(9);
+    let before = owners(&nine);
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    before.iter().for_each(|owner| *counts.entry(owner).or_default() += 1);
+    let most = *counts.values().max().unwrap();
+    assert!(most <= 3 * SHARDS as usize / 9, "one machine owns {most} of {SHARDS}");
+    let lost = &nine[4];
+    let eight: Vec<String> = nine.iter().filter(|machine| *machine != lost).cloned().collect();
+    for (old, new) in before.iter().zip(owners(&eight)) {
+        assert!(old == lost || *old == new, "a shard moved though its owner stayed");
+    }
+    assert!(shard_of("any") < SHARDS);
+}
+
+#[test]
+fn monitors_are_a_few_and_stay_when_others_go() {
+    let nine = machines(9);
+    let of = |name: &str, machines: &[String]| -> Vec<String> {
+        monitors(name, machines.iter().map(String::as_str), 3).into_iter().map(str::to_owned).collect()
+    };
+    let before = of("front-1", &nine);
+    assert_eq!(before.len(), 3);
+    let other = nine.iter().find(|machine| !before.contains(machine)).unwrap();
+    let eight: Vec<String> = nine.iter().filter(|machine| *machine != other).cloned().collect();
+    assert_eq!(of("front-1", &eight), before);
+    let used: std::collections::BTreeSet<String> =
+        (0..60).flat_map(|number| of(&format!("front-{number}"), &nine)).collect();
+    assert!(used.len() >= 7, "few machines monitor all");
+}
+
+fn heartbeat(incarnation: u64, sequence: u64, ready: bool) -> Heartbeat {
+    let (name, address, zone) = ("front-1".to_owned(), "10.0.0.1:80".to_owned(), "z".to_owned());
+    Heartbeat { name, incarnation, sequence, address, zone, ready }
+}
+
+#[test]
+fn late_heartbeats_and_clocks_that_step_back_mislead_nobody() {
+    let mut balancers = Balancers::default();
+    assert!(balancers.merge(0, heartbeat(10, 5, true)));
+    assert!(!balancers.merge(100, heartbeat(10, 4, false)), "late");
+    assert!(!balancers.merge(100, heartbeat(9, 9, false)), "of an earlier process");
+    assert!(balancers.merge(200, heartbeat(11, 1, false)));
+    assert!(balancers.merge(2_000, heartbeat(8, 1, true)), "a new process whose clock is behind");
+    assert_eq!(balancers.alive(2_500, 1_000).count(), 1);
+    assert_eq!(balancers.alive(3_500, 1_000).count(), 0);
+}
+
+fn event(number: u64) -> Event {
+    Event::Registered(registration(number, Status::Ready))
+}
+
+#[test]
+fn a_feed_goes_on_from_an_offset_or_begins_anew() {
+    let mut journal = Journal::new(7);
+    (1..=5).for_each(|number| journal.append(event(number)));
+    assert_eq!(journal.tail(7, 3).unwrap(), [event(4), event(5)]);
+    assert!(journal.tail(7, 5).unwrap().is_empty());
+    assert_eq!(journal.tail(7, 6), None, "an offset of the future");
+    assert_eq!(journal.tail(8, 3), None, "another epoch");
+}
+
+#[test]
+fn a_reader_too_far_behind_gets_no_tail() {
+    const BYTES: usize = 600 << 10;
+    let mut journal = Journal::new(7);
+    for index in 1..=6 {
+        journal.append(Event::Committed { index, command: Command::Put { base: 0, body: vec![0; BYTES] } });
+    }
+    assert_eq!(journal.end(), 6);
+    assert_eq!(journal.tail(7, 0), None);
+    assert_eq!(journal.tail(7, 5).unwrap().len(), 1);
+}
--- /dev/null
+++ b/crates/control/tests/wire.rs
@@ -0,0 +1,127 @@
+//! Frames: one change of one message at a time is refused whole, with a typed error.
+
+use woadstall_consensus::{Body, Entry, Member, Membership, Message, Payload, Snapshot};
+use woadstall_control::balancers::Heartbeat;
+use woadstall_control::command::{Command, Outcome};
+use woadstall_control::feed::Event;
+use woadstall_control::registry::{Registration, Status};
+use woadstall_control::wire::{
+    ControlMachine, HEAD_BYTES, MOST_BYTES, Packet, Renewal, VERSION, WireError, ZoneBalancers,
+};
+
+fn member() -> Member {
+    Member { id: 7, address: "10.0.0.1:7720".to_owned() }
+}
+
+fn machine() -> ControlMachine {
+    let (zone, region, control) = ("z".to_owned(), "r".to_owned(), "10.0.0.1:80".to_owned());
+    ControlMachine { member: member(), zone, region, control }
+}
+
+fn registration() -> Registration {
+    Registration {
+        id: "i-1".to_owned(),
+        service: "s".to_owned(),
+        address: "10.0.0.9:80".to_owned(),
+        zone: "z".to_owned(),
+        capacity: 64,
+        sequence: 3,
+        status: Status::Draining,
+        cold_remaining_ms: 5,
+        remaining_ms: 6,
+    }
+}
+
+fn consensus(body: Body) -> Packet {
+    Packet::Consensus(Message { from: 1, to: 2, term: 3, body })
+}
+
+/// One packet of each kind.
+fn packets() -> Vec<Packet> {
+    let command = Command::Put { base: 1, body: b"{}".to_vec() };
+    let members = Membership { voters: vec![member()] };
+    let entries = vec![
+        Entry { index: 1, term: 1, payload: Payload::Empty },
+        Entry { index: 2, term: 1, payload: Payload::Command(vec![1, 2, 3]) },
+        Entry { index: 3, term: 1, payload: Payload::Members(members.clone()) },
+    ];
+    let snapshot = Snapshot { index: 3, term: 1, members, state: vec![9; 20] };
+    let heartbeat = Heartbeat {
+        name: "front-1".to_owned(),
+        incarnation: 1,
+        sequence: 2,
+        address: "10.0.0.3:80".to_owned(),
+        zone: "z".to_owned(),
+        ready: true,
+    };
+    vec![
+        Packet::Hello { machine: machine(), known: vec![machine()] },
+        consensus(Body::Vote { pre: true, last_index: 1, last_term: 1, transfer: false }),
+        consensus(Body::VoteReply { pre: false, granted: true }),
+        consensus(Body::Append { previous_index: 0, previous_term: 0, entries, commit: 1, round: 9 }),
+        consensus(Body::AppendReply { success: true, index: 3, round: 9 }),
+        consensus(Body::Install { snapshot, round: 9 }),
+        consensus(Body::Elect),
+        Packet::Join(member()),
+        Packet::Registrations { number: 1, registrations: vec![registration()] },
+        Packet::RegistrationsTaken { number: 1 },
+        Packet::Renewals(vec![Renewal { id: "i-1".to_owned(), sequence: 4 }]),
+        Packet::Balancers(vec![heartbeat.clone()]),
+        Packet::Order { number: 1, command: command.clone() },
+        Packet::OrderDone { number: 1, outcome: Some(Outcome::Conflict { current: 4 }) },
+        Packet::Read { number: 1 },
+        Packet::ReadDone { number: 1, index: Some(4) },
+        Packet::Subscribe { balancer: "front-1".to_owned(), epoch: 1, offset: 2, index: 3 },
+        Packet::Snapshot { epoch: 1, offset: 2, state: vec![1], registrations: vec![registration()] },
+        Packet::Events { offset: 2, events: vec![Event::Committed { index: 1, command }] },
+        Packet::Status { in_quorum: true, machines: vec![machine()] },
+        Packet::Balancing(vec![ZoneBalancers { zone: "z".to_owned(), balancers: vec![1, 2] }]),
+        Packet::Heartbeat(heartbeat),
+    ]
+}
+
+#[test]
+fn each_packet_comes_out_as_it_went_in() {
+    for packet in packets() {
+        assert_eq!(Packet::decode_datagram(&packet.frame()).unwrap(), packet);
+    }
+}
+
+#[test]
+fn one_changed_byte_is_always_noticed() {
+    const RESERVED: std::ops::Range<usize> = 2..4;
+    for packet in packets() {
+        let frame = packet.frame();
+        for position in (0..frame.len()).filter(|position| !RESERVED.contains(position)) {
+            for change in [1, 0x80, 0xff] {
+                let mut changed = frame.clone();
+                changed[position] ^= change;
+                assert!(Packet::decode_datagram(&changed).is_err(), "byte {position} of {packet:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_frame_that_is_cut_or_too_long_is_refused() {
+    for packet in packets() {
+        let frame = packet.frame();
+        for length in 0..frame.len() {
+            assert!(Packet::decode_datagram(&frame[..length]).is_err());
+        }
+        let mut longer = frame;
+        longer.push(0);
+        assert_eq!(Packet::decode_datagram(&longer), Err(WireError::Short));
+    }
+}
+
+#[test]
+fn heads_are_refused_before_anything_is_read() {
+    let mut head: [u8; HEAD_BYTES] = packets()[0].frame()[..HEAD_BYTES].try_into().unwrap();
+    head[4..8].copy_from_slice(&u32::MAX.to_le_bytes());
+    assert_eq!(Packet::payload_length(&head), Err(WireError::TooLong(u32::MAX as usize)));
+    assert!(MOST_BYTES < u32::MAX as usize);
+    head[0] = 99;
+    assert_eq!(Packet::payload_length(&head), Err(WireError::Version(99)));
+    assert_ne!(VERSION, 99);
+}
