--- a/crates/control/src/machine/orders.rs
+++ b/crates/control/src/machine/orders.rs
@@ -13,11 +13,22 @@
     Peer { address: String, number: u64 },
 }
 
+impl Origin {
+    /// The call, if it is one of this machine's.
+    fn call(&self) -> Option<u64> {
+        match self {
+            Self::Call(token) => Some(*token),
+            Self::Peer { .. } => None,
+        }
+    }
+}
+
 /// An entry that this machine proposed as leader.
 #[derive(Clone, Debug)]
 pub(super) struct Proposed {
     term: u64,
     origin: Origin,
+    deadline: u64,
 }
 
 /// An order that was passed to the leader, or waits for there to be one.
@@ -72,7 +83,10 @@
         if self.replica.is_leader() {
             if let Ok((index, term)) = self.replica.propose(encoded(&order.command)) {
                 self.orders.remove(&number);
-                self.proposed.insert(index, Proposed { term, origin: Origin::Call(order.token) });
+                self.proposed.insert(
+                    index,
+                    Proposed { term, origin: Origin::Call(order.token), deadline: order.deadline },
+                );
             }
             return;
         }
@@ -87,7 +101,9 @@
     pub(super) fn on_forwarded_order(&mut self, from: &str, number: u64, command: Command) {
         let origin = Origin::Peer { address: from.to_owned(), number };
         match self.replica.propose(encoded(&command)) {
-            Ok((index, term)) => drop(self.proposed.insert(index, Proposed { term, origin })),
+            Ok((index, term)) => drop(
+                self.proposed.insert(index, Proposed { term, origin, deadline: self.now + CALL_PATIENCE }),
+            ),
             Err(_) => self.send(from, Packet::OrderDone { number, outcome: None }),
         }
         self.settle();
@@ -206,13 +222,11 @@
         let overdue: Vec<u64> =
             self.orders.extract_if(|_, order| now >= order.deadline).map(|(_, order)| order.token).collect();
         let reads = self.reads.extract_if(|_, read| now >= read.deadline);
-        let reads: Vec<u64> = reads
-            .filter_map(|(_, read)| match read.origin {
-                Origin::Call(token) => Some(token),
-                Origin::Peer { .. } => None,
-            })
-            .collect();
-        for token in overdue.into_iter().chain(reads) {
+        let reads: Vec<u64> = reads.filter_map(|(_, read)| read.origin.call()).collect();
+        // The entry may still be committed: nobody can tell now.
+        let proposed = self.proposed.extract_if(|_, proposed| now >= proposed.deadline);
+        let proposed: Vec<u64> = proposed.filter_map(|(_, proposed)| proposed.origin.call()).collect();
+        for token in overdue.into_iter().chain(reads).chain(proposed) {
             self.answer(token, Answer::Unclear);
         }
         self.give_up_spreads();
