--- /dev/null
+++ b/crates/routing/tests/budgets.rs
@@ -0,0 +1,87 @@
+//! Budgets that all balancers share.
+
+use proptest::prelude::*;
+use std::collections::VecDeque;
+use woadstall_routing::{ColdShare, RetryBudget};
+
+proptest! {
+    #[test]
+    fn cold_shares_add_up_to_what_is_given(
+        local in prop::collection::btree_set(any::<u32>(), 1..120),
+        remote in prop::collection::btree_set(any::<u32>(), 0..120),
+        bound in 1.0_f64..200.0,
+        upstream in "[a-z]{8}",
+    ) {
+        let local: Vec<u32> = local.into_iter().collect();
+        let remote: Vec<u32> = remote.into_iter().filter(|balancer| !local.contains(balancer)).collect();
+        let sum = |is_local: bool, sharers: &[u32]| -> usize {
+            let total = ColdShare::given(bound, is_local, true, !remote.is_empty());
+            let shares: usize =
+                sharers.iter().map(|own| ColdShare::of(total, &upstream, *own, sharers).per_second).sum();
+            prop_assert_eq_or_panic(shares, if sharers.is_empty() { 0 } else { total });
+            shares
+        };
+        prop_assert!((sum(true, &local) + sum(false, &remote)) as f64 <= bound);
+    }
+
+    #[test]
+    fn a_share_holds_for_any_second(
+        pauses in prop::collection::vec(0..700_u64, 1..200),
+        per_second in 0..12_usize,
+    ) {
+        let share = ColdShare { per_second };
+        let (mut now, mut sends) = (10_000, VecDeque::new());
+        for pause in pauses {
+            now += pause;
+            if share.allows(now, &sends) {
+                sends.push_back(now);
+            }
+        }
+        for begin in &sends {
+            let within = sends.iter().filter(|at| (*begin..=begin + 1_000).contains(at)).count();
+            prop_assert!(within <= per_second);
+        }
+    }
+
+    #[test]
+    fn repeats_of_all_balancers_stay_within_the_budget_of_any_window(
+        courses in prop::collection::vec(prop::collection::vec((0..400_u64, any::<bool>()), 1..250), 1..6),
+    ) {
+        const RATIO: f64 = 0.2;
+        const WINDOW: u64 = 10_000;
+        const SLACK: f64 = 56.0;
+        let balancers = courses.len();
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        for course in courses {
+            let (mut budget, mut now) = (RetryBudget::new(RATIO, WINDOW), 0);
+            for (pause, fails) in course {
+                now += pause;
+                budget.request(now);
+                requests.push(now);
+                if fails && budget.take(now, SLACK, balancers) {
+                    repeats.push(now);
+                }
+            }
+        }
+        for end in &repeats {
+            let begin = end.saturating_sub(WINDOW);
+            let count = |times: &[u64], from: u64, to: u64| times.iter().filter(|at| (from..=to).contains(at)).count();
+            let owed = count(&requests, begin, *end).max(count(&requests, begin.saturating_sub(WINDOW), begin));
+            let most = RATIO * owed as f64 + SLACK;
+            prop_assert!(count(&repeats, begin, *end) as f64 <= most);
+        }
+    }
+}
+
+fn prop_assert_eq_or_panic(left: usize, right: usize) {
+    assert_eq!(left, right, "the shares do not add up");
+}
+
+#[test]
+fn a_budget_refills_as_its_window_passes() {
+    let mut budget = RetryBudget::new(0.0, 10_000);
+    let taken = (0..20).filter(|_| budget.take(0, 10.0, 1)).count();
+    assert_eq!(taken, 7);
+    assert!(!budget.take(9_000, 10.0, 1));
+    assert!(budget.take(11_000, 10.0, 1));
+}
--- /dev/null
+++ b/crates/routing/tests/support.rs
@@ -0,0 +1,95 @@
+//! Routes, services and upstreams for tests.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use serde_json::json;
+use woadstall_control::configuration::{Configuration, Route, Service};
+use woadstall_control::registry::{Registration, Status};
+use woadstall_routing::{Bounds, Decision, Fleet, Place, Prompt, Query, Router, Target};
+
+pub const OWN: u32 = 1;
+
+pub fn bounds() -> Bounds {
+    Bounds {
+        retry_budget_ratio: 0.2,
+        budget_window: 10_000,
+        budget_slack: 56.0,
+        cold_over: 1.5,
+        cold_slack: 5.0,
+    }
+}
+
+/// A router in region `north` of three regions with a zone each, one of four balancers, three of them in `north`.
+pub fn router() -> Router {
+    let zones = [("n", "north"), ("s", "south"), ("w", "west")];
+    let place = Place {
+        region: "north".to_owned(),
+        zones: zones.map(|(zone, region)| (zone.to_owned(), region.to_owned())).into(),
+    };
+    let mut router = Router::new(place, bounds(), 1);
+    let mut fleet = Fleet::new(OWN);
+    fleet.by_region.insert("north".to_owned(), vec![OWN, 2, 3]);
+    fleet.by_region.insert("south".to_owned(), vec![4]);
+    router.set_fleet(fleet);
+    router
+}
+
+pub fn registration(id: &str, zone: &str) -> Registration {
+    Registration {
+        id: id.to_owned(),
+        service: "s1".to_owned(),
+        address: "10.0.0.1:80".to_owned(),
+        zone: zone.to_owned(),
+        capacity: 64,
+        sequence: 1,
+        status: Status::Ready,
+        cold_remaining_ms: 0,
+        remaining_ms: 0,
+    }
+}
+
+/// A router with so many upstreams in each zone, named after it.
+pub fn router_with(upstreams: &[(&str, usize)]) -> Router {
+    let mut router = router();
+    for (zone, count) in upstreams {
+        for number in 0..*count {
+            router.register(0, &registration(&format!("{zone}{number}"), zone));
+        }
+    }
+    router
+}
+
+pub struct Request {
+    pub route: Route,
+    pub service: Service,
+    pub prompt: Prompt,
+    pub tried: Vec<woadstall_routing::UpstreamId>,
+}
+
+pub fn request() -> Request {
+    let document = json!({
+        "generation": 1,
+        "routes": [{
+            "name": "r", "host": "h", "path_prefix": "/", "route_type": "streaming", "timeout_ms": 5000, "service": "s1",
+            "session_affinity": true, "max_attempts": 2,
+        }],
+        "services": [{ "name": "s1", "max_connections": 370, "cold_start_s": 3.0, "warmup_per_s": 21.0 }],
+    });
+    let configuration = Configuration::read(&document).unwrap();
+    let (route, service) = (configuration.routes[0].clone(), configuration.services["s1"].clone());
+    Request { route, service, prompt: Prompt::default(), tried: Vec::new() }
+}
+
+impl Request {
+    pub fn choose(&self, router: &mut Router, now: u64) -> Decision {
+        let query =
+            Query { route: &self.route, service: &self.service, prompt: self.prompt, tried: &self.tried };
+        router.choose(now, &query)
+    }
+
+    pub fn target(&self, router: &mut Router, now: u64) -> Target {
+        match self.choose(router, now) {
+            Decision::Send(target) => target,
+            Decision::Refuse(refusal) => panic!("refused: {refusal:?}"),
+        }
+    }
+}
