System on loopback: tests with real processes, and a demo

tests/system.rs starts three core machines and a front as processes with stand-in upstreams and an operator: founding, requests, changes, a killed core machine, ends by SIGTERM, streams taken up, what must never be sent twice, evacuation, draining, settings at fault.

--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -6,7 +6,9 @@
 
 #![forbid(unsafe_code)]
 
-use clap::Parser;
+mod system;
+
+use clap::{Parser, Subcommand};
 use std::process::ExitCode;
 use woadstall_emulator::{Scenario, Span};
 use woadstall_load::{Path, Played, run};
@@ -17,14 +19,24 @@
 #[derive(Parser)]
 #[command(
     version,
+    args_conflicts_with_subcommands = true,
     about = "A fleet on loopback, fed by the daemon and a plug-in, while a nodo dies and comes back"
 )]
 struct Arguments {
+    #[command(subcommand)]
+    command: Option<Command>,
     /// How long callers come, in seconds.
     #[arg(default_value_t = 60, value_parser = clap::value_parser!(u64).range(6..=3600))]
     seconds: u64,
 }
 
+#[derive(Subcommand)]
+enum Command {
+    /// The whole system instead: three core machines, two fronts, stand-in upstreams and an operator; a configuration changes,
+    /// and a core machine is killed.
+    System,
+}
+
 /// The scenario, pressed into so many seconds.
 fn scenario(seconds: u64) -> Result<Scenario, String> {
     let mut scenario = Scenario::read(SCENARIO).map_err(|error| error.to_string())?;
@@ -77,7 +89,16 @@
 }
 
 fn main() -> ExitCode {
-    match demo(Arguments::parse().seconds) {
+    // The system's processes are this program again.
+    if let Some(code) = woadstall_node::command_line::run() {
+        return code;
+    }
+    let arguments = Arguments::parse();
+    let shown = match arguments.command {
+        Some(Command::System) => system::show(),
+        None => demo(arguments.seconds),
+    };
+    match shown {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(error) => {
--- a/crates/node/src/front/feeds.rs
+++ b/crates/node/src/front/feeds.rs
@@ -114,6 +114,7 @@
                 if !state.is_empty() {
                     take_snapshot(front, &state);
                 }
+                log::info!("snapshot taken from={address} upstreams={}", registrations.len());
                 lock(&front.router).snapshot(front.now(), &registrations);
             }
             Packet::Events { offset, events } => {
@@ -156,11 +157,7 @@
     match event {
         Event::Committed { index, command } => front.update_state(|state| {
             if index > state.index {
-                let outcome = state.apply(index, &command);
-                log::info!(
-                    "order applied index={index} outcome={outcome:?} generation={}",
-                    state.generation()
-                );
+                state.apply(index, &command);
             }
         }),
         Event::Registered(registration) => {
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -106,8 +106,11 @@
     /// Changes the state, and tells the router of evacuations.
     fn update_state(&self, change: impl FnOnce(&mut ControlState)) {
         let mut state = lock(&self.state);
-        let before = state.evacuated.clone();
+        let (before, generation) = (state.evacuated.clone(), state.generation());
         change(&mut state);
+        if state.generation() != generation {
+            log::info!("configuration in force generation={}", state.generation());
+        }
         if state.evacuated != before {
             log::info!("evacuated zones: {:?}", state.evacuated);
             let configuration = state.configuration.clone();
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod late;
 pub mod nodo;
 pub mod raw2;
+pub mod system;
--- /dev/null
+++ b/tests/system.rs
@@ -0,0 +1,227 @@
+//! The system's processes together, on loopback: founding, requests, changes, kills, restarts, ends.
+
+use serde_json::{Value, json};
+use std::path::Path;
+use std::process::Command;
+use woadstall_standin::http1::{Act, Message, Upstream};
+use woadstall_standin::system::{System, answer, call, events};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_woadstall");
+
+fn route(name: &str, prefix: &str, route_type: &str) -> Value {
+    json!({
+        "name": name, "host": "shop.example", "path_prefix": prefix, "route_type": route_type, "timeout_ms": 5000,
+        "target_latency_ms": 500, "priority": 1, "service": "s", "max_attempts": 2, "resumable": route_type == "streaming",
+    })
+}
+
+fn configuration(generation: u64, routes: &[Value]) -> Value {
+    json!({
+        "generation": generation, "routes": routes, "services": [{ "name": "s", "max_connections": 100 }],
+    })
+}
+
+fn all_routes() -> [Value; 3] {
+    [
+        route("safe", "/safe/", "safe"),
+        route("once", "/once/", "non_idempotent"),
+        route("stream", "/stream/", "streaming"),
+    ]
+}
+
+fn system() -> System {
+    System::start(Path::new(PROGRAM), 1)
+}
+
+fn ask(system: &System, path: &str) -> Option<Message> {
+    call(system.front(0), "POST", path, "Request-Id: r-1\r\nDeadline: 4000\r\n", b"{}")
+}
+
+fn status(system: &System, path: &str) -> u16 {
+    ask(system, path).expect("an answer").status()
+}
+
+#[test]
+fn a_system_is_founded_serves_changes_and_outlives_a_core_machine() {
+    let mut system = system();
+    let early = ask(&system, "/safe/1");
+    if let Some(early) = early.filter(|answer| answer.status() != 200) {
+        assert_eq!(early.status(), 503, "no configuration yet: not a 404");
+        assert!(early.headers.contains_key("retry-after"));
+    }
+    system.configure(0, 0, &configuration(3, &all_routes()));
+    let upstream = Upstream::start(|request| Act::Answer(answer(request, "hello")));
+    system.register(1, "i-1", "s", upstream.address, 0);
+    let reply = ask(&system, "/safe/1?a=b").expect("an answer");
+    assert_eq!((reply.status(), reply.body.as_slice()), (200, &b"hello"[..]));
+    assert_eq!(reply.headers["response-stamp"], "stamp-r-1");
+    let request = upstream.request();
+    assert_eq!(request.first_line, "POST /safe/1?a=b HTTP/1.1");
+    assert_eq!(request.headers["expect-instance"], "i-1");
+    let left: u64 = request.headers["deadline"].parse().unwrap();
+    assert!((3_000..=4_000).contains(&left), "{left}");
+
+    // Another machine takes a change; one route is gone, a stale change is refused.
+    system.configure(1, 3, &configuration(7, &all_routes()[..1]));
+    assert_eq!(status(&system, "/once/1"), 404);
+    assert_eq!(status(&system, "/safe/1"), 200);
+    let stale = call(
+        system.control(2),
+        "PUT",
+        "/v1/config",
+        "If-Match: 3\r\n",
+        configuration(9, &[]).to_string().as_bytes(),
+    );
+    assert_eq!(stale.expect("an answer").status(), 412);
+
+    // Without one core machine, and with it again.
+    system.kill_core(0);
+    system.configure(2, 7, &configuration(8, &all_routes()));
+    assert_eq!(status(&system, "/once/1"), 200);
+    system.start_core(0, false);
+    let read = loop {
+        let read = call(system.control(0), "GET", "/v1/config", "", b"");
+        if let Some(read) = read.filter(|read| read.status() == 200) {
+            break read;
+        }
+    };
+    let read: Value = serde_json::from_slice(&read.body).unwrap();
+    assert_eq!(read, configuration(8, &all_routes()));
+
+    let directory = call(system.directory(1), "GET", "/v1/resolve?zone=zone-0", "", b"").expect("an answer");
+    assert!(String::from_utf8_lossy(&directory.body).contains(&system.front(0).to_string()));
+    let ready = call(system.ready(0), "GET", "/v1/readiness", "", b"").expect("an answer");
+    assert_eq!(ready.status(), 200);
+}
+
+#[test]
+fn a_front_answers_what_it_took_and_ends_in_order() {
+    let mut system = system();
+    system.configure(0, 0, &configuration(1, &all_routes()));
+    let upstream = Upstream::start(|request| Act::Answer(answer(request, "hello")));
+    system.register(0, "i-1", "s", upstream.address, 0);
+    let front = system.fronts[0].take().expect("it runs");
+    front.signal("TERM");
+    front.wait_for("no longer ready");
+    let ready = call(system.ready(0), "GET", "/v1/readiness", "", b"").expect("an answer");
+    assert_eq!(ready.status(), 503);
+    let reply = ask(&system, "/safe/1").expect("clients that heard late are still served");
+    assert_eq!((reply.status(), reply.headers["connection"].as_str()), (200, "close"));
+    assert!(front.wait().success());
+}
+
+#[test]
+fn a_request_that_may_have_run_is_never_sent_again() {
+    let system = system();
+    system.configure(0, 0, &configuration(1, &all_routes()));
+    let one = Upstream::start(|_| Act::AnswerAndClose(String::new()));
+    let other = Upstream::start(|_| Act::AnswerAndClose(String::new()));
+    system.register(0, "i-1", "s", one.address, 0);
+    system.register(0, "i-2", "s", other.address, 0);
+    assert_eq!(status(&system, "/once/1"), 502, "no promise that it has not run");
+    assert_eq!(one.requests() + other.requests(), 1);
+    assert_eq!(status(&system, "/safe/1"), 502);
+    assert_eq!(one.requests() + other.requests(), 2, "a safe one goes to two upstreams");
+}
+
+#[test]
+fn a_request_that_was_turned_away_goes_to_another_upstream() {
+    let system = system();
+    system.configure(0, 0, &configuration(1, &all_routes()));
+    let full = Upstream::start(|_| {
+        Act::Answer(
+            "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n".to_owned(),
+        )
+    });
+    system.register(0, "i-1", "s", full.address, 0);
+    let refused = ask(&system, "/once/1").expect("an answer");
+    assert_eq!(refused.status(), 503);
+    assert!(refused.headers.contains_key("retry-after"));
+    let free = Upstream::start(|request| Act::Answer(answer(request, "hello")));
+    system.register(0, "i-2", "s", free.address, 0);
+    for _ in 0..4 {
+        assert_eq!(status(&system, "/once/1"), 200);
+    }
+}
+
+#[test]
+fn an_answer_that_belongs_to_another_request_is_no_answer() {
+    let system = system();
+    system.configure(0, 0, &configuration(1, &all_routes()));
+    let mixed = Upstream::start(|request| Act::Answer(answer(request, "hello").replace("r-1", "r-2")));
+    system.register(0, "i-1", "s", mixed.address, 0);
+    assert_eq!(status(&system, "/once/1"), 502);
+}
+
+#[test]
+fn a_broken_stream_is_taken_up_behind_its_last_whole_event() {
+    const FIRST: [&str; 3] = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata"];
+    const REST: [&str; 2] = ["id: 3\ndata: c\n\n", "id: 4\ndata: d\n\n"];
+    let system = system();
+    system.configure(0, 0, &configuration(1, &all_routes()));
+    let act = |request: &Message| match request.headers.get("last-event-id").map(String::as_str) {
+        None => Act::AnswerAndClose(events(request, &FIRST, false)),
+        Some("2") => Act::Answer(events(request, &REST, true)),
+        Some(other) => panic!("taken up behind {other}"),
+    };
+    let (one, other) = (Upstream::start(act), Upstream::start(act));
+    system.register(0, "i-1", "s", one.address, 0);
+    system.register(0, "i-2", "s", other.address, 0);
+    let reply = ask(&system, "/stream/1").expect("a whole stream");
+    let expected = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", REST[0], REST[1]].concat();
+    assert_eq!(String::from_utf8_lossy(&reply.body), expected);
+}
+
+#[test]
+fn a_stream_that_cannot_be_taken_up_does_not_look_complete() {
+    let system = system();
+    let mut route = route("stream", "/stream/", "streaming");
+    route["resumable"] = false.into();
+    system.configure(0, 0, &configuration(1, &[route]));
+    let upstream =
+        Upstream::start(|request| Act::AnswerAndClose(events(request, &["id: 1\ndata: a\n\n"], false)));
+    system.register(0, "i-1", "s", upstream.address, 0);
+    assert!(ask(&system, "/stream/1").is_none(), "a stream without its end");
+}
+
+#[test]
+fn evacuated_zones_and_draining_upstreams_get_nothing() {
+    let system = system();
+    system.configure(0, 0, &configuration(1, &all_routes()));
+    let near = Upstream::start(|request| Act::Answer(answer(request, "near")));
+    let far = Upstream::start(|request| Act::Answer(answer(request, "far")));
+    system.register(0, "i-1", "s", near.address, 0);
+    system.register(1, "i-2", "s", far.address, 1);
+    let body = |system: &System| ask(system, "/safe/1").expect("an answer").body;
+    assert_eq!(body(&system), b"near");
+    let order = |method: &str| {
+        let done = call(system.control(2), method, "/v1/evacuations/zone-0", "", b"").expect("an answer");
+        assert_eq!(done.status(), 200);
+        system.front_process(0).wait_for("evacuated zones");
+    };
+    order("POST");
+    assert_eq!(body(&system), b"far");
+    order("DELETE");
+    assert_eq!(body(&system), b"near");
+    let draining = json!({
+        "service": "s", "address": near.address, "zone": "zone-0", "capacity": 8, "state": "draining", "sequence": 2,
+    });
+    let done = call(system.control(0), "PUT", "/v1/instances/i-1", "", draining.to_string().as_bytes());
+    assert_eq!(done.expect("an answer").status(), 200);
+    system.front_process(0).wait_for("registration id=i-1");
+    assert_eq!(body(&system), b"far");
+}
+
+#[test]
+fn settings_at_fault_are_told_with_their_places() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("node.json");
+    std::fs::write(&path, r#"{ "node": "n", "ip": "10.0.0", "unknown": 1, "zone": 5 }"#).unwrap();
+    let output = Command::new(PROGRAM).arg("front").env("WOADSTALL_BOOT", &path).output().unwrap();
+    assert!(!output.status.success());
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    for place in ["ip: ", "zone: must be a string", "region: is missing", "ephemeral_ports: "] {
+        assert!(text.contains(place), "{place} is not in {text}");
+    }
+    assert!(!text.contains("unknown"));
+}
