--- a/crates/node/src/front/heartbeat.rs
+++ b/crates/node/src/front/heartbeat.rs
@@ -3,10 +3,8 @@
 use super::Front;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
 use tokio::time::timeout;
 use woadstall_control::balancers::Heartbeat;
 use woadstall_control::shards::{MONITORS, monitors};
@@ -15,14 +13,12 @@
 /// How often.
 const EVERY: Duration = Duration::from_millis(300);
 
-/// Starts; a notification sends at once.
-pub(super) fn start(front: &Arc<Front>) -> Arc<Notify> {
-    let now = Arc::new(Notify::new());
-    tokio::spawn(announce(front.clone(), now.clone()));
-    now
+/// Starts.
+pub(super) fn start(front: &Arc<Front>) {
+    tokio::spawn(announce(front.clone()));
 }
 
-async fn announce(front: Arc<Front>, at_once: Arc<Notify>) {
+async fn announce(front: Arc<Front>) {
     let socket = match UdpSocket::bind(SocketAddr::new(front.settings.ip, 0)).await {
         Ok(socket) => socket,
         Err(error) => {
@@ -45,11 +41,7 @@
         for monitor in monitors_of(&front) {
             socket.send_to(&frame, monitor).await.ok();
         }
-        timeout(EVERY, at_once.notified()).await.ok();
-        if front.leaving.load(Ordering::Relaxed) {
-            at_once.notify_one(); // keeps on telling it, though not in a loop
-            tokio::time::sleep(EVERY / 2).await;
-        }
+        timeout(EVERY, front.announce.notified()).await.ok();
     }
 }
 
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -18,7 +18,7 @@
 use std::time::{Duration, Instant};
 use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use woadstall_control::configuration::Configuration;
 use woadstall_control::shards::short_hash;
@@ -60,6 +60,8 @@
     machines: Mutex<Vec<ControlMachine>>,
     /// The balancers that were told of lately: when last, and their zones.
     counted: Mutex<BTreeMap<u32, (u64, String)>>,
+    /// Notified when control machines are to hear at once how this balancer stands.
+    pub announce: Notify,
     /// SIGTERM has come.
     pub leaving: AtomicBool,
     /// Bytes of the bodies of open requests.
@@ -77,6 +79,7 @@
             pool: pool::Pool::new(settings.max_fds),
             machines: Mutex::default(),
             counted: Mutex::default(),
+            announce: Notify::new(),
             leaving: AtomicBool::new(false),
             bodies: AtomicUsize::new(0),
             settings,
@@ -110,6 +113,9 @@
         change(&mut state);
         if state.generation() != generation {
             log::info!("configuration in force generation={}", state.generation());
+            if generation == 0 {
+                self.announce.notify_one();
+            }
         }
         if state.evacuated != before {
             log::info!("evacuated zones: {:?}", state.evacuated);
@@ -167,7 +173,7 @@
     }
     log::info!("front starts address={address}");
     feeds::start(&front);
-    let announcing = heartbeat::start(&front);
+    heartbeat::start(&front);
     let (stop, stopping) = watch::channel(false);
     let clients = tokio::spawn(clients::serve(front.clone(), listener, stopping));
     let mut sweeps = interval(SWEEP_EVERY);
@@ -184,7 +190,7 @@
     }
     log::info!("SIGTERM: no longer ready");
     front.leaving.store(true, Ordering::Relaxed);
-    announcing.notify_one();
+    front.announce.notify_one();
     stop.send_replace(true);
     let grace = Duration::from_millis(front.settings.grace_ms).saturating_sub(GRACE_MARGIN);
     tokio::select! {
