--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -192,7 +192,8 @@
 
 fn read_route(item: &Reader<'_>, services: &BTreeMap<String, Service>, findings: &mut Findings) -> Route {
     let path_prefix = item.field("path_prefix").text(findings);
-    if !path_prefix.is_empty() && !(path_prefix.starts_with('/') && path_prefix.ends_with('/')) {
+    let has_slashes = path_prefix.starts_with('/') && path_prefix.ends_with('/');
+    if !path_prefix.is_empty() && !has_slashes {
         findings.add(item.field("path_prefix").place(), "must begin and end with a slash");
     }
     let route_type = item.field("route_type");
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -271,7 +271,7 @@
         let regions = self.regions(now, &allowed);
         let home = self.home(query.route, &regions);
         let candidates = match Locality::decide(&home, &regions) {
-            Locality::Home => self.within(&allowed, &[home.clone()]),
+            Locality::Home => self.within(&allowed, std::slice::from_ref(&home)),
             Locality::All(regions) => self.within(&allowed, &regions),
             Locality::OneOf(regions) => {
                 let drawn = self.random.usize(..regions.len());
--- a/crates/routing/src/upstream.rs
+++ b/crates/routing/src/upstream.rs
@@ -97,10 +97,9 @@
     pub fn update(&mut self, now: u64, registration: &Registration) {
         self.unconfirmed_since = None;
         let old = (self.sequence, self.status);
-        if self.status == Status::Gone || (registration.sequence, registration.status) < old {
-            if registration.status != Status::Gone {
-                return;
-            }
+        let is_old = self.status == Status::Gone || (registration.sequence, registration.status) < old;
+        if is_old && registration.status != Status::Gone {
+            return;
         }
         self.status = registration.status;
         self.sequence = registration.sequence;
