Routing: a zone whose upstreams fail together is left together, and tried again at a growing pace

Change: two suspect upstreams of a zone and half a second of silence of all of it make the zone lost; one request tries it after 0.5 s, then up to 4 s, such as may be repeated first; connections near have 0.2 s to come up, far 0.4 s.

--- a/crates/node/src/front/pool.rs
+++ b/crates/node/src/front/pool.rs
@@ -13,10 +13,10 @@
 use woadstall_routing::{Target, UpstreamId};
 use woadstall_transport::{Connection, Counts};
 
-/// How long a connection to an upstream of this region may take to come up, and of another one: some round trips, less
+/// How long a connection to an upstream of this region may take to come up, and of another one: some round trips, far less
 /// than the second after which a lost opening packet would be sent again.
-const CONNECT_NEAR: Duration = Duration::from_millis(300);
-const CONNECT_FAR: Duration = Duration::from_millis(500);
+const CONNECT_NEAR: Duration = Duration::from_millis(200);
+const CONNECT_FAR: Duration = Duration::from_millis(400);
 /// How long bytes to an upstream may stay unacknowledged.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
 /// How long a connection rests where its upstream does not say for how long it keeps it.
--- a/crates/routing/src/breaker.rs
+++ b/crates/routing/src/breaker.rs
@@ -28,6 +28,11 @@
         self.trips > 0
     }
 
+    /// Whether a request has failed and none has succeeded since.
+    pub fn has_failed(&self) -> bool {
+        self.failures > 0
+    }
+
     /// A request goes there.
     pub fn sent(&mut self, now: u64) {
         if self.trips > 0 {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -12,6 +12,7 @@
 mod breaker;
 mod budget;
 mod locality;
+mod outage;
 mod router;
 mod upstream;
 
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -2,6 +2,7 @@
 
 use crate::budget::{ColdShare, RetryBudget};
 use crate::locality::{Locality, RegionLoad};
+use crate::outage::Outages;
 use crate::upstream::{Outcome, Prompt, Upstream, UpstreamId};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -155,6 +156,7 @@
     by_service: HashMap<String, Vec<UpstreamId>>,
     cursors: HashMap<String, usize>,
     budgets: HashMap<String, RetryBudget>,
+    outages: Outages,
     random: fastrand::Rng,
 }
 
@@ -170,6 +172,7 @@
             by_service: HashMap::new(),
             cursors: HashMap::new(),
             budgets: HashMap::new(),
+            outages: Outages::default(),
             random: fastrand::Rng::with_seed(seed),
         }
     }
@@ -268,7 +271,8 @@
         if allowed.is_empty() {
             return self.refuse(true);
         }
-        let regions = self.regions(now, &allowed);
+        self.note_outages(now, &allowed);
+        let regions = self.regions(now, query, &allowed);
         let home = self.home(query.route, &regions);
         let candidates = match Locality::decide(&home, &regions) {
             Locality::Home => self.within(&allowed, std::slice::from_ref(&home)),
@@ -305,6 +309,7 @@
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.breaker.succeeded();
             upstream.silent_since = now;
+            self.outages.heard(now, &upstream.zone);
         }
     }
 
@@ -312,6 +317,7 @@
     pub fn heard(&mut self, now: u64, id: &str, read: u64) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.silent_since = now;
+            self.outages.heard(now, &upstream.zone);
             upstream.reading = upstream.reading.saturating_sub(read);
         }
     }
@@ -336,12 +342,24 @@
         if ready.is_empty() { usable(Status::Silent) } else { ready }
     }
 
-    fn regions(&self, now: u64, allowed: &[UpstreamId]) -> Vec<RegionLoad> {
+    fn note_outages(&mut self, now: u64, allowed: &[UpstreamId]) {
+        let mut outages = std::mem::take(&mut self.outages);
+        let upstreams = allowed.iter().filter_map(|id| self.upstreams.get(id));
+        let is_suspect =
+            |upstream: &&Upstream| upstream.breaker.has_failed() || self.is_silent(now, upstream);
+        outages.update(now, upstreams.filter(is_suspect).map(|upstream| upstream.zone.as_str()));
+        self.outages = outages;
+    }
+
+    fn regions(&self, now: u64, query: &Query<'_>, allowed: &[UpstreamId]) -> Vec<RegionLoad> {
         let mut regions: BTreeMap<&str, (usize, usize, f64, f64)> = BTreeMap::new();
         for upstream in allowed.iter().filter_map(|id| self.upstreams.get(id)) {
             let (upstreams, healthy, busy, places) = regions.entry(&upstream.region).or_default();
             *upstreams += 1;
-            *healthy += usize::from(upstream.breaker.allows(now));
+            let is_healthy = upstream.breaker.allows(now)
+                && !self.is_silent(now, upstream)
+                && self.outages.allows(now, &upstream.zone, query.route.is_idempotent());
+            *healthy += usize::from(is_healthy);
             *busy += f64::from(upstream.in_flight) * self.sharers(&upstream.region);
             *places += upstream.capacity as f64;
         }
@@ -426,15 +444,19 @@
         let Some(upstream) = self.upstreams.get(id) else { return false };
         upstream.breaker.allows(now)
             && !self.is_silent(now, upstream)
+            && self.outages.allows(now, &upstream.zone, query.route.is_idempotent())
             && now >= upstream.full_until
             && f64::from(upstream.in_flight) < self.most_in_flight(upstream)
             && self.is_within_cold_budget(now, query, upstream)
     }
 
-    /// Whether all that speaks against an upstream is its breaker.
+    /// Whether all that speaks against an upstream is its breaker, its silence or that of its zone.
     fn may_fall_back(&self, now: u64, query: &Query<'_>, id: &str) -> bool {
         let Some(upstream) = self.upstreams.get(id) else { return false };
-        (!upstream.breaker.allows(now) || self.is_silent(now, upstream))
+        let is_suspect = !upstream.breaker.allows(now)
+            || self.is_silent(now, upstream)
+            || self.outages.is_lost(&upstream.zone);
+        is_suspect
             && f64::from(upstream.in_flight) < self.most_in_flight(upstream)
             && self.is_within_cold_budget(now, query, upstream)
     }
@@ -470,6 +492,7 @@
             upstream.note_kept(shared);
         }
         upstream.breaker.sent(now);
+        self.outages.sent(now, &upstream.zone);
         if upstream.is_cold(now) {
             upstream.note_cold_send(now);
         }
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -138,6 +138,36 @@
     assert!((0..8).any(|_| request.target(&mut router, 720).id == first.id));
 }
 
+#[test]
+fn a_zone_whose_upstreams_fail_together_is_left_before_each_is_tried() {
+    let mut router = router_with(&[("n", 8), ("s", 2)]);
+    router.heard(0, "n0", 0);
+    for id in ["n1", "n2"] {
+        router.finish(600, id, Outcome::Unreachable, 0);
+    }
+    let near = zones_of_unanswered(&mut router, 700, 10).get("n").copied();
+    assert_eq!(near, Some(1), "one request tries");
+    router.heard(750, "n5", 0);
+    assert!(zones_of_unanswered(&mut router, 760, 10).contains_key("n"));
+}
+
+#[test]
+fn one_upstream_that_fails_does_not_give_up_its_zone() {
+    let mut router = router_with(&[("n", 3), ("s", 2)]);
+    router.finish(600, "n1", Outcome::Unreachable, 0);
+    assert_eq!(zones_of_unanswered(&mut router, 700, 6), [("n".to_owned(), 6)].into());
+}
+
+fn zones_of_unanswered(router: &mut Router, now: u64, count: usize) -> BTreeMap<String, usize> {
+    let request = request();
+    let mut zones = BTreeMap::new();
+    for _ in 0..count {
+        let target = request.target(router, now);
+        *zones.entry(target.id[..1].to_owned()).or_default() += 1;
+    }
+    zones
+}
+
 #[test]
 fn a_shared_prompt_goes_where_it_was_and_few_move_when_one_leaves() {
     let mut router = router_with(&[("n", 6)]);
