--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -139,6 +139,10 @@
 const READING: u64 = 4_096;
 /// The same for a request whose prompt it keeps: to read that elsewhere takes longer than to wait.
 const READING_KEPT: u64 = 40_000;
+/// The same for one whose prompt has to be read anyway: one long prompt of each balancer.
+const READING_NEW: u64 = 16_000;
+/// Upstreams that may come to hold a prompt, in the order of its hash.
+const HOLDERS: usize = 2;
 /// How long an upstream that a new snapshot does not name is kept, in milliseconds: a control machine that has just started
 /// hears of all within a few heartbeats.
 const UNCONFIRMED: u64 = 10_000;
@@ -407,10 +411,15 @@
         if let Some(shared) = query.prompt.shared {
             let mut ranked: Vec<&UpstreamId> = candidates.iter().collect();
             ranked.sort_by_cached_key(|id| std::cmp::Reverse(hash(&(shared, &***id))));
-            let fits = |id: &&&UpstreamId| self.has_room(now, query, id) && self.reads_less(id, READING_KEPT);
-            if let Some(id) =
-                ranked.iter().find(fits).or_else(|| ranked.iter().find(|id| self.has_room(now, query, id)))
-            {
+            let has_room = |id: &&&UpstreamId| self.has_room(now, query, id);
+            let keeps = |id: &&&UpstreamId| {
+                has_room(id) && self.keeps(id, shared) && self.reads_less(id, READING_KEPT)
+            };
+            let is_free = |id: &&&UpstreamId| has_room(id) && self.reads_less(id, READING_NEW);
+            // Whoever keeps it; else the first that does not read much already; else the first with room.
+            let holders = ranked.iter().take(HOLDERS);
+            let chosen = holders.clone().find(keeps).or_else(|| holders.clone().find(is_free));
+            if let Some(id) = chosen.or_else(|| ranked.iter().find(has_room)) {
                 return Some((*id).clone());
             }
         }
@@ -431,6 +440,10 @@
         order().find(|id| self.may_fall_back(now, query, id)).cloned()
     }
 
+    fn keeps(&self, id: &str, shared: u64) -> bool {
+        self.upstreams.get(id).is_some_and(|upstream| upstream.kept.contains(&shared))
+    }
+
     fn reads_less(&self, id: &str, tokens: u64) -> bool {
         self.upstreams.get(id).is_some_and(|upstream| upstream.reading < tokens)
     }
