--- a/crates/routing/src/outage.rs
+++ b/crates/routing/src/outage.rs
@@ -10,7 +10,7 @@
 /// When one request tries a zone that seems lost, in milliseconds since the last one: the first time, and at most. Each
 /// balancer pays with requests of its own.
 const FIRST_TRIAL: u64 = 500;
-const LONGEST_TRIAL: u64 = 4_000;
+const LONGEST_TRIAL: u64 = 2_000;
 /// How much later a request tries that can't be repeated, so that one that can goes first.
 const UNREPEATABLE: u64 = 2;
 
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -148,6 +148,8 @@
 const UNCONFIRMED: u64 = 10_000;
 /// Retry-After: the least, and what chance adds, so that those refused together do not return together.
 const RETRY_AFTER_MS: std::ops::Range<u64> = 200..600;
+/// The same where no upstream can be reached: that takes seconds to change, and one that comes back too soon has no try left.
+const RETRY_AFTER_LOST_MS: std::ops::Range<u64> = 1_000..1_800;
 
 /// Chooses upstreams for requests, from this balancer's own counts.
 #[derive(Debug)]
@@ -289,7 +291,12 @@
         let chosen = self.pick(now, query, &candidates).or_else(|| self.pick(now, query, &allowed));
         match chosen {
             Some(id) => self.send(now, query, &id),
-            None => self.refuse(false),
+            None => {
+                let is_lost = |id: &UpstreamId| {
+                    self.upstreams.get(id).is_some_and(|upstream| self.outages.is_lost(&upstream.zone))
+                };
+                self.refuse(allowed.iter().all(is_lost))
+            }
         }
     }
 
@@ -463,13 +470,13 @@
             && self.is_within_cold_budget(now, query, upstream)
     }
 
-    /// Whether all that speaks against an upstream is its breaker, its silence or that of its zone.
+    /// Whether all that speaks against an upstream is its breaker or its silence. A zone that seems lost gets its trials and no
+    /// more: whoever waited there for a connection would be refused late.
     fn may_fall_back(&self, now: u64, query: &Query<'_>, id: &str) -> bool {
         let Some(upstream) = self.upstreams.get(id) else { return false };
-        let is_suspect = !upstream.breaker.allows(now)
-            || self.is_silent(now, upstream)
-            || self.outages.is_lost(&upstream.zone);
+        let is_suspect = !upstream.breaker.allows(now) || self.is_silent(now, upstream);
         is_suspect
+            && self.outages.allows(now, &upstream.zone, query.route.is_idempotent())
             && f64::from(upstream.in_flight) < self.most_in_flight(upstream)
             && self.is_within_cold_budget(now, query, upstream)
     }
@@ -520,7 +527,8 @@
     }
 
     fn refuse(&mut self, none_usable: bool) -> Decision {
-        let retry_after = Duration::from_millis(self.random.u64(RETRY_AFTER_MS));
+        let range = if none_usable { RETRY_AFTER_LOST_MS } else { RETRY_AFTER_MS };
+        let retry_after = Duration::from_millis(self.random.u64(range));
         Decision::Refuse(Refusal { retry_after, none_usable })
     }
 }
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -151,6 +151,17 @@
     assert!(zones_of_unanswered(&mut router, 760, 10).contains_key("n"));
 }
 
+#[test]
+fn where_all_zones_seem_lost_requests_are_refused_at_once_but_for_trials() {
+    let mut router = router_with(&[("n", 4), ("s", 4)]);
+    for id in ["n1", "n2", "s1", "s2"] {
+        router.finish(600, id, Outcome::Unreachable, 0);
+    }
+    let request = request();
+    let sent = (0..20).filter(|_| matches!(request.choose(&mut router, 700), Decision::Send(_))).count();
+    assert_eq!(sent, 2, "one trial each");
+}
+
 #[test]
 fn one_upstream_that_fails_does_not_give_up_its_zone() {
     let mut router = router_with(&[("n", 3), ("s", 2)]);
