Feeds: events go out together and are encoded once; upstreams are told where their heartbeats go

Change: registrations are told with the next tick, each packet is encoded once for all readers; heartbeat_url names a control machine of the upstream's zone.

--- a/crates/control/src/machine/feeds.rs
+++ b/crates/control/src/machine/feeds.rs
@@ -2,9 +2,9 @@
 
 use super::{Action, Machine};
 use crate::feed::Event;
-use crate::shards::short_hash;
+use crate::shards::{hash, short_hash};
 use crate::state::ControlState;
-use crate::wire::{Packet, ZoneBalancers};
+use crate::wire::{ControlMachine, Packet, ZoneBalancers};
 use std::collections::BTreeMap;
 
 /// How often a feed tells how its machine stands, in milliseconds.
@@ -30,22 +30,23 @@
     pub fn subscribe(&mut self, now: u64, subscriber: u64, packet: &Packet) {
         self.now = self.now.max(now);
         let Packet::Subscribe { balancer, epoch, offset, index } = packet else { return };
+        self.tell_events();
         self.subscribers.insert(subscriber, Subscriber { balancer: balancer.clone() });
-        let end = self.journal.end();
         let packet = match self.journal.tail(*epoch, *offset) {
-            Some(events) => Packet::Events { offset: end, events },
-            None => {
-                let newer = self.state.index > *index;
-                let state = if newer { self.state.encode() } else { Vec::new() };
-                let registrations = self.registry.all(self.now);
-                Packet::Snapshot { epoch: self.journal.epoch(), offset: end, state, registrations }
-            }
+            Some(events) => Packet::Events { offset: self.journal.end(), events },
+            None => self.snapshot(*index),
         };
-        self.actions.push(Action::Deliver { subscriber, packet });
-        let status = self.status();
-        self.actions.push(Action::Deliver { subscriber, packet: status });
-        let balancing = Packet::Balancing(self.balancing());
-        self.actions.push(Action::Deliver { subscriber, packet: balancing });
+        let (status, balancing) = (self.status(), Packet::Balancing(self.balancing()));
+        for packet in [packet, status, balancing] {
+            self.actions.push(Action::Deliver { subscribers: vec![subscriber], packet });
+        }
+    }
+
+    /// All that a reader needs who has applied the configuration's log up to a position.
+    fn snapshot(&self, index: u64) -> Packet {
+        let state = if self.state.index > index { self.state.encode() } else { Vec::new() };
+        let (epoch, offset) = (self.journal.epoch(), self.journal.end());
+        Packet::Snapshot { epoch, offset, state, registrations: self.registry.all(self.now) }
     }
 
     /// A balancer's connection has ended.
@@ -58,16 +59,35 @@
         self.subscribers.values().map(|subscriber| subscriber.balancer.as_str())
     }
 
-    /// Appends an event to the journal and tells it to all readers.
+    /// Appends an event to the journal. Readers are told of orders at once, of registrations with the next tick: many come
+    /// together when upstreams start.
     pub(super) fn publish(&mut self, event: Event) {
-        if matches!(event, Event::Registered(_)) {
-            self.registry_version += 1;
+        let is_order = matches!(event, Event::Committed { .. });
+        self.registry_version += u64::from(!is_order);
+        self.journal.append(event);
+        if is_order {
+            self.tell_events();
         }
-        self.journal.append(event.clone());
+    }
+
+    /// Tells readers what the journal has that they were not told.
+    pub(super) fn tell_events(&mut self) {
         let offset = self.journal.end();
-        for subscriber in self.subscribers.keys() {
-            let packet = Packet::Events { offset, events: vec![event.clone()] };
-            self.actions.push(Action::Deliver { subscriber: *subscriber, packet });
+        if self.told == offset {
+            return;
+        }
+        let packet = match self.journal.tail(self.journal.epoch(), self.told) {
+            Some(events) => Packet::Events { offset, events },
+            None => self.snapshot(0),
+        };
+        self.told = offset;
+        self.tell_all(packet);
+    }
+
+    fn tell_all(&mut self, packet: Packet) {
+        let subscribers: Vec<u64> = self.subscribers.keys().copied().collect();
+        if !subscribers.is_empty() {
+            self.actions.push(Action::Deliver { subscribers, packet });
         }
     }
 
@@ -75,28 +95,19 @@
     pub(super) fn restore(&mut self, state: ControlState) {
         self.state = state;
         self.log_bytes = 0;
-        let (epoch, offset) = (self.journal.epoch(), self.journal.end());
-        let (state, registrations) = (self.state.encode(), self.registry.all(self.now));
-        for subscriber in self.subscribers.keys() {
-            let (state, registrations) = (state.clone(), registrations.clone());
-            let packet = Packet::Snapshot { epoch, offset, state, registrations };
-            self.actions.push(Action::Deliver { subscriber: *subscriber, packet });
-        }
+        self.told = self.journal.end();
+        let packet = self.snapshot(0);
+        self.tell_all(packet);
     }
 
     pub(super) fn tell_status(&mut self) {
         let balancing = self.balancing();
         if balancing != self.balancing {
             self.balancing = balancing.clone();
-            for subscriber in self.subscribers.keys() {
-                let packet = Packet::Balancing(balancing.clone());
-                self.actions.push(Action::Deliver { subscriber: *subscriber, packet });
-            }
+            self.tell_all(Packet::Balancing(balancing));
         }
         let status = self.status();
-        for subscriber in self.subscribers.keys() {
-            self.actions.push(Action::Deliver { subscriber: *subscriber, packet: status.clone() });
-        }
+        self.tell_all(status);
     }
 
     fn status(&self) -> Packet {
@@ -114,6 +125,22 @@
         zones.into_iter().map(of_zone).collect()
     }
 
+    /// Where an upstream of a zone sends its later heartbeats: a control machine of its zone, else of its region.
+    pub fn heartbeat_address(
+        &self,
+        id: &str,
+        zone: &str,
+        region_of: impl Fn(&str) -> Option<String>,
+    ) -> Option<String> {
+        let machines = self.machines();
+        let region = region_of(zone);
+        let in_zone = machines.iter().filter(|machine| machine.zone == zone);
+        let in_region = machines.iter().filter(|machine| region.as_deref() == Some(&*machine.region));
+        let weight = |machine: &&ControlMachine| hash(&(id, &machine.control));
+        let chosen = in_zone.max_by_key(weight).or_else(|| in_region.max_by_key(weight));
+        chosen.map(|machine| machine.control.clone())
+    }
+
     /// The balancers that a client of a zone and region goes to: those of its zone, else of its region, else all.
     pub fn resolve(&self, zone: &str, region_of: impl Fn(&str) -> Option<String>) -> Vec<String> {
         let region = region_of(zone);
--- a/crates/control/src/machine/mod.rs
+++ b/crates/control/src/machine/mod.rs
@@ -56,10 +56,10 @@
         /// The answer.
         answer: Answer,
     },
-    /// Send a packet to a balancer that reads the feed.
+    /// Send a packet to balancers that read the feed.
     Deliver {
-        /// The balancer's connection.
-        subscriber: u64,
+        /// The balancers' connections.
+        subscribers: Vec<u64>,
         /// The packet.
         packet: Packet,
     },
@@ -139,6 +139,8 @@
     registry: Registry,
     balancers: Balancers,
     journal: Journal,
+    /// The offset up to which readers have been told.
+    told: u64,
     peers: BTreeMap<String, Peer>,
     connected: BTreeSet<String>,
     actions: Vec<Action>,
@@ -190,6 +192,7 @@
             registry: Registry::default(),
             balancers: Balancers::default(),
             journal,
+            told: 0,
             peers: BTreeMap::new(),
             connected: BTreeSet::new(),
             actions: Vec::new(),
@@ -262,6 +265,7 @@
         self.replica.tick(self.now);
         self.settle();
         self.note_quorum();
+        self.tell_events();
         if self.now >= self.hello_due {
             self.hello_due = self.now + HELLO_EVERY;
             self.introduce();
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -293,9 +293,11 @@
                 let former = self.answers.insert(token, answer);
                 assert!(former.is_none(), "call {token} was answered twice");
             }
-            Action::Deliver { subscriber, packet } => {
-                if let Some(reader) = self.hosts[place].readers.get_mut(&subscriber) {
-                    reader.take(packet);
+            Action::Deliver { subscribers, packet } => {
+                for subscriber in subscribers {
+                    if let Some(reader) = self.hosts[place].readers.get_mut(&subscriber) {
+                        reader.take(packet.clone());
+                    }
                 }
             }
         }
--- a/crates/node/src/core/api.rs
+++ b/crates/node/src/core/api.rs
@@ -162,6 +162,9 @@
 fn response_of(reply: Reply) -> Response {
     match reply {
         Reply::Answer(Answer::Done) => Response::json_from(200, "{}".to_owned()),
+        Reply::Registered(address) => {
+            Response::json_from(200, json!({ "heartbeat_url": address }).to_string())
+        }
         Reply::Answer(Answer::Conflict { current }) => Response::json_from(
             412,
             json!({ "error": "another version is current", "generation": current }).to_string(),
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -7,6 +7,7 @@
 
 use crate::settings::NodeSettings;
 use api::Call;
+use bytes::Bytes;
 use disk::Disk;
 use hints::Hints;
 use peers::Links;
@@ -70,7 +71,7 @@
         /// What it asks.
         packet: Packet,
         /// Where packets for it go.
-        queue: mpsc::Sender<Packet>,
+        queue: mpsc::Sender<Bytes>,
     },
     /// A balancer's connection has ended.
     Unsubscribe(u64),
@@ -85,6 +86,8 @@
 pub(crate) enum Reply {
     /// An answer of the machine.
     Answer(Answer),
+    /// An upstream's heartbeat was taken; where it sends later ones.
+    Registered(String),
     /// The balancers for a client.
     Balancers(Vec<String>),
     /// How the machine stands, as JSON.
@@ -176,6 +179,13 @@
     hash(&seed.to_string()).max(1)
 }
 
+/// A caller that waits for its answer.
+struct Waiting {
+    reply: SyncSender<Reply>,
+    /// Where an upstream sends its later heartbeats.
+    heartbeat_address: Option<String>,
+}
+
 struct Process {
     started: Instant,
     machine: Machine,
@@ -184,8 +194,8 @@
     /// The version of the registrations that the disk has, and since when.
     kept: u64,
     kept_at: Instant,
-    subscribers: BTreeMap<u64, mpsc::Sender<Packet>>,
-    calls: HashMap<u64, SyncSender<Reply>>,
+    subscribers: BTreeMap<u64, mpsc::Sender<Bytes>>,
+    calls: HashMap<u64, Waiting>,
     next_token: u64,
     zones: BTreeMap<String, String>,
 }
@@ -249,24 +259,31 @@
         }
     }
 
+    fn wait(&mut self, token: u64, reply: SyncSender<Reply>, heartbeat_address: Option<String>) {
+        self.calls.insert(token, Waiting { reply, heartbeat_address });
+    }
+
     fn call(&mut self, now: u64, call: Call, reply: SyncSender<Reply>) {
         self.next_token += 1;
         let token = self.next_token;
         match call {
             Call::Order(command) => {
-                self.calls.insert(token, reply);
+                self.wait(token, reply, None);
                 self.machine.order(now, token, command);
             }
             Call::ReadConfiguration => {
-                self.calls.insert(token, reply);
+                self.wait(token, reply, None);
                 self.machine.read(now, token);
             }
             Call::Register(registration) => {
-                self.calls.insert(token, reply);
+                let zones = &self.zones;
+                let region_of = |zone: &str| zones.get(zone).cloned();
+                let address = self.machine.heartbeat_address(&registration.id, &registration.zone, region_of);
+                self.wait(token, reply, address);
                 self.machine.register(now, token, registration);
             }
             Call::Deregister(id) => {
-                self.calls.insert(token, reply);
+                self.wait(token, reply, None);
                 self.machine.deregister(now, token, &id);
             }
             Call::Resolve { zone } => {
@@ -289,6 +306,18 @@
         }
     }
 
+    /// Sends a packet, encoded once. A reader that is too slow is cut off; it comes back and gets a snapshot.
+    fn deliver(&mut self, subscribers: &[u64], packet: &Packet) {
+        let frame = Bytes::from(packet.frame());
+        for subscriber in subscribers {
+            let queue = self.subscribers.get(subscriber);
+            if queue.is_some_and(|queue| queue.try_send(frame.clone()).is_err()) {
+                self.subscribers.remove(subscriber);
+                self.machine.unsubscribe(*subscriber);
+            }
+        }
+    }
+
     fn carry_out(&mut self) {
         for action in self.machine.take_actions() {
             match action {
@@ -297,18 +326,15 @@
                 Action::Send { address, packet } => self.links.send(&address, packet),
                 Action::Persist { sequence, record } => self.disk.write(sequence, record),
                 Action::Answer { token, answer } => {
-                    if let Some(reply) = self.calls.remove(&token) {
-                        reply.try_send(Reply::Answer(answer)).ok();
-                    }
-                }
-                Action::Deliver { subscriber, packet } => {
-                    let queue = self.subscribers.get(&subscriber);
-                    // A reader that is too slow is cut off; it comes back and gets a snapshot.
-                    if queue.is_some_and(|queue| queue.try_send(packet).is_err()) {
-                        self.subscribers.remove(&subscriber);
-                        self.machine.unsubscribe(subscriber);
+                    if let Some(Waiting { reply, heartbeat_address }) = self.calls.remove(&token) {
+                        let answer = match (answer, heartbeat_address) {
+                            (Answer::Done, Some(address)) => Reply::Registered(address),
+                            (answer, _) => Reply::Answer(answer),
+                        };
+                        reply.try_send(answer).ok();
                     }
                 }
+                Action::Deliver { subscribers, packet } => self.deliver(&subscribers, &packet),
                 Action::Log(line) => log::info!("{line}"),
             }
         }
--- a/crates/node/src/core/peers.rs
+++ b/crates/node/src/core/peers.rs
@@ -3,10 +3,12 @@
 
 use super::{Event, Events};
 use crate::link;
+use bytes::Bytes;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
@@ -31,7 +33,7 @@
 #[derive(Debug)]
 pub(super) struct Links {
     events: Events,
-    queues: HashMap<String, mpsc::Sender<Packet>>,
+    queues: HashMap<String, mpsc::Sender<Bytes>>,
 }
 
 impl Links {
@@ -59,12 +61,12 @@
     /// Sends a packet, if there is a link with room.
     pub fn send(&self, address: &str, packet: Packet) {
         if let Some(queue) = self.queues.get(address) {
-            queue.try_send(packet).ok();
+            queue.try_send(packet.frame().into()).ok();
         }
     }
 }
 
-async fn keep_link(address: String, socket: SocketAddr, mut packets: mpsc::Receiver<Packet>, events: Events) {
+async fn keep_link(address: String, socket: SocketAddr, mut packets: mpsc::Receiver<Bytes>, events: Events) {
     loop {
         if let Ok(mut stream) = link::connect(socket).await {
             while packets.try_recv().is_ok() {} // meant for the former link: what matters is told anew
@@ -85,14 +87,14 @@
 }
 
 /// Writes packets until the connection ends.
-async fn pass_on(stream: &mut TcpStream, packets: &mut mpsc::Receiver<Packet>) -> io::Result<()> {
+async fn pass_on(stream: &mut TcpStream, packets: &mut mpsc::Receiver<Bytes>) -> io::Result<()> {
     let (mut read, mut write) = stream.split();
     let mut nothing = [0; 1];
     loop {
         tokio::select! {
             packet = packets.recv() => {
                 let Some(packet) = packet else { return Ok(()) };
-                timeout(WRITE, link::write(&mut write, &packet)).await??;
+                timeout(WRITE, write.write_all(&packet)).await??;
             }
             // The other side sends nothing: whatever comes is its end.
             got = tokio::io::AsyncReadExt::read(&mut read, &mut nothing) => {
