--- a/crates/control/src/machine/feeds.rs
+++ b/crates/control/src/machine/feeds.rs
@@ -13,10 +13,23 @@
 const BALANCER_ALIVE: u64 = 1_100;
 /// How long a balancer counts among those that share budgets.
 const BALANCER_COUNTS: u64 = 10_000;
-/// Balancers that are named to a client at most.
-const MOST_NAMED: usize = 64;
-/// Seconds for which names of balancers hold with clients.
-pub const RESOLVE_TTL_S: u64 = 1;
+/// Balancers that are named to a client at most: enough that some are left where others fail, few enough for short answers.
+/// Each client is named the same ones each time, as it closes its connections to those that are named no more.
+const MOST_NAMED: usize = 16;
+/// Seconds for which names of balancers hold with clients: short, where the questions of all clients are few.
+const TTL_S: u64 = 1;
+const TTL_OF_MANY_S: u64 = 2;
+/// Balancers from which on there are many clients.
+const MANY: usize = 32;
+
+/// What a client is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Resolved {
+    /// Addresses of balancers.
+    pub addresses: Vec<String>,
+    /// For how many seconds they hold.
+    pub ttl_s: u64,
+}
 
 /// A balancer that reads the feed.
 #[derive(Clone, Debug)]
@@ -142,7 +155,7 @@
     }
 
     /// The balancers that a client of a zone and region goes to: those of its zone, else of its region, else all.
-    pub fn resolve(&self, zone: &str, region_of: impl Fn(&str) -> Option<String>) -> Vec<String> {
+    pub fn resolve(&self, client: &str, zone: &str, region_of: impl Fn(&str) -> Option<String>) -> Resolved {
         let region = region_of(zone);
         let alive = || self.balancers.alive(self.now, BALANCER_ALIVE).filter(|heartbeat| heartbeat.ready);
         let in_zone: Vec<&str> =
@@ -158,6 +171,9 @@
         if named.is_empty() {
             named = alive().map(|heartbeat| &*heartbeat.address).collect();
         }
-        named.into_iter().take(MOST_NAMED).map(str::to_owned).collect()
+        named.sort_by_cached_key(|address| hash(&(client, address)));
+        let addresses = named.into_iter().take(MOST_NAMED).map(str::to_owned).collect();
+        let ttl_s = if alive().count() < MANY { TTL_S } else { TTL_OF_MANY_S };
+        Resolved { addresses, ttl_s }
     }
 }
--- a/crates/control/src/machine/mod.rs
+++ b/crates/control/src/machine/mod.rs
@@ -2,7 +2,7 @@
 //! happens to it goes in by a method; what it wants done comes out as [`Action`]s.
 
 mod feeds;
-pub use feeds::RESOLVE_TTL_S;
+pub use feeds::Resolved;
 mod orders;
 mod registrations;
 
--- a/crates/node/src/core/api.rs
+++ b/crates/node/src/core/api.rs
@@ -10,12 +10,14 @@
 use std::thread;
 use std::time::Duration;
 use woadstall_control::command::Command;
-use woadstall_control::machine::{Answer, Machine, RESOLVE_TTL_S};
+use woadstall_control::machine::{Answer, Machine, Resolved};
 use woadstall_control::reader::{Findings, Reader};
 use woadstall_control::registry::{Registration, Status};
 
 /// How long a call waits for its answer; the machine itself gives up a little sooner.
 const PATIENCE: Duration = Duration::from_millis(1_000);
+/// Threads that answer calls. Some wait for a quorum; at most eight orders are under way at a time.
+const WORKERS: usize = 24;
 /// Bytes of a call's body at most.
 const MOST_BODY: u64 = 6 << 20;
 
@@ -32,6 +34,8 @@
     Deregister(String),
     /// A client asks where to go.
     Resolve {
+        /// The client's address.
+        client: String,
         /// The client's zone.
         zone: String,
     },
@@ -46,7 +50,7 @@
     for address in addresses {
         let events = events.clone();
         let server = Server::new(address, move |request| answer(request, &events));
-        let server = server.map_err(|source| CoreError::Io {
+        let server = server.map(|server| server.pool_size(WORKERS)).map_err(|source| CoreError::Io {
             what: format!("address {address}"),
             source: std::io::Error::other(source.to_string()),
         })?;
@@ -92,7 +96,8 @@
             Ok(Call::Order(Command::Return { zone: (*zone).to_owned() }))
         }
         ("GET", ["v1", "resolve"]) => {
-            Ok(Call::Resolve { zone: request.get_param("zone").unwrap_or_default() })
+            let client = request.remote_addr().ip().to_string();
+            Ok(Call::Resolve { client, zone: request.get_param("zone").unwrap_or_default() })
         }
         ("GET", ["v1", "status"]) => Ok(Call::Status),
         (_, ["v1", "instances", _] | ["v1", "evacuations", _] | ["v1", "config" | "resolve" | "status"]) => {
@@ -173,9 +178,11 @@
         Reply::Answer(Answer::Document(document)) => Response::from_data("application/json", document),
         Reply::Answer(Answer::Missing) => text(404, "there is no configuration yet\n"),
         Reply::Answer(Answer::Unclear) => unclear(),
-        Reply::Balancers(balancers) if balancers.is_empty() => text(503, "no balancer is known\n"),
-        Reply::Balancers(balancers) => {
-            Response::json_from(200, json!({ "addresses": balancers, "ttl_s": RESOLVE_TTL_S }).to_string())
+        Reply::Balancers(Resolved { addresses, .. }) if addresses.is_empty() => {
+            text(503, "no balancer is known\n")
+        }
+        Reply::Balancers(Resolved { addresses, ttl_s }) => {
+            Response::json_from(200, json!({ "addresses": addresses, "ttl_s": ttl_s }).to_string())
         }
         Reply::Status(status) => Response::json_from(200, status),
     }
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -21,7 +21,7 @@
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::time::{MissedTickBehavior, interval};
 use woadstall_consensus::{DurableState, Member, ReplicaId, Snapshot};
-use woadstall_control::machine::{Action, Answer, Machine, MachineSettings, founding_snapshot};
+use woadstall_control::machine::{Action, Answer, Machine, MachineSettings, Resolved, founding_snapshot};
 use woadstall_control::shards::hash;
 use woadstall_control::wire::{ControlMachine, Packet};
 use woadstall_storage::{Storage, StorageError};
@@ -89,7 +89,7 @@
     /// An upstream's heartbeat was taken; where it sends later ones.
     Registered(String),
     /// The balancers for a client.
-    Balancers(Vec<String>),
+    Balancers(Resolved),
     /// How the machine stands, as JSON.
     Status(String),
 }
@@ -286,9 +286,9 @@
                 self.wait(token, reply, None);
                 self.machine.deregister(now, token, &id);
             }
-            Call::Resolve { zone } => {
+            Call::Resolve { client, zone } => {
                 let zones = &self.zones;
-                let balancers = self.machine.resolve(&zone, |zone| zones.get(zone).cloned());
+                let balancers = self.machine.resolve(&client, &zone, |zone| zones.get(zone).cloned());
                 reply.try_send(Reply::Balancers(balancers)).ok();
             }
             Call::Status => {
