--- a/crates/control/src/balancers.rs
+++ b/crates/control/src/balancers.rs
@@ -1,5 +1,6 @@
 //! The balancers that are there, by their heartbeats to a few monitors.
 
+use crate::shards::short_hash;
 use nanoserde::{DeBin, SerBin};
 use std::collections::BTreeMap;
 
@@ -20,6 +21,28 @@
     pub ready: bool,
 }
 
+/// A balancer that is still there and says what it said before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct StillThere {
+    /// The hash of its name.
+    pub name: u32,
+    /// The incarnation that was heard of.
+    pub incarnation: u64,
+    /// Its newest heartbeat.
+    pub sequence: u64,
+}
+
+/// What a heartbeat has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// Nothing: it was late.
+    Old,
+    /// Only that the balancer is still there.
+    Renewed,
+    /// What it says of itself.
+    Changed,
+}
+
 #[derive(Clone, Debug)]
 struct Seen {
     heartbeat: Heartbeat,
@@ -38,9 +61,10 @@
 const FORGET: u64 = 60_000;
 
 impl Balancers {
-    /// Merges a heartbeat; `true` if it says something new. Another incarnation replaces one that has fallen silent, whatever
+    /// Merges a heartbeat. Another incarnation replaces one that has fallen silent, whatever
     /// their numbers: the time of day that they are drawn from may step back.
-    pub fn merge(&mut self, now: u64, heartbeat: Heartbeat) -> bool {
+    pub fn merge(&mut self, now: u64, heartbeat: Heartbeat) -> Heard {
+        let mut heard = Heard::Changed;
         if let Some(old) = self.seen.get(&heartbeat.name) {
             let known = &old.heartbeat;
             let newer = match known.incarnation == heartbeat.incarnation {
@@ -48,11 +72,26 @@
                 false => heartbeat.incarnation > known.incarnation || now > old.heard + SILENT,
             };
             if !newer {
-                return false;
+                return Heard::Old;
+            }
+            let as_known = Heartbeat { sequence: known.sequence, ..heartbeat.clone() };
+            if as_known == *known {
+                heard = Heard::Renewed;
             }
         }
         self.seen.insert(heartbeat.name.clone(), Seen { heartbeat, heard: now });
-        true
+        heard
+    }
+
+    /// Hears from another machine that balancers are still there.
+    pub fn renew(&mut self, now: u64, still_there: &[StillThere]) {
+        let newest: BTreeMap<u32, &StillThere> = still_there.iter().map(|news| (news.name, news)).collect();
+        for seen in self.seen.values_mut() {
+            let Some(news) = newest.get(&short_hash(&seen.heartbeat.name)) else { continue };
+            if news.incarnation == seen.heartbeat.incarnation && news.sequence > seen.heartbeat.sequence {
+                (seen.heartbeat.sequence, seen.heard) = (news.sequence, now);
+            }
+        }
     }
 
     /// The balancers that were heard of within this time.
--- a/crates/control/src/machine/mod.rs
+++ b/crates/control/src/machine/mod.rs
@@ -6,10 +6,11 @@
 mod orders;
 mod registrations;
 
-use crate::balancers::{Balancers, Heartbeat};
+use crate::balancers::{Balancers, Heard, Heartbeat, StillThere};
 use crate::command::Command;
 use crate::feed::{Event, Journal};
 use crate::registry::{Registration, Registry};
+use crate::shards::short_hash;
 use crate::state::ControlState;
 use crate::wire::{ControlMachine, Packet, Renewal, ZoneBalancers};
 use feeds::Subscriber;
@@ -151,7 +152,8 @@
     spreads: HashMap<u64, Spread>,
     subscribers: BTreeMap<u64, Subscriber>,
     renewals: Vec<Renewal>,
-    heartbeats: Vec<Heartbeat>,
+    heartbeats: BTreeMap<String, Heartbeat>,
+    still_there: BTreeMap<String, StillThere>,
     hello_due: u64,
     join_due: u64,
     gossip_due: u64,
@@ -203,7 +205,8 @@
             spreads: HashMap::new(),
             subscribers: BTreeMap::new(),
             renewals: Vec::new(),
-            heartbeats: Vec::new(),
+            heartbeats: BTreeMap::new(),
+            still_there: BTreeMap::new(),
             hello_due: now,
             join_due: now + JOIN_EVERY,
             gossip_due: now,
@@ -338,6 +341,7 @@
                     self.balancers.merge(self.now, heartbeat);
                 }
             }
+            Packet::BalancersStillThere(still_there) => self.balancers.renew(self.now, &still_there),
             Packet::Order { number, command } => self.on_forwarded_order(from, number, command),
             Packet::OrderDone { number, outcome } => self.on_order_done(number, outcome),
             Packet::Read { number } => self.on_forwarded_read(from, number),
@@ -354,9 +358,15 @@
     /// A balancer's heartbeat has come.
     pub fn heartbeat(&mut self, now: u64, heartbeat: Heartbeat) {
         self.now = self.now.max(now);
-        if self.balancers.merge(self.now, heartbeat.clone()) {
-            self.heartbeats.retain(|other| other.name != heartbeat.name);
-            self.heartbeats.push(heartbeat);
+        let name = heartbeat.name.clone();
+        match self.balancers.merge(self.now, heartbeat.clone()) {
+            Heard::Old => {}
+            Heard::Changed => drop(self.heartbeats.insert(name, heartbeat)),
+            Heard::Renewed => {
+                let Heartbeat { incarnation, sequence, .. } = heartbeat;
+                let news = StillThere { name: short_hash(&name), incarnation, sequence };
+                self.still_there.insert(name, news);
+            }
         }
     }
 
--- a/crates/control/src/machine/registrations.rs
+++ b/crates/control/src/machine/registrations.rs
@@ -114,7 +114,11 @@
         }
         let heartbeats = std::mem::take(&mut self.heartbeats);
         if !heartbeats.is_empty() {
-            self.broadcast(&Packet::Balancers(heartbeats));
+            self.broadcast(&Packet::Balancers(heartbeats.into_values().collect()));
+        }
+        let still_there = std::mem::take(&mut self.still_there);
+        if !still_there.is_empty() {
+            self.broadcast(&Packet::BalancersStillThere(still_there.into_values().collect()));
         }
     }
 
--- a/crates/control/src/wire.rs
+++ b/crates/control/src/wire.rs
@@ -1,7 +1,7 @@
 //! The project's own protocol between its processes: typed messages in `nanoserde` binary, in frames with a version, a
 //! length and a checksum.
 
-use crate::balancers::Heartbeat;
+use crate::balancers::{Heartbeat, StillThere};
 use crate::command::{Command, Outcome};
 use crate::feed::Event;
 use crate::registry::Registration;
@@ -57,8 +57,10 @@
     },
     /// Upstreams were heard from, with the sequence numbers of their heartbeats.
     Renewals(Vec<Renewal>),
-    /// Heartbeats of balancers.
+    /// Heartbeats of balancers that say something new.
     Balancers(Vec<Heartbeat>),
+    /// Balancers that say what they said before.
+    BalancersStillThere(Vec<StillThere>),
     /// An order that came to a machine that does not lead.
     Order {
         /// The sender's number of it.
--- a/crates/control/tests/registry.rs
+++ b/crates/control/tests/registry.rs
@@ -3,11 +3,11 @@
 use proptest::prelude::*;
 use rstest::rstest;
 use std::collections::BTreeMap;
-use woadstall_control::balancers::{Balancers, Heartbeat};
+use woadstall_control::balancers::{Balancers, Heard, Heartbeat, StillThere};
 use woadstall_control::command::Command;
 use woadstall_control::feed::{Event, Journal};
 use woadstall_control::registry::{Merge, Registration, Registry, Status};
-use woadstall_control::shards::{SHARDS, monitors, replica_group, shard_of};
+use woadstall_control::shards::{SHARDS, monitors, replica_group, shard_of, short_hash};
 
 fn registration(sequence: u64, status: Status) -> Registration {
     Registration {
@@ -153,15 +153,32 @@
 #[test]
 fn late_heartbeats_and_clocks_that_step_back_mislead_nobody() {
     let mut balancers = Balancers::default();
-    assert!(balancers.merge(0, heartbeat(10, 5, true)));
-    assert!(!balancers.merge(100, heartbeat(10, 4, false)), "late");
-    assert!(!balancers.merge(100, heartbeat(9, 9, false)), "of an earlier process");
-    assert!(balancers.merge(200, heartbeat(11, 1, false)));
-    assert!(balancers.merge(2_000, heartbeat(8, 1, true)), "a new process whose clock is behind");
+    assert_eq!(balancers.merge(0, heartbeat(10, 5, true)), Heard::Changed);
+    assert_eq!(balancers.merge(100, heartbeat(10, 4, false)), Heard::Old, "late");
+    assert_eq!(balancers.merge(100, heartbeat(9, 9, false)), Heard::Old, "of an earlier process");
+    assert_eq!(balancers.merge(150, heartbeat(10, 6, true)), Heard::Renewed);
+    assert_eq!(balancers.merge(200, heartbeat(11, 1, false)), Heard::Changed);
+    assert_eq!(
+        balancers.merge(2_000, heartbeat(8, 1, true)),
+        Heard::Changed,
+        "a new process whose clock is behind"
+    );
     assert_eq!(balancers.alive(2_500, 1_000).count(), 1);
     assert_eq!(balancers.alive(3_500, 1_000).count(), 0);
 }
 
+#[test]
+fn news_of_another_incarnation_renews_nobody() {
+    let mut balancers = Balancers::default();
+    balancers.merge(0, heartbeat(10, 5, true));
+    let news = |incarnation, sequence| StillThere { name: short_hash("front-1"), incarnation, sequence };
+    balancers.renew(900, &[news(11, 9)]);
+    balancers.renew(900, &[news(10, 5)]);
+    assert_eq!(balancers.alive(1_100, 1_000).count(), 0);
+    balancers.renew(900, &[news(10, 6)]);
+    assert_eq!(balancers.alive(1_100, 1_000).count(), 1);
+}
+
 fn event(number: u64) -> Event {
     Event::Registered(registration(number, Status::Ready))
 }
--- a/crates/control/tests/wire.rs
+++ b/crates/control/tests/wire.rs
@@ -1,7 +1,7 @@
 //! Frames: one change of one message at a time is refused whole, with a typed error.
 
 use woadstall_consensus::{Body, Entry, Member, Membership, Message, Payload, Snapshot};
-use woadstall_control::balancers::Heartbeat;
+use woadstall_control::balancers::{Heartbeat, StillThere};
 use woadstall_control::command::{Command, Outcome};
 use woadstall_control::feed::Event;
 use woadstall_control::registry::{Registration, Status};
@@ -67,6 +67,7 @@
         Packet::RegistrationsTaken { number: 1 },
         Packet::Renewals(vec![Renewal { id: "i-1".to_owned(), sequence: 4 }]),
         Packet::Balancers(vec![heartbeat.clone()]),
+        Packet::BalancersStillThere(vec![StillThere { name: 1, incarnation: 2, sequence: 3 }]),
         Packet::Order { number: 1, command: command.clone() },
         Packet::OrderDone { number: 1, outcome: Some(Outcome::Conflict { current: 4 }) },
         Packet::Read { number: 1 },
