--- a/crates/inbound/src/lib.rs
+++ b/crates/inbound/src/lib.rs
@@ -7,7 +7,9 @@
 mod gate;
 mod linger;
 mod listen;
+mod room;
 
 pub use gate::{Gate, MOST_HEAD, Seen, lock};
 pub use linger::Lingering;
 pub use listen::listen;
+pub use room::BodyRoom;
--- a/crates/node/src/front/forward.rs
+++ b/crates/node/src/front/forward.rs
@@ -10,12 +10,11 @@
 use hyper::header::{HOST, HeaderMap};
 use hyper::{Request, Response, StatusCode};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::time::Instant;
 use woadstall_control::configuration::{Configuration, Route, RouteType, Service};
 use woadstall_control::shards::hash;
-use woadstall_inbound::lock;
+use woadstall_inbound::{BodyRoom, lock};
 use woadstall_routing::{Decision, Prompt, Query, Refusal, Target, UpstreamId};
 use woadstall_transport::end_to_end;
 
@@ -114,15 +113,8 @@
     let given = request.headers().get(DEADLINE).and_then(|value| value.to_str().ok()?.trim().parse().ok());
     let patience = given.map_or(route.timeout, Duration::from_millis).min(route.timeout);
     let (mut head, body) = request.into_parts();
-    let mut room = Room { held: &front.bodies, bytes: 0 };
-    let body = match whole_body(
-        body,
-        &mut room,
-        configuration.limits.max_body_bytes,
-        front.settings.memory / BODIES,
-    )
-    .await
-    {
+    let mut room = BodyRoom::new(&front.bodies, front.settings.memory / BODIES);
+    let body = match whole_body(body, &mut room, configuration.limits.max_body_bytes).await {
         Ok(body) => body,
         Err(reply) => return *reply,
     };
@@ -226,33 +218,11 @@
     Prompt { shared_tokens: 0, ..prompt }
 }
 
-/// Room in the memory for a body.
-struct Room<'a> {
-    held: &'a AtomicUsize,
-    bytes: usize,
-}
-
-impl Room<'_> {
-    /// Takes so many bytes more, if they are left of what all bodies may hold.
-    fn grow(&mut self, bytes: usize, most: usize) -> bool {
-        let before = self.held.fetch_add(bytes, Ordering::Relaxed);
-        self.bytes += bytes;
-        before + bytes <= most
-    }
-}
-
-impl Drop for Room<'_> {
-    fn drop(&mut self) {
-        self.held.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
 /// Reads a body to its end.
 async fn whole_body(
     mut body: Incoming,
-    room: &mut Room<'_>,
+    room: &mut BodyRoom<'_>,
     most_bytes: usize,
-    most_held: usize,
 ) -> Result<Bytes, Box<Reply>> {
     let too_large = || Box::new(text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"));
     if body.size_hint().lower() > most_bytes as u64 {
@@ -265,7 +235,7 @@
         if all.len() + data.len() > most_bytes {
             return Err(too_large());
         }
-        if !room.grow(data.len(), most_held) {
+        if !room.grow(data.len()) {
             return Err(Box::new(refusal(NO_ROOM)));
         }
         all.extend_from_slice(&data);
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -6,7 +6,7 @@
 
 use self::connection::{COME_BACK, Caller, Place};
 use self::reply::{Reply, ReplyBody, refusal, status};
-use self::request::{Asked, Rejection, Room, TOO_LARGE, whole_body};
+use self::request::{Asked, Rejection, TOO_LARGE, whole_body};
 use super::config::Config;
 use super::figures::Figures;
 use super::{InService, MOST_BODY};
@@ -20,7 +20,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout};
 use woadstall_engine::Verdict;
-use woadstall_inbound::{Lingering, Seen, lock};
+use woadstall_inbound::{BodyRoom, Lingering, Seen, lock};
 use woadstall_runtime::{Ask, Balance};
 use woadstall_transport::{Http1, SharedStream, end_to_end, is_local};
 
@@ -291,7 +291,7 @@
         if request.body().size_hint().lower() > MOST_BODY as u64 {
             return Err(TOO_LARGE);
         }
-        let mut room = Room::new(&self.bodies, self.config.limits.memory / BODIES);
+        let mut room = BodyRoom::new(&self.bodies, self.config.limits.memory / BODIES);
         let Some(_named) = Named::take(&self.open, asked.call_id) else {
             return Err(Rejection::new(StatusCode::CONFLICT, "a request with this X-Call-Id is open\n"));
         };
--- a/src/net/server/request.rs
+++ b/src/net/server/request.rs
@@ -6,9 +6,9 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::HeaderMap;
 use hyper::{Method, Request, StatusCode};
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use woadstall_decisions::api::Effect;
+use woadstall_inbound::BodyRoom;
 
 /// How long callers may still send a class as it was before new settings: theirs and our news of them cross.
 const CROSSING: Duration = Duration::from_secs(3);
@@ -125,7 +125,7 @@
 }
 
 /// Reads a body to its end; `None` if it finds no room. It need not mind its time: the caller is cut off.
-pub async fn whole_body(mut body: Incoming, room: &mut Room<'_>) -> Result<Option<Bytes>, Rejection> {
+pub async fn whole_body(mut body: Incoming, room: &mut BodyRoom<'_>) -> Result<Option<Bytes>, Rejection> {
     let mut all = BytesMut::new();
     if let Some(size) = body.size_hint().exact() {
         if !room.grow(size as usize) {
@@ -139,9 +139,9 @@
         if all.len() + data.len() > MOST_BODY {
             return Err(TOO_LARGE);
         }
-        let more = (all.len() + data.len()).saturating_sub(room.bytes);
+        let more = (all.len() + data.len()).saturating_sub(room.bytes());
         // Twice as much each time, as its buffer grows, and as much while it is moved.
-        if more > 0 && !room.grow(more.max(room.bytes)) {
+        if more > 0 && !room.grow(more.max(room.bytes())) {
             return Ok(None);
         }
         all.extend_from_slice(&data);
@@ -151,30 +151,3 @@
 
 /// The body is larger than any may be.
 pub const TOO_LARGE: Rejection = Rejection::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MiB\n");
-
-/// Room in the memory for a body.
-pub struct Room<'a> {
-    held: &'a AtomicUsize,
-    bytes: usize,
-    most: usize,
-}
-
-impl<'a> Room<'a> {
-    /// No room yet, of `most` bytes that all bodies may hold together.
-    pub fn new(held: &'a AtomicUsize, most: usize) -> Self {
-        Self { held, bytes: 0, most }
-    }
-
-    /// Takes so many bytes more of what may be held in all, if they are left.
-    fn grow(&mut self, bytes: usize) -> bool {
-        let before = self.held.fetch_add(bytes, Ordering::Relaxed);
-        self.bytes += bytes;
-        before + bytes <= self.most
-    }
-}
-
-impl Drop for Room<'_> {
-    fn drop(&mut self) {
-        self.held.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
