Settings are read again when their file changes, with or without SIGHUP

Cause: SIGHUP was logged and did nothing. Change: both roles look at the file each second and at SIGHUP, take new seeds over, and keep the former state where the file is at fault (named with its place). The test failed first on a change between the first reading and the watch; the watch now begins before the reading.

--- a/crates/control/src/machine/mod.rs
+++ b/crates/control/src/machine/mod.rs
@@ -262,6 +262,14 @@
         &self.registry
     }
 
+    /// The settings name other seeds: links to them are kept as well.
+    pub fn set_seeds(&mut self, seeds: Vec<String>) {
+        self.settings.seeds = seeds;
+        for seed in self.settings.seeds.clone() {
+            self.connect(seed);
+        }
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, now: u64) {
         self.now = self.now.max(now);
--- a/crates/node/src/command_line.rs
+++ b/crates/node/src/command_line.rs
@@ -2,6 +2,7 @@
 
 use crate::flags::{CheckSystem, Status, System, SystemCmd};
 use crate::settings::NodeSettings;
+use crate::watch::SettingsWatch;
 use crate::{core, front};
 use flexi_logger::{DeferredNow, Logger};
 use log::Record;
@@ -24,10 +25,10 @@
     }
     let outcome = match System::from_env_or_exit().subcommand {
         SystemCmd::Front(_) => {
-            with_settings(|settings| front::run(settings).map_err(|error| error.to_string()))
+            with_settings(|settings, watch| front::run(settings, watch).map_err(|error| error.to_string()))
         }
         SystemCmd::Core(_) => {
-            with_settings(|settings| core::run(&settings).map_err(|error| error.to_string()))
+            with_settings(|settings, watch| core::run(&settings, watch).map_err(|error| error.to_string()))
         }
         SystemCmd::Status(Status { address }) => status(&address),
         SystemCmd::CheckSystem(CheckSystem { files }) => check(&files),
@@ -41,10 +42,10 @@
     })
 }
 
-fn with_settings(role: impl FnOnce(NodeSettings) -> Result<(), String>) -> Result<(), String> {
+fn with_settings(role: impl FnOnce(NodeSettings, SettingsWatch) -> Result<(), String>) -> Result<(), String> {
     start_log()?;
-    let settings = NodeSettings::load().map_err(|error| error.to_string())?;
-    role(settings)
+    let (settings, watch) = SettingsWatch::load().map_err(|error| error.to_string())?;
+    role(settings, watch)
 }
 
 /// Lines go to standard error; `RUST_LOG` sets the level.
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -6,6 +6,7 @@
 mod peers;
 
 use crate::settings::NodeSettings;
+use crate::watch::SettingsWatch;
 use api::Call;
 use bytes::Bytes;
 use disk::Disk;
@@ -28,6 +29,8 @@
 
 /// How often the machine is told the time.
 const TICK: Duration = Duration::from_millis(50);
+/// How often the settings file is looked at.
+const SETTINGS_EVERY: Duration = Duration::from_secs(1);
 /// How often changed registrations are written to the disk at most.
 const KEEP_EVERY: Duration = Duration::from_millis(500);
 /// How long calls are answered after SIGTERM, while leadership moves.
@@ -95,10 +98,10 @@
 }
 
 /// Runs until SIGTERM.
-pub fn run(settings: &NodeSettings) -> Result<(), CoreError> {
+pub fn run(settings: &NodeSettings, watch: SettingsWatch) -> Result<(), CoreError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(io("the runtime"))?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(settings, watch))
 }
 
 fn io(what: &str) -> impl FnOnce(std::io::Error) -> CoreError {
@@ -106,7 +109,7 @@
     move |source| CoreError::Io { what, source }
 }
 
-async fn serve(settings: &NodeSettings) -> Result<(), CoreError> {
+async fn serve(settings: &NodeSettings, watch: SettingsWatch) -> Result<(), CoreError> {
     let control = settings.listens("control").ok_or(CoreError::Missing("listen.control"))?;
     let folder = settings.data_dir.as_ref().ok_or(CoreError::Missing("data_dir"))?;
     let mut storage = Storage::open(folder)?;
@@ -129,7 +132,7 @@
     };
     let machine_settings = MachineSettings {
         machine,
-        seeds: settings.seeds.iter().map(|seed| settings.internal_address_of(*seed).to_string()).collect(),
+        seeds: settings.internal_seeds().iter().map(SocketAddr::to_string).collect(),
         heartbeat_ms: settings.heartbeat_ms,
         tolerated: settings.tolerated,
         epoch: fastrand::u64(1..),
@@ -151,6 +154,8 @@
         disk: Disk::start(storage, hints, events),
         kept: 0,
         kept_at: Instant::now(),
+        watch,
+        settings_read: Instant::now(),
         subscribers: BTreeMap::new(),
         calls: HashMap::new(),
         next_token: 0,
@@ -194,6 +199,8 @@
     /// The version of the registrations that the disk has, and since when.
     kept: u64,
     kept_at: Instant,
+    watch: SettingsWatch,
+    settings_read: Instant,
     subscribers: BTreeMap<u64, mpsc::Sender<Bytes>>,
     calls: HashMap<u64, Waiting>,
     next_token: u64,
@@ -215,7 +222,7 @@
                     None => return Ok(()),
                 },
                 _ = ticks.tick() => self.machine.tick(self.now()),
-                _ = hangup.recv() => log::info!("SIGHUP: a core process takes nothing new from its settings while it runs"),
+                _ = hangup.recv() => self.take_settings(true),
                 _ = terminate.recv() => {
                     log::info!("SIGTERM: leadership is handed over");
                     self.machine.leave(self.now());
@@ -228,6 +235,9 @@
             }
             self.carry_out();
             self.keep_registrations();
+            if self.settings_read.elapsed() >= SETTINGS_EVERY {
+                self.take_settings(false);
+            }
             if leaving.is_some_and(|since| since.elapsed() > LEAVING) {
                 return Ok(());
             }
@@ -298,6 +308,16 @@
         }
     }
 
+    /// Takes over what may change while the process runs: the seeds.
+    fn take_settings(&mut self, at_once: bool) {
+        self.settings_read = Instant::now();
+        if let Some(settings) = self.watch.changed(at_once) {
+            log::info!("settings read again seeds={:?}", settings.seeds);
+            let seeds = settings.internal_seeds().iter().map(SocketAddr::to_string).collect();
+            self.machine.set_seeds(seeds);
+        }
+    }
+
     fn keep_registrations(&mut self) {
         let version = self.machine.registry_version();
         if version != self.kept && self.kept_at.elapsed() >= KEEP_EVERY {
--- a/crates/node/src/front/feeds.rs
+++ b/crates/node/src/front/feeds.rs
@@ -90,8 +90,7 @@
     }
     ordered.sort_unstable();
     let mut all: Vec<SocketAddr> = ordered.into_iter().map(|(_, _, address)| address).collect();
-    for seed in &settings.seeds {
-        let address = settings.internal_address_of(*seed);
+    for address in front.seeds() {
         if !all.contains(&address) {
             all.push(address);
         }
--- a/crates/node/src/front/heartbeat.rs
+++ b/crates/node/src/front/heartbeat.rs
@@ -50,8 +50,7 @@
 fn monitors_of(front: &Front) -> Vec<SocketAddr> {
     let machines = front.machines();
     if machines.is_empty() {
-        let seeds = front.settings.seeds.iter();
-        return seeds.map(|seed| front.settings.internal_address_of(*seed)).collect();
+        return front.seeds();
     }
     let addresses = machines.iter().map(|machine| machine.member.address.as_str());
     let mut chosen = monitors(&front.settings.node, addresses, MONITORS);
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -12,7 +12,9 @@
 mod stream;
 
 use crate::settings::NodeSettings;
+use crate::watch::SettingsWatch;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -58,6 +60,8 @@
     pub router: Mutex<Router>,
     pub pool: pool::Pool,
     machines: Mutex<Vec<ControlMachine>>,
+    /// Internal addresses of the seeds, as the settings name them now.
+    seeds: Mutex<Vec<SocketAddr>>,
     /// The balancers that were told of lately: when last, and their zones.
     counted: Mutex<BTreeMap<u32, (u64, String)>>,
     /// Notified when control machines are to hear at once how this balancer stands.
@@ -78,6 +82,7 @@
             router: Mutex::new(router),
             pool: pool::Pool::new(settings.max_fds),
             machines: Mutex::default(),
+            seeds: Mutex::new(settings.internal_seeds()),
             counted: Mutex::default(),
             announce: Notify::new(),
             leaving: AtomicBool::new(false),
@@ -101,6 +106,11 @@
         !self.leaving.load(Ordering::Relaxed) && lock(&self.state).configuration.is_some()
     }
 
+    /// Internal addresses of the seeds.
+    pub fn seeds(&self) -> Vec<SocketAddr> {
+        lock(&self.seeds).clone()
+    }
+
     /// The control machines that are known.
     pub fn machines(&self) -> Vec<ControlMachine> {
         lock(&self.machines).clone()
@@ -129,6 +139,14 @@
         }
     }
 
+    /// Takes over what may change while the process runs: the seeds.
+    fn take_settings(&self, settings: Option<NodeSettings>) {
+        if let Some(settings) = settings {
+            log::info!("settings read again seeds={:?}", settings.seeds);
+            *lock(&self.seeds) = settings.internal_seeds();
+        }
+    }
+
     /// Hears which balancers there are. Those of some time ago count too: a bound is shared by all who may still send.
     fn count_balancers(&self, zones: &[ZoneBalancers]) {
         let now = self.now();
@@ -149,10 +167,10 @@
 }
 
 /// Runs until SIGTERM, and then until what was taken is answered.
-pub fn run(settings: NodeSettings) -> Result<(), FrontError> {
+pub fn run(settings: NodeSettings, watch: SettingsWatch) -> Result<(), FrontError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(io("the runtime"))?;
-    let ended = runtime.block_on(serve(settings));
+    let ended = runtime.block_on(serve(settings, watch));
     runtime.shutdown_background();
     ended
 }
@@ -162,7 +180,7 @@
     move |source| FrontError::Io { what, source }
 }
 
-async fn serve(settings: NodeSettings) -> Result<(), FrontError> {
+async fn serve(settings: NodeSettings, mut watch: SettingsWatch) -> Result<(), FrontError> {
     let address = settings.listens("front").ok_or(FrontError::Missing("listen.front"))?;
     let front = Arc::new(Front::new(settings));
     let mut terminate = signal(SignalKind::terminate()).map_err(io("SIGTERM"))?;
@@ -183,8 +201,9 @@
             _ = sweeps.tick() => {
                 lock(&front.router).sweep(front.now());
                 front.pool.sweep();
+                front.take_settings(watch.changed(false));
             }
-            _ = hangup.recv() => log::info!("SIGHUP: the seeds are read again"),
+            _ = hangup.recv() => front.take_settings(watch.changed(true)),
             _ = terminate.recv() => break,
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod front;
 pub mod link;
 pub mod settings;
+pub mod watch;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -81,10 +81,9 @@
 }
 
 impl NodeSettings {
-    /// Reads the file that the environment names.
-    pub fn load() -> Result<Self, SettingsError> {
-        let path = std::env::var_os(PATH_VARIABLE).ok_or(SettingsError::NoPath)?;
-        Self::read(Path::new(&path))
+    /// The file that the environment names.
+    pub fn path() -> Result<PathBuf, SettingsError> {
+        std::env::var_os(PATH_VARIABLE).map(PathBuf::from).ok_or(SettingsError::NoPath)
     }
 
     /// Reads a file.
@@ -161,6 +160,11 @@
         SocketAddr::new(seed.ip(), self.internal_ports.0)
     }
 
+    /// Internal addresses of the seeds.
+    pub fn internal_seeds(&self) -> Vec<SocketAddr> {
+        self.seeds.iter().map(|seed| self.internal_address_of(*seed)).collect()
+    }
+
     /// Where the process serves something, if it does.
     pub fn listens(&self, what: &str) -> Option<SocketAddr> {
         self.listen.get(what).copied()
--- a/crates/standin/src/system.rs
+++ b/crates/standin/src/system.rs
@@ -151,6 +151,15 @@
         self.fronts[usize::from(number)] = Some(self.spawn(&name, "front", &settings));
     }
 
+    /// Changes a process's settings file.
+    pub fn rewrite_settings(&self, name: &str, change: impl FnOnce(&mut Value)) {
+        let path = self.folder.path().join(format!("{name}.json"));
+        let text = std::fs::read(&path).expect("its settings");
+        let mut settings = serde_json::from_slice(&text).expect("a document");
+        change(&mut settings);
+        std::fs::write(&path, settings.to_string()).expect("the settings can be written");
+    }
+
     /// Ends a core machine's process at once.
     pub fn kill_core(&mut self, number: u8) {
         self.cores[usize::from(number)] = None;
--- a/tests/system.rs
+++ b/tests/system.rs
@@ -212,6 +212,19 @@
     assert_eq!(body(&system), b"far");
 }
 
+#[test]
+fn settings_that_change_are_read_again_and_those_at_fault_change_nothing() {
+    let system = system();
+    system.front_process(0).wait_for("front starts");
+    system.rewrite_settings("front-0", |settings| settings["seeds"] = json!(["127.0.0.1:1"]));
+    system.front_process(0).wait_for("settings read again seeds=[127.0.0.1:1]");
+    system.rewrite_settings("front-0", |settings| settings["seeds"] = json!("none"));
+    system.front_process(0).signal("HUP");
+    let refused = system.front_process(0).wait_for("new settings refused");
+    assert!(refused.contains("node.json") || refused.contains("front-0.json"), "{refused}");
+    system.front_process(0).wait_for("seeds: must be an array");
+}
+
 #[test]
 fn settings_at_fault_are_told_with_their_places() {
     let folder = tempfile::tempdir().unwrap();
