Feeds: the second one comes from another zone of the region where there is one

Bytes between regions grow with the number of balancers; where a region has two core machines both feeds stay in it.

--- a/crates/node/src/front/feeds.rs
+++ b/crates/node/src/front/feeds.rs
@@ -73,8 +73,8 @@
     }
 }
 
-/// The machines in the order in which a feed prefers them: the first feed those that are near, the others any, each
-/// balancer in an order of its own.
+/// The machines in the order in which a feed prefers them, each balancer in an order of its own: the first feed those of the
+/// zone, the others those of the region's other zones, so that bytes between regions are few.
 fn candidates(front: &Front, number: usize) -> Vec<SocketAddr> {
     let settings = &front.settings;
     let distance = |zone: &str, region: &str| match (zone == settings.zone, region == settings.region) {
@@ -85,7 +85,11 @@
     let mut ordered: Vec<(u8, u64, SocketAddr)> = Vec::new();
     for machine in front.machines() {
         let Ok(address) = machine.member.address.parse::<SocketAddr>() else { continue };
-        let rank = if number == 0 { distance(&machine.zone, &machine.region) } else { 0 };
+        let rank = match (number, distance(&machine.zone, &machine.region)) {
+            (0, distance) => distance,
+            (_, 1) => 0,
+            (_, _) => 1,
+        };
         ordered.push((rank, hash(&(&settings.node, number, &machine.member.address)), address));
     }
     ordered.sort_unstable();
