--- /dev/null
+++ b/crates/consensus/tests/messages.rs
@@ -0,0 +1,282 @@
+//! Single messages to a single replica: one thing is changed at a time.
+
+use rstest::rstest;
+use woadstall_consensus::{
+    Body, DurableState, Entry, Member, Membership, Message, Output, Payload, Record, Replica, ReplicaId,
+    Settings, Snapshot, Timing,
+};
+
+const SETTINGS: Settings =
+    Settings { timing: Timing { heartbeat: 150, election_min: 900, election_max: 1_500 }, least_voters: 3 };
+
+fn entry(index: u64, term: u64) -> Entry {
+    Entry { index, term, payload: Payload::Command(vec![index as u8]) }
+}
+
+/// Replica 1 of three, in term 5, with entries up to position 4 of terms 2, 2 and 4 behind the founding snapshot.
+fn replica() -> Replica {
+    let voters = (1..=3).map(|id| Member { id, address: format!("machine-{id}") }).collect();
+    let founding = Snapshot { index: 1, term: 1, members: Membership { voters }, state: Vec::new() };
+    let mut state = DurableState::new(1, founding);
+    state.fold(&Record::Term { term: 5, vote: 0 });
+    state.fold(&Record::Append(vec![entry(2, 2), entry(3, 2), entry(4, 4)]));
+    let mut replica = Replica::new(state, SETTINGS, 0, 1);
+    replica.take_outputs();
+    replica
+}
+
+fn message(from: ReplicaId, term: u64, body: Body) -> Message {
+    Message { from, to: 1, term, body }
+}
+
+/// Makes all records durable, and gives the bodies of all messages sent so far, with their terms.
+fn settled(replica: &mut Replica) -> Vec<(ReplicaId, u64, Body)> {
+    let mut sent = Vec::new();
+    loop {
+        let outputs = replica.take_outputs();
+        if outputs.is_empty() {
+            return sent;
+        }
+        for output in outputs {
+            match output {
+                Output::Persist { sequence, .. } => replica.persisted(sequence),
+                Output::Send(message) => sent.push((message.to, message.term, message.body)),
+                _ => {}
+            }
+        }
+    }
+}
+
+/// What is sent before anything is durable.
+fn sent_at_once(replica: &mut Replica) -> usize {
+    replica.take_outputs().iter().filter(|output| matches!(output, Output::Send(_))).count()
+}
+
+fn vote(last_term: u64, last_index: u64) -> Body {
+    Body::Vote { pre: false, last_index, last_term, transfer: false }
+}
+
+fn is_granted(sent: &[(ReplicaId, u64, Body)]) -> Option<bool> {
+    sent.iter().find_map(|(_, _, body)| match body {
+        Body::VoteReply { granted, .. } => Some(*granted),
+        _ => None,
+    })
+}
+
+#[rstest]
+#[case::the_same_log(4, 4, true)]
+#[case::a_longer_one(4, 9, true)]
+#[case::a_shorter_one_of_a_later_term(5, 2, true)]
+#[case::a_shorter_one(4, 3, false)]
+#[case::a_longer_one_of_an_older_term(3, 90, false)]
+fn a_vote_is_given_to_a_log_that_is_not_behind(
+    #[case] last_term: u64,
+    #[case] last_index: u64,
+    #[case] granted: bool,
+) {
+    let mut replica = replica();
+    replica.receive(10, message(2, 6, vote(last_term, last_index)));
+    assert_eq!(is_granted(&settled(&mut replica)), Some(granted));
+}
+
+#[test]
+fn a_vote_leaves_only_once_it_is_durable_and_goes_to_one_candidate() {
+    let mut replica = replica();
+    replica.receive(10, message(2, 6, vote(4, 4)));
+    let outputs = replica.take_outputs();
+    assert!(!outputs.iter().any(|output| matches!(output, Output::Send(_))), "{outputs:?}");
+    let records: Vec<(u64, Record)> = outputs
+        .into_iter()
+        .filter_map(|output| match output {
+            Output::Persist { sequence, record } => Some((sequence, record)),
+            _ => None,
+        })
+        .collect();
+    let (sequence, record) = records.last().unwrap();
+    assert_eq!(record, &Record::Term { term: 6, vote: 2 });
+    replica.persisted(*sequence);
+    assert_eq!(is_granted(&settled(&mut replica)), Some(true));
+    replica.receive(20, message(3, 6, vote(4, 4)));
+    assert_eq!(is_granted(&settled(&mut replica)), Some(false));
+    replica.receive(20, message(3, 7, vote(4, 4)));
+    assert_eq!(is_granted(&settled(&mut replica)), Some(true), "a new term, a new vote");
+}
+
+#[test]
+fn a_live_leader_is_not_disturbed_unless_it_asks_for_it() {
+    let mut replica = replica();
+    let heartbeat =
+        Body::Append { previous_index: 4, previous_term: 4, entries: Vec::new(), commit: 1, round: 1 };
+    replica.receive(10, message(2, 5, heartbeat));
+    settled(&mut replica);
+    replica.receive(500, message(3, 6, vote(4, 4)));
+    assert_eq!((is_granted(&settled(&mut replica)), replica.term()), (None, 5));
+    let transfer = Body::Vote { pre: false, last_index: 4, last_term: 4, transfer: true };
+    replica.receive(510, message(3, 6, transfer));
+    assert_eq!(is_granted(&settled(&mut replica)), Some(true));
+}
+
+fn append(previous: (u64, u64), entries: Vec<Entry>, commit: u64) -> Message {
+    let (previous_index, previous_term) = previous;
+    message(2, 5, Body::Append { previous_index, previous_term, entries, commit, round: 7 })
+}
+
+fn replies(sent: &[(ReplicaId, u64, Body)]) -> Vec<(bool, u64)> {
+    sent.iter()
+        .filter_map(|(_, _, body)| match body {
+            Body::AppendReply { success, index, .. } => Some((*success, *index)),
+            _ => None,
+        })
+        .collect()
+}
+
+#[test]
+fn entries_are_acknowledged_as_far_as_they_are_durable() {
+    let mut replica = replica();
+    replica.receive(10, append((4, 4), vec![entry(5, 5), entry(6, 5)], 1));
+    let outputs = replica.take_outputs();
+    let at_once: Vec<Body> = outputs
+        .into_iter()
+        .filter_map(|output| match output {
+            Output::Send(message) => Some(message.body),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(at_once, [Body::AppendReply { success: true, index: 4, round: 7 }]);
+    replica.persisted(1);
+    assert_eq!(replies(&settled(&mut replica)), [(true, 6)]);
+}
+
+#[rstest]
+#[case::a_gap(append((7, 5), vec![entry(8, 5)], 1), 4)]
+#[case::another_term_before(append((4, 3), vec![entry(5, 5)], 1), 3)]
+fn entries_that_do_not_follow_are_refused_with_where_to_try_again(
+    #[case] message: Message,
+    #[case] index: u64,
+) {
+    let mut replica = replica();
+    replica.receive(10, message);
+    assert_eq!(replies(&settled(&mut replica)), [(false, index)]);
+    assert_eq!(replica.log().last_index(), 4);
+}
+
+#[test]
+fn entries_that_agree_are_not_cut_by_an_older_message() {
+    let mut replica = replica();
+    replica.receive(10, append((2, 2), vec![entry(3, 2)], 1));
+    settled(&mut replica);
+    assert_eq!(replica.log().last_index(), 4);
+}
+
+#[test]
+fn entries_of_another_term_replace_what_is_there() {
+    let mut replica = replica();
+    replica.receive(10, append((2, 2), vec![entry(3, 5)], 1));
+    settled(&mut replica);
+    assert_eq!((replica.log().last_index(), replica.log().last_term()), (3, 5));
+}
+
+#[test]
+fn nothing_beyond_what_agrees_is_committed() {
+    let mut replica = replica();
+    replica.receive(10, append((2, 2), Vec::new(), 4));
+    settled(&mut replica);
+    assert_eq!(replica.commit_index(), 2);
+}
+
+#[test]
+fn a_leader_of_a_former_term_hears_of_the_new_one() {
+    let mut replica = replica();
+    let old =
+        Body::Append { previous_index: 4, previous_term: 4, entries: vec![entry(5, 4)], commit: 4, round: 7 };
+    replica.receive(10, message(2, 4, old));
+    let sent = settled(&mut replica);
+    assert_eq!(sent.iter().map(|(to, term, _)| (*to, *term)).collect::<Vec<_>>(), [(2, 5)]);
+    assert_eq!((replica.log().last_index(), replica.commit_index()), (4, 1));
+}
+
+#[test]
+fn a_message_for_a_former_identity_is_not_taken() {
+    let mut replica = replica();
+    replica.receive(10, Message { to: 9, ..message(2, 6, vote(4, 4)) });
+    assert!(settled(&mut replica).is_empty());
+    assert_eq!(replica.term(), 5);
+}
+
+#[test]
+fn an_old_snapshot_changes_nothing_and_a_new_one_replaces_what_does_not_follow() {
+    let members = replica().members().clone();
+    let snapshot = |index, term| Snapshot { index, term, members: members.clone(), state: vec![1] };
+    let mut replica = replica();
+    replica.receive(10, append((4, 4), Vec::new(), 3));
+    settled(&mut replica);
+    replica.receive(20, message(2, 5, Body::Install { snapshot: snapshot(2, 2), round: 8 }));
+    settled(&mut replica);
+    assert_eq!((replica.commit_index(), replica.log().last_index()), (3, 4));
+    replica.receive(30, message(2, 5, Body::Install { snapshot: snapshot(4, 5), round: 9 }));
+    settled(&mut replica);
+    assert_eq!((replica.commit_index(), replica.log().last_index(), replica.log().last_term()), (4, 4, 5));
+    assert!(replica.log().entries().is_empty());
+}
+
+/// Replica 1 as the leader of term 6, with the empty entry that begins it at position 5.
+fn leader() -> Replica {
+    let mut replica = replica();
+    replica.receive(10, message(2, 5, Body::Elect));
+    settled(&mut replica);
+    replica.receive(20, message(2, 6, Body::VoteReply { pre: false, granted: true }));
+    assert!(replica.is_leader());
+    settled(&mut replica);
+    replica
+}
+
+#[test]
+fn a_leader_commits_entries_of_former_terms_only_with_one_of_its_own() {
+    let mut replica = leader();
+    replica.receive(30, message(2, 6, Body::AppendReply { success: true, index: 4, round: 1 }));
+    assert_eq!(replica.commit_index(), 1);
+    replica.receive(40, message(2, 6, Body::AppendReply { success: true, index: 5, round: 1 }));
+    assert_eq!(replica.commit_index(), 5);
+}
+
+#[test]
+fn a_leader_counts_its_own_entries_only_once_they_are_durable() {
+    let mut replica = leader();
+    replica.receive(30, message(2, 6, Body::AppendReply { success: true, index: 5, round: 1 }));
+    settled(&mut replica);
+    replica.propose(vec![1]).unwrap();
+    replica.receive(40, message(2, 6, Body::AppendReply { success: true, index: 6, round: 2 }));
+    assert_eq!(replica.commit_index(), 5);
+    settled(&mut replica);
+    assert_eq!(replica.commit_index(), 6);
+}
+
+#[test]
+fn a_read_waits_for_answers_to_a_round_that_began_after_it() {
+    let mut replica = leader();
+    replica.receive(30, message(2, 6, Body::AppendReply { success: true, index: 5, round: 1 }));
+    settled(&mut replica);
+    replica.read(77);
+    let is_ready = |replica: &mut Replica| replica.take_outputs().contains(&Output::ReadReady { read: 77 });
+    replica.receive(40, message(2, 6, Body::AppendReply { success: true, index: 5, round: 2 }));
+    assert!(!is_ready(&mut replica), "an answer to an earlier round");
+    replica.receive(50, message(3, 6, Body::AppendReply { success: true, index: 5, round: 3 }));
+    assert!(is_ready(&mut replica));
+}
+
+#[test]
+fn members_change_one_at_a_time_and_only_once_a_term_has_committed() {
+    let mut replica = leader();
+    assert!(replica.remove(3).is_err(), "nothing of this term is committed");
+    replica.receive(30, message(2, 6, Body::AppendReply { success: true, index: 5, round: 1 }));
+    settled(&mut replica);
+    assert!(replica.remove(3).is_ok());
+    assert!(replica.remove(2).is_err(), "the first change is not committed");
+}
+
+#[test]
+fn nothing_is_sent_by_a_replica_that_is_told_nothing() {
+    let mut replica = replica();
+    replica.tick(100);
+    assert_eq!(sent_at_once(&mut replica), 0);
+}
