--- a/crates/consensus/tests/messages.rs
+++ b/crates/consensus/tests/messages.rs
@@ -147,6 +147,37 @@
     assert_eq!(replies(&settled(&mut replica)), [(true, 6)]);
 }
 
+/// The positions that are acknowledged before any further record is durable.
+fn acknowledged_at_once(replica: &mut Replica) -> Vec<u64> {
+    let sent = replica.take_outputs().into_iter().filter_map(|output| match output {
+        Output::Send(Message { body: Body::AppendReply { success: true, index, .. }, .. }) => Some(index),
+        _ => None,
+    });
+    sent.collect()
+}
+
+#[test]
+fn entries_that_replace_durable_ones_are_not_durable_yet() {
+    let mut replica = replica();
+    replica.receive(10, append((2, 2), vec![entry(3, 5), entry(4, 5)], 1));
+    replica.take_outputs();
+    replica.receive(20, append((4, 5), Vec::new(), 1));
+    assert_eq!(acknowledged_at_once(&mut replica), [2]);
+}
+
+#[test]
+fn a_run_that_was_replaced_before_it_was_durable_does_not_count() {
+    let mut replica = replica();
+    replica.receive(10, append((4, 4), vec![entry(5, 5)], 1));
+    replica.receive(20, Message { term: 6, ..append((4, 4), vec![entry(5, 6)], 1) });
+    replica.take_outputs();
+    const FIRST_RUN: u64 = 1;
+    replica.persisted(FIRST_RUN);
+    replica.take_outputs();
+    replica.receive(30, Message { term: 6, ..append((5, 6), Vec::new(), 1) });
+    assert_eq!(acknowledged_at_once(&mut replica), [4]);
+}
+
 #[rstest]
 #[case::a_gap(append((7, 5), vec![entry(8, 5)], 1), 4)]
 #[case::another_term_before(append((4, 3), vec![entry(5, 5)], 1), 3)]
