--- a/crates/evacuation/src/counsel.rs
+++ b/crates/evacuation/src/coordinator.rs
@@ -2,8 +2,8 @@
 //! module is to be told.
 
 use crate::decide::{Evacuation, Scene};
-use crate::decree::Decree;
 use crate::order::{Order, Orders, What};
+use crate::place_decision::PlaceDecision;
 use crate::standing::State;
 use crate::status::{PlaceStatus, Status};
 use siphasher::sip::SipHasher24;
@@ -12,7 +12,7 @@
 use std::hash::Hasher;
 use woadstall_decisions::api::{Place, ServerId, Time, Verdict, ZoneId};
 use woadstall_evidence::{
-    Counts, ENOUGH, Hearing, Ill, Kind, Ledger, Line as Told, Out, Saw, Subject, Testimony,
+    Counts, ENOUGH, HealthReport, Hearing, Ill, Kind, Ledger, Line as Told, Out, Saw, Subject,
 };
 use woadstall_instances::{Name, Node, State as Presence};
 
@@ -21,7 +21,7 @@
 const HOLDS: Time = 4 * SECOND;
 /// They are renewed this often.
 const RENEWED: Time = SECOND;
-/// Testimonies follow each other no sooner.
+/// Health reports follow each other no sooner.
 const TELLS: Time = 200_000_000;
 /// What others doubt too is told again this often, though it has hardly changed.
 const TELLS_AGAIN: Time = 2 * SECOND;
@@ -121,7 +121,7 @@
     }
 }
 
-/// What a counsel starts from.
+/// What a coordinator starts from.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// What there is.
@@ -159,7 +159,7 @@
 
 /// See the module's documentation.
 #[derive(Clone, Debug)]
-pub struct Counsel {
+pub struct Coordinator {
     settings: Settings,
     ledger: Ledger,
     hearing: Hearing,
@@ -171,11 +171,11 @@
     sizes: Vec<f64>,
     /// Counters of the facts that were taken, by owner and key.
     heard: HashMap<(Name, &'static str), (u64, u64)>,
-    decrees: BTreeMap<String, (String, Vec<Decree>)>,
+    place_decisions: BTreeMap<String, (String, Vec<PlaceDecision>)>,
     /// What was told last of each subject, in weight, and when.
     told: BTreeMap<Subject, f64>,
     told_at: Time,
-    told_decrees: Vec<u8>,
+    told_place_decisions: Vec<u8>,
     /// Verdicts as the module has them, and when they were given.
     given: HashMap<Place, (f32, Time)>,
     /// How often what one said was the opposite of what was found, and when it said the last such thing.
@@ -191,7 +191,7 @@
 
 const KEYS: [&str; 3] = ["evidence", "places", "orders"];
 
-impl Counsel {
+impl Coordinator {
     /// One that has seen and heard nothing.
     pub fn new(settings: Settings) -> Self {
         let Places { zones, classes } = &settings.places;
@@ -207,10 +207,10 @@
             in_service: HashMap::new(),
             sizes: vec![0.0; zones.len()],
             heard: HashMap::new(),
-            decrees: BTreeMap::new(),
+            place_decisions: BTreeMap::new(),
             told: BTreeMap::new(),
             told_at: 0,
-            told_decrees: Vec::new(),
+            told_place_decisions: Vec::new(),
             given: HashMap::new(),
             odd: BTreeMap::new(),
             waiting: Vec::new(),
@@ -320,7 +320,7 @@
             sizes: &self.sizes,
             nodos: &self.in_service,
             members: &members,
-            decrees: &self.decrees,
+            place_decisions: &self.place_decisions,
             orders: &self.orders,
             quiet,
         };
@@ -370,8 +370,9 @@
                     }
                 }
                 _ => {
-                    let decrees = Decree::read(&fact.bytes).unwrap_or_default();
-                    self.decrees.insert(owner.as_str().to_owned(), (zone.as_str().to_owned(), decrees));
+                    let place_decisions = PlaceDecision::read(&fact.bytes).unwrap_or_default();
+                    self.place_decisions
+                        .insert(owner.as_str().to_owned(), (zone.as_str().to_owned(), place_decisions));
                 }
             }
         }
@@ -380,7 +381,7 @@
         }
         let there: std::collections::HashSet<&str> = zones.keys().map(|name| name.as_str()).collect();
         self.hearing.retain(|owner| there.contains(owner));
-        self.decrees.retain(|owner, _| there.contains(owner.as_str()));
+        self.place_decisions.retain(|owner, _| there.contains(owner.as_str()));
         self.odd.retain(|owner, _| there.contains(owner.as_str()));
         members
     }
@@ -442,23 +443,29 @@
     /// Tells what others may not know: the worst first, and nothing where nothing is wrong.
     fn tell(&mut self, now: Time, node: &mut Node, members: &BTreeMap<String, usize>) {
         self.tell_evidence(now, node, members);
-        let all = self.evacuation.decrees();
-        let decrees = Decree::write(&all, node.fact_room());
-        if decrees != self.told_decrees && (decrees.len() > 1 || !self.told_decrees.is_empty()) {
+        let all = self.evacuation.place_decisions();
+        let place_decisions = PlaceDecision::write(&all, node.fact_room());
+        if place_decisions != self.told_place_decisions
+            && (place_decisions.len() > 1 || !self.told_place_decisions.is_empty())
+        {
             // The first few to say that a zone is left, or not, are waited for by those who were not there; who else
             // follows, and what nodos do, is for operators.
             let own = node.me().zone.as_str();
             let needed = woadstall_evidence::liars(members.get(own).copied().unwrap_or(1)) + 2;
-            let told = |decree: &&Decree| {
-                let said = self.decrees.values().filter(|(zone, _)| zone == own);
-                let is_said = |of: &Decree| of.subject == decree.subject && of.epoch >= decree.epoch;
+            let told = |place_decision: &&PlaceDecision| {
+                let said = self.place_decisions.values().filter(|(zone, _)| zone == own);
+                let is_said = |of: &PlaceDecision| {
+                    of.subject == place_decision.subject && of.epoch >= place_decision.epoch
+                };
                 said.filter(|(_, known)| known.iter().any(is_said)).count() >= needed
             };
-            let first =
-                all.iter().filter(|decree| decree.subject.kind != Kind::Nodo).any(|decree| !told(&decree));
+            let first = all
+                .iter()
+                .filter(|place_decision| place_decision.subject.kind != Kind::Nodo)
+                .any(|place_decision| !told(&place_decision));
             let priority = if first { FIRST } else { LATER };
-            if node.say(now, self.keys[1].clone(), priority, decrees.clone()).is_ok() {
-                self.told_decrees = decrees;
+            if node.say(now, self.keys[1].clone(), priority, place_decisions.clone()).is_ok() {
+                self.told_place_decisions = place_decisions;
             }
         }
         if std::mem::take(&mut self.orders_changed) {
@@ -539,7 +546,8 @@
             let order = |(subject, _, weight): &(Subject, Counts, f64)| (rank(subject), *weight <= 0.0);
             order(a).cmp(&order(b)).then(b.2.abs().total_cmp(&a.2.abs())).then(a.0.cmp(&b.0))
         });
-        let told = Testimony(lines.iter().map(|(subject, counts, _)| Told::new(*subject, counts)).collect());
+        let told =
+            HealthReport(lines.iter().map(|(subject, counts, _)| Told::new(*subject, counts)).collect());
         let bytes = told.write(node.fact_room());
         if node.say(now, self.keys[0].clone(), EVIDENCE, bytes).is_ok() {
             self.told = lines.into_iter().map(|(subject, _, weight)| (subject, weight)).collect();
@@ -626,9 +634,11 @@
         let place = |subject: &Subject, nodos: usize| {
             let standing = self.evacuation.standing(subject);
             let opinion = self.evacuation.opinion(subject);
-            let has = |decree: &Decree| decree.subject == *subject && decree.epoch == standing.epoch;
+            let has = |place_decision: &PlaceDecision| {
+                place_decision.subject == *subject && place_decision.epoch == standing.epoch
+            };
             let own = &self.settings.places.zones[self.settings.zone].name;
-            let behind = |(zone, all): &(String, Vec<Decree>)| {
+            let behind = |(zone, all): &(String, Vec<PlaceDecision>)| {
                 zone == own && standing.epoch > 0 && !all.iter().any(has)
             };
             let order = self.order_of(subject);
@@ -646,7 +656,7 @@
                 order: order.map(|order| order.what.word().to_owned()),
                 order_ends_s: order.map(|order| order.until_ms.saturating_sub(now_ms) as f64 / 1e3),
                 not_followed: self
-                    .decrees
+                    .place_decisions
                     .iter()
                     .filter(|(_, all)| behind(all))
                     .map(|(name, _)| name.clone())
--- a/crates/evacuation/src/decide.rs
+++ b/crates/evacuation/src/decide.rs
@@ -1,8 +1,8 @@
 //! From what all have told to where each place stands.
 
-use crate::counsel::Places;
-use crate::decree::Decree;
+use crate::coordinator::Places;
 use crate::order::{Orders, What};
+use crate::place_decision::PlaceDecision;
 use crate::standing::{Beside, Cause, Standing, State};
 use std::collections::{BTreeMap, HashMap};
 use woadstall_decisions::api::{ServerId, Time};
@@ -41,7 +41,7 @@
     /// How many members each zone has, this balancer included.
     pub members: &'a BTreeMap<String, usize>,
     /// What others have found, by owner, each with its zone.
-    pub decrees: &'a BTreeMap<String, (String, Vec<Decree>)>,
+    pub place_decisions: &'a BTreeMap<String, (String, Vec<PlaceDecision>)>,
     /// Operators' words.
     pub orders: &'a Orders,
     /// It is cut off, or has just woken: it proposes nothing and follows nobody.
@@ -116,26 +116,28 @@
             scene.ledger.nodos(now).map(|(_, subject, zone, _)| (subject, zone)).collect();
         let name = |zone: usize| scene.places.zones.get(zone).map_or("", |zone| zone.name.as_str());
         let own = name(scene.zone);
-        let mut said: BTreeMap<(Subject, &str), Vec<&Decree>> = BTreeMap::new();
-        for (zone, decrees) in scene.decrees.values() {
-            for decree in decrees {
-                let home = match decree.subject.kind {
-                    Kind::Nodo => nodos.get(&decree.subject).copied(),
-                    _ => scene.places.home(&decree.subject),
+        let mut said: BTreeMap<(Subject, &str), Vec<&PlaceDecision>> = BTreeMap::new();
+        for (zone, place_decisions) in scene.place_decisions.values() {
+            for place_decision in place_decisions {
+                let home = match place_decision.subject.kind {
+                    Kind::Nodo => nodos.get(&place_decision.subject).copied(),
+                    _ => scene.places.home(&place_decision.subject),
                 };
                 if home.is_some_and(|home| zone == own || zone == name(home)) {
-                    said.entry((decree.subject, zone)).or_default().push(decree);
+                    said.entry((place_decision.subject, zone)).or_default().push(place_decision);
                 }
             }
         }
-        for ((subject, zone), mut decrees) in said {
+        for ((subject, zone), mut place_decisions) in said {
             let needed = liars(scene.members.get(zone).copied().unwrap_or(1)) + 1;
             // The latest that so many have reached: whoever went on has been there, too.
-            decrees.sort_by_key(|decree| std::cmp::Reverse((decree.epoch, decree.state)));
-            let Some(decree) = decrees.get(needed - 1) else { continue };
+            place_decisions.sort_by_key(|place_decision| {
+                std::cmp::Reverse((place_decision.epoch, place_decision.state))
+            });
+            let Some(place_decision) = place_decisions.get(needed - 1) else { continue };
             let mut standing = self.standing(&subject);
-            if standing.follow(now, decree.state, decree.epoch, decree.share()) {
-                self.change(subject, standing, (decrees.len(), 0));
+            if standing.follow(now, place_decision.state, place_decision.epoch, place_decision.share()) {
+                self.change(subject, standing, (place_decisions.len(), 0));
             }
         }
     }
@@ -367,13 +369,13 @@
     }
 
     /// What is to be told to those who were not there: of all that has ever changed, the latest first.
-    pub fn decrees(&self) -> Vec<Decree> {
+    pub fn place_decisions(&self) -> Vec<PlaceDecision> {
         let told = self.standings.iter().filter(|(_, standing)| standing.epoch > 0);
         let mut told: Vec<(&Subject, &Standing)> = told.collect();
         told.sort_by_key(|(subject, standing)| {
             (standing.share >= 1.0, std::cmp::Reverse(standing.since), **subject)
         });
-        told.into_iter().map(|(subject, standing)| Decree::new(*subject, standing)).collect()
+        told.into_iter().map(|(subject, standing)| PlaceDecision::new(*subject, standing)).collect()
     }
 
     /// Forgets what stands as if nothing had been.
--- a/crates/evacuation/src/lib.rs
+++ b/crates/evacuation/src/lib.rs
@@ -1,25 +1,25 @@
 //! Leaving nodos, zones and regions that fail as a fleet, and not one by one.
 //!
 //! Each balancer weighs what all have told (`woadstall-evidence`) and goes through the same states: in use, doubted,
-//! leaving, left, returning. Those that hear the same find the same; what they found they tell as a [`Decree`], so that
-//! one that was not there learns it from several who were. [`Evacuation`] decides, [`Counsel`] puts it between a member
+//! leaving, left, returning. Those that hear the same find the same; what they found they tell as a [`PlaceDecision`], so that
+//! one that was not there learns it from several who were. [`Evacuation`] decides, [`Coordinator`] puts it between a member
 //! (`woadstall-instances`) and the decision module, which is told shares of new work and still chooses. Nothing here does
 //! input or output or reads a clock. The design is in `docs/evacuation.md`.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod counsel;
+mod coordinator;
 mod decide;
-mod decree;
 mod order;
 mod packed;
+mod place_decision;
 mod standing;
 mod status;
 
-pub use counsel::{Counsel, Line, Places, Settings, Turn, ZonePlace};
+pub use coordinator::{Coordinator, Line, Places, Settings, Turn, ZonePlace};
 pub use decide::{Change, Evacuation, Scene};
-pub use decree::{Decree, DecreeError};
 pub use order::{Order, OrderError, Orders, What};
+pub use place_decision::{PlaceDecision, PlaceDecisionError};
 pub use standing::{Beside, Cause, Standing, State};
 pub use status::{PlaceStatus, Status};
--- a/crates/evacuation/src/decree.rs
+++ b/crates/evacuation/src/place_decision.rs
@@ -12,7 +12,7 @@
 
 /// One place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Decree {
+pub struct PlaceDecision {
     /// Which.
     pub subject: Subject,
     /// Its epoch.
@@ -23,19 +23,19 @@
     share: u8,
 }
 
-/// Bytes that are no decrees.
+/// Bytes that are no decisions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct DecreeError;
+pub struct PlaceDecisionError;
 
-impl fmt::Display for DecreeError {
+impl fmt::Display for PlaceDecisionError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("no decrees of a form that is known here")
+        f.write_str("no decisions of a form that is known here")
     }
 }
 
-impl std::error::Error for DecreeError {}
+impl std::error::Error for PlaceDecisionError {}
 
-impl Decree {
+impl PlaceDecision {
     /// Of a place as it stands.
     pub fn new(subject: Subject, standing: &Standing) -> Self {
         let share = (standing.share.clamp(0.0, 1.0) * 100.0).round() as u8;
@@ -53,7 +53,7 @@
     }
 
     /// All from bytes.
-    pub fn read(bytes: &[u8]) -> Result<Vec<Self>, DecreeError> {
-        packed::read(FORM, bytes, MOST).ok_or(DecreeError)
+    pub fn read(bytes: &[u8]) -> Result<Vec<Self>, PlaceDecisionError> {
+        packed::read(FORM, bytes, MOST).ok_or(PlaceDecisionError)
     }
 }
--- a/crates/evacuation/src/status.rs
+++ b/crates/evacuation/src/status.rs
@@ -41,6 +41,6 @@
     pub places: Vec<PlaceStatus>,
     /// Members whose word was the opposite of what was found, and how often.
     pub odd: BTreeMap<String, u32>,
-    /// Testimonies that could not be read.
+    /// Health reports that could not be read.
     pub unread: u64,
 }
--- a/crates/evacuation/tests/standing.rs
+++ b/crates/evacuation/tests/standing.rs
@@ -1,7 +1,7 @@
-//! How a place goes from state to state, what others' decrees and operators' words do, and garbage.
+//! How a place goes from state to state, what others' decisions and operators' words do, and garbage.
 
 use proptest::prelude::*;
-use woadstall_evacuation::{Beside, Decree, Order, Orders, Standing, State, What};
+use woadstall_evacuation::{Beside, Order, Orders, PlaceDecision, Standing, State, What};
 use woadstall_evidence::{Counts, Ill, Opinion, Subject};
 
 const SECOND: u64 = 1_000_000_000;
@@ -147,8 +147,8 @@
         if form && !bytes.is_empty() {
             bytes[0] = 1;
         }
-        if let Ok(decrees) = Decree::read(&bytes) {
-            prop_assert!(decrees.iter().all(|decree| (0.0..=1.0).contains(&decree.share())));
+        if let Ok(place_decisions) = PlaceDecision::read(&bytes) {
+            prop_assert!(place_decisions.iter().all(|place_decision| (0.0..=1.0).contains(&place_decision.share())));
         }
         if let Ok(read) = Orders::read(&bytes) {
             let mut orders = Orders::default();
--- a/crates/evidence/src/testimony.rs
+++ b/crates/evidence/src/health_report.rs
@@ -44,21 +44,21 @@
 
 /// What one tells.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Testimony(pub Vec<Line>);
+pub struct HealthReport(pub Vec<Line>);
 
-/// Bytes that are no testimony.
+/// Bytes that are no health report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct TestimonyError;
+pub struct HealthReportError;
 
-impl fmt::Display for TestimonyError {
+impl fmt::Display for HealthReportError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("no testimony of a form that is known here")
+        f.write_str("no health report of a form that is known here")
     }
 }
 
-impl std::error::Error for TestimonyError {}
+impl std::error::Error for HealthReportError {}
 
-impl Testimony {
+impl HealthReport {
     /// As bytes: as many lines as fit, in their order.
     pub fn write(&self, most: usize) -> Vec<u8> {
         let mut bytes = vec![FORM];
@@ -73,17 +73,17 @@
     }
 
     /// From bytes.
-    pub fn read(bytes: &[u8]) -> Result<Self, TestimonyError> {
-        let (form, mut rest) = bytes.split_first().ok_or(TestimonyError)?;
+    pub fn read(bytes: &[u8]) -> Result<Self, HealthReportError> {
+        let (form, mut rest) = bytes.split_first().ok_or(HealthReportError)?;
         let mut lines = Vec::new();
         while !rest.is_empty() {
-            let (line, after) = postcard::take_from_bytes::<Line>(rest).map_err(|_| TestimonyError)?;
+            let (line, after) = postcard::take_from_bytes::<Line>(rest).map_err(|_| HealthReportError)?;
             lines.push(line);
             rest = after;
             if lines.len() > LINES {
-                return Err(TestimonyError);
+                return Err(HealthReportError);
             }
         }
-        if *form == FORM { Ok(Self(lines)) } else { Err(TestimonyError) }
+        if *form == FORM { Ok(Self(lines)) } else { Err(HealthReportError) }
     }
 }
--- a/crates/evidence/src/hearing.rs
+++ b/crates/evidence/src/hearing.rs
@@ -1,8 +1,8 @@
 //! What all have told, and what it comes to when it is weighed.
 
 use crate::counts::Counts;
+use crate::health_report::{HealthReport, HealthReportError};
 use crate::subject::Subject;
-use crate::testimony::{Testimony, TestimonyError};
 use crate::weight::{Ill, Sum, enough, liars};
 use std::collections::BTreeMap;
 use woadstall_decisions::api::Time;
@@ -21,7 +21,7 @@
     lines: BTreeMap<Subject, Counts>,
 }
 
-/// The testimonies of all others, the last of each.
+/// The health reports of all others, the last of each.
 #[derive(Clone, Debug, Default)]
 pub struct Hearing {
     words: BTreeMap<String, Word>,
@@ -67,9 +67,9 @@
 
 impl Hearing {
     /// A member of a zone has told something at a time.
-    pub fn hear(&mut self, owner: &str, zone: &str, at: Time, bytes: &[u8]) -> Result<(), TestimonyError> {
-        let testimony = Testimony::read(bytes)?;
-        let lines = testimony.0.iter().map(|line| (line.subject, line.counts(at))).collect();
+    pub fn hear(&mut self, owner: &str, zone: &str, at: Time, bytes: &[u8]) -> Result<(), HealthReportError> {
+        let health_report = HealthReport::read(bytes)?;
+        let lines = health_report.0.iter().map(|line| (line.subject, line.counts(at))).collect();
         self.words.insert(owner.to_owned(), Word { zone: zone.to_owned(), at, lines });
         Ok(())
     }
--- a/crates/evidence/tests/evidence.rs
+++ b/crates/evidence/tests/evidence.rs
@@ -1,10 +1,10 @@
-//! Testimonies and what they come to: lies, staleness, garbage.
+//! Health reports and what they come to: lies, staleness, garbage.
 
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use woadstall_decisions::api::{Outcome, ServerId};
 use woadstall_evidence::{
-    Counts, ENOUGH, Hearing, Ledger, Line, Opinion, Out, Question, Saw, Subject, Testimony, liars,
+    Counts, ENOUGH, HealthReport, Hearing, Ledger, Line, Opinion, Out, Question, Saw, Subject, liars,
 };
 
 const MS: u64 = 1_000_000;
@@ -15,7 +15,7 @@
 }
 
 fn tell(hearing: &mut Hearing, owner: usize, zone: &str, counts: Counts, at: u64) {
-    let bytes = Testimony(vec![Line::new(Subject::zone("0", "norte"), &counts)]).write(256);
+    let bytes = HealthReport(vec![Line::new(Subject::zone("0", "norte"), &counts)]).write(256);
     hearing.hear(&format!("b-{owner}"), zone, at, &bytes).unwrap();
 }
 
@@ -131,7 +131,7 @@
         if form && !bytes.is_empty() {
             bytes[0] = 1;
         }
-        if let Ok(Testimony(lines)) = Testimony::read(&bytes) {
+        if let Ok(HealthReport(lines)) = HealthReport::read(&bytes) {
             for line in lines {
                 let counts = line.counts(SECOND);
                 prop_assert!(counts.failed >= 0.0 && counts.failed + counts.late <= counts.tries);
@@ -145,9 +145,9 @@
             Line::new(Subject::nodo(&format!("n-{at}"), 5), &counts(*tries, tries * part, 0))
         };
         let lines: Vec<Line> = told.iter().enumerate().map(line).collect();
-        let bytes = Testimony(lines.clone()).write(256);
+        let bytes = HealthReport(lines.clone()).write(256);
         prop_assert!(bytes.len() <= 256);
-        let read = Testimony::read(&bytes).unwrap().0;
+        let read = HealthReport::read(&bytes).unwrap().0;
         prop_assert_eq!(&read[..], &lines[..read.len()]);
         prop_assert!(read.len() == lines.len() || bytes.len() > 240);
     }
--- a/crates/lab/src/world/counsels.rs
+++ b/crates/lab/src/world/coordinators.rs
@@ -4,22 +4,22 @@
 use crate::evacuated::{Evacuated, Move};
 use crate::scenario::{Evacuating, Says};
 use woadstall_engine::decisions::{Place, Verdict as Finding};
-use woadstall_evacuation::{Counsel, Places, Settings};
+use woadstall_evacuation::{Coordinator, Places, Settings};
 use woadstall_evidence::{Out, Saw};
 use woadstall_instances::Node;
 
 /// See the module's documentation.
-pub(super) struct Counsels {
+pub(super) struct Coordinators {
     every: Time,
-    all: Vec<Counsel>,
-    /// How often the list of each had changed when its counsel was told.
+    all: Vec<Coordinator>,
+    /// How often the list of each had changed when its coordinator was told.
     seen: Vec<u64>,
     settings: Vec<Settings>,
     liars: Vec<Option<Says>>,
     evacuated: Evacuated,
 }
 
-impl Counsels {
+impl Coordinators {
     fn new(of: &Evacuating, scenario: &Scenario, balancers: &[Balancer]) -> Self {
         let classes: Vec<String> = scenario.class.iter().map(|class| class.name.clone()).collect();
         let zones: Vec<(String, Option<String>)> =
@@ -38,7 +38,7 @@
         }
         Self {
             every: of.every.0,
-            all: settings.iter().cloned().map(Counsel::new).collect(),
+            all: settings.iter().cloned().map(Coordinator::new).collect(),
             seen: vec![u64::MAX; balancers.len()],
             evacuated: Evacuated::new(scenario.zones.clone(), balancers.len()),
             settings,
@@ -63,37 +63,37 @@
 
 impl World<'_> {
     /// All of them begin.
-    pub(super) fn counsels_begin(&mut self) {
+    pub(super) fn coordinators_begin(&mut self) {
         let Some(of) = &self.scenario.evacuation else { return };
-        let counsels = Counsels::new(of, self.scenario, &self.balancers);
-        let every = counsels.every;
-        self.counsels = Some(counsels);
+        let coordinators = Coordinators::new(of, self.scenario, &self.balancers);
+        let every = coordinators.every;
+        self.coordinators = Some(coordinators);
         for at in 0..self.balancers.len() {
-            self.counsel_begins(at);
+            self.coordinator_begins(at);
             // Not all at once.
             let first = every * (at as Time + 1) / self.balancers.len() as Time;
-            self.agenda.at(first.max(1), Event::Counsel(at as u32));
+            self.agenda.at(first.max(1), Event::Coordinator(at as u32));
         }
     }
 
     /// A process of a balancer begins, and knows nothing.
-    pub(super) fn counsel_begins(&mut self, at: usize) {
-        let Some(counsels) = &mut self.counsels else { return };
-        counsels.all[at] = Counsel::new(counsels.settings[at].clone());
-        counsels.seen[at] = u64::MAX;
-        counsels.evacuated.begins(self.agenda.now(), at);
+    pub(super) fn coordinator_begins(&mut self, at: usize) {
+        let Some(coordinators) = &mut self.coordinators else { return };
+        coordinators.all[at] = Coordinator::new(coordinators.settings[at].clone());
+        coordinators.seen[at] = u64::MAX;
+        coordinators.evacuated.begins(self.agenda.now(), at);
         self.balancers[at].mind.observe();
     }
 
-    /// A balancer's counsel has its turn.
-    pub(super) fn counsel(&mut self, at: usize) {
+    /// A balancer's coordinator has its turn.
+    pub(super) fn coordinator(&mut self, at: usize) {
         let now = self.agenda.now();
-        let Some(counsels) = &self.counsels else { return };
-        self.agenda.after(counsels.every, Event::Counsel(at as u32));
+        let Some(coordinators) = &self.coordinators else { return };
+        self.agenda.after(coordinators.every, Event::Coordinator(at as u32));
         if self.balancers[at].alive && self.stands_still(at).is_none() {
             let node = self.members.as_mut().and_then(|members| members.take_node(at));
             if let Some(mut node) = node {
-                let findings = self.counsel_turns(now, at, &mut node);
+                let findings = self.coordinator_turns(now, at, &mut node);
                 if let Some(members) = &mut self.members {
                     members.put_node(at, node);
                 }
@@ -105,15 +105,15 @@
         }
     }
 
-    fn counsel_turns(&mut self, now: Time, at: usize, node: &mut Node) -> Vec<Finding> {
-        let Some(counsels) = &mut self.counsels else { return Vec::new() };
+    fn coordinator_turns(&mut self, now: Time, at: usize, node: &mut Node) -> Vec<Finding> {
+        let Some(coordinators) = &mut self.coordinators else { return Vec::new() };
         let balancer = &mut self.balancers[at];
         let local = balancer.local(now);
         let observed = balancer.mind.take_observed();
-        if let Some((changes, all)) = balancer.mind.listed(counsels.seen[at]) {
-            counsels.seen[at] = changes;
+        if let Some((changes, all)) = balancer.mind.listed(coordinators.seen[at]) {
+            coordinators.seen[at] = changes;
             let all = all.into_iter();
-            counsels.all[at].listed(
+            coordinators.all[at].listed(
                 all.map(|of| {
                     (of.server, of.name, of.boot_ms, usize::from(of.zone.0), of.size.map(f64::from))
                 }),
@@ -123,12 +123,12 @@
             let attempt = (seen.id.0, seen.attempt);
             let (server, class, outcome, took) = (seen.server, seen.class, seen.outcome, seen.took);
             let saw = Saw { attempt, server, class, outcome, took };
-            let zone_of = |server| counsels.all[at].zone_of(server);
-            let saw = counsels.spoil(at, zone_of, saw);
-            counsels.all[at].saw(now, &saw);
+            let zone_of = |server| coordinators.all[at].zone_of(server);
+            let saw = coordinators.spoil(at, zone_of, saw);
+            coordinators.all[at].saw(now, &saw);
         }
         let out = balancer.mind.outstanding(local).into_iter();
-        counsels.all[at].out(
+        coordinators.all[at].out(
             now,
             out.map(|out| Out {
                 attempt: (out.id.0, out.attempt),
@@ -137,14 +137,14 @@
                 age: out.age,
             }),
         );
-        let turn = counsels.all[at].turn(now, local / MS, node);
+        let turn = coordinators.all[at].turn(now, local / MS, node);
         for line in turn.lines {
             self.meter.log_line(&line.to_string());
         }
         for finding in &turn.verdicts {
             if let Place::Zone(zone, None) = finding.place {
                 let share = f64::from(finding.share);
-                counsels.evacuated.moved(Move { at: now, balancer: at as u32, zone: zone.0, share });
+                coordinators.evacuated.moved(Move { at: now, balancer: at as u32, zone: zone.0, share });
             }
         }
         // The module's clock is the balancer's own.
@@ -153,8 +153,8 @@
     }
 
     /// What came of it.
-    pub(super) fn counsels_end(&mut self) -> Option<crate::evacuated::EvacuatedEnd> {
-        let counsels = self.counsels.take()?;
-        Some(counsels.evacuated.end(self.agenda.now().min(self.scenario.time.0)))
+    pub(super) fn coordinators_end(&mut self) -> Option<crate::evacuated::EvacuatedEnd> {
+        let coordinators = self.coordinators.take()?;
+        Some(coordinators.evacuated.end(self.agenda.now().min(self.scenario.time.0)))
     }
 }
--- a/crates/lab/src/world/members.rs
+++ b/crates/lab/src/world/members.rs
@@ -140,7 +140,7 @@
         members.power[at] = true;
         members.witness.runs(now, at, true);
         self.member_acts(at);
-        self.counsel_begins(at);
+        self.coordinator_begins(at);
     }
 
     /// A process of a balancer ends: it says that it leaves, or dies with its machine's power or without it.
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -5,7 +5,7 @@
 
 mod balancers;
 mod callers;
-mod counsels;
+mod coordinators;
 mod faults;
 mod members;
 mod nodos;
@@ -143,7 +143,7 @@
     /// It is looked at how cut ways are named.
     MembersWays,
     /// A balancer's turn to weigh what all have told.
-    Counsel(u32),
+    Coordinator(u32),
 }
 
 /// One thing that a caller, or a nodo, wants done.
@@ -302,7 +302,7 @@
     padron_silent: u32,
     stalled: Time,
     members: Option<members::Members>,
-    counsels: Option<counsels::Counsels>,
+    coordinators: Option<coordinators::Coordinators>,
     auditor: Auditor,
     meter: Meter,
     prices: Prices,
@@ -346,7 +346,7 @@
             padron_silent: 0,
             stalled: 0,
             members: None,
-            counsels: None,
+            coordinators: None,
             auditor: Auditor::default(),
             meter: Meter::new(scenario),
             prices: Prices::new(scenario.tier.len()),
@@ -486,7 +486,7 @@
             self.list_whole(at, 0);
         }
         self.members_begin();
-        self.counsels_begin();
+        self.coordinators_begin();
         let longest = self.scenario.longest().0;
         let end = self.scenario.time.0 + longest + TAIL;
         // What stands still at the end must not make what it holds look lost.
@@ -499,7 +499,7 @@
         let open = self.balancers.iter().map(|balancer| balancer.mind.open()).sum();
         self.auditor.end(now, open);
         let members = self.members_end();
-        let evacuated = self.counsels_end();
+        let evacuated = self.coordinators_end();
         let story = self.story.map(|(_, story)| story).unwrap_or_default();
         let names: Vec<String> = self.scenario.tier.iter().map(|tier| tier.name.clone()).collect();
         let prices = self.prices.rows(&names);
@@ -555,7 +555,7 @@
             Event::Mail(mail) => self.member_hears(mail),
             Event::MemberLooks(balancer) => self.member_looks(balancer as usize),
             Event::MembersWays => self.members_ways(),
-            Event::Counsel(balancer) => self.counsel(balancer as usize),
+            Event::Coordinator(balancer) => self.coordinator(balancer as usize),
         }
     }
 
--- a/src/net/evacuation.rs
+++ b/src/net/evacuation.rs
@@ -1,4 +1,4 @@
-//! Leaving places as a fleet, as the operators' file has it: between the balance, the member and the counsel. Absent
+//! Leaving places as a fleet, as the operators' file has it: between the balance, the member and the coordinator. Absent
 //! there, nothing of it is started.
 
 use super::config::Config;
@@ -6,7 +6,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::{MissedTickBehavior, interval};
 use woadstall_decisions::api::Verdict;
-use woadstall_evacuation::{Counsel, Order, Places, Settings, Status, What};
+use woadstall_evacuation::{Coordinator, Order, Places, Settings, Status, What};
 use woadstall_evidence::{Kind, Out, Saw};
 use woadstall_instances_net::Instances;
 use woadstall_operator::Evacuation;
@@ -16,10 +16,10 @@
 /// A word for which no time is given ends after this.
 pub const USUAL: Duration = Duration::from_secs(600);
 
-/// The counsel of this balancer. Clones share it.
+/// The coordinator of this balancer. Clones share it.
 #[derive(Clone)]
 pub struct Evacuating {
-    counsel: Arc<Mutex<Counsel>>,
+    coordinator: Arc<Mutex<Coordinator>>,
     instances: Instances,
 }
 
@@ -37,15 +37,15 @@
             places: Places::new(&tier, &zones, &config.names.classes),
             zone: usize::from(config.settings.zone.0),
         };
-        let counsel = Arc::new(Mutex::new(Counsel::new(settings)));
-        let evacuating = Self { counsel, instances };
+        let coordinator = Arc::new(Mutex::new(Coordinator::new(settings)));
+        let evacuating = Self { coordinator, instances };
         balance.observe();
         tokio::spawn(evacuating.clone().run(balance, Duration::from_millis(file.every_ms)));
         evacuating
     }
 
-    fn counsel(&self) -> MutexGuard<'_, Counsel> {
-        self.counsel.lock().unwrap_or_else(PoisonError::into_inner)
+    fn coordinator(&self) -> MutexGuard<'_, Coordinator> {
+        self.coordinator.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     async fn run(self, balance: Balance<Http1>, every: Duration) {
@@ -59,10 +59,10 @@
 
     fn turn(&self, balance: &Balance<Http1>, seen: &mut u64) {
         let observations = balance.observations(*seen);
-        let mut counsel = self.counsel();
+        let mut coordinator = self.coordinator();
         if let Some((changes, listed)) = observations.listed {
             *seen = changes;
-            counsel.listed(listed.iter().map(|of| {
+            coordinator.listed(listed.iter().map(|of| {
                 let zone = usize::from(of.zone.0);
                 (of.server, of.name.as_str(), of.boot_ms, zone, of.size.map(f64::from))
             }));
@@ -71,10 +71,10 @@
         for seen in observations.ended {
             let (attempt, server) = ((seen.id.0, seen.attempt), seen.server);
             let saw = Saw { attempt, server, class: seen.class, outcome: seen.outcome, took: seen.took };
-            counsel.saw(now, &saw);
+            coordinator.saw(now, &saw);
         }
         let out = observations.out.into_iter();
-        counsel.out(
+        coordinator.out(
             now,
             out.map(|out| Out {
                 attempt: (out.id.0, out.attempt),
@@ -83,8 +83,8 @@
                 age: out.age,
             }),
         );
-        let (now, turn) = self.instances.turn(|node, now| (now, counsel.turn(now, now_ms(), node)));
-        drop(counsel);
+        let (now, turn) = self.instances.turn(|node, now| (now, coordinator.turn(now, now_ms(), node)));
+        drop(coordinator);
         for line in turn.lines {
             super::log(format_args!("places: {line}"));
         }
@@ -100,17 +100,17 @@
     /// What operators read.
     pub fn status(&self) -> Status {
         let now = self.instances.look(|_, now| now);
-        self.counsel().status(now, now_ms())
+        self.coordinator().status(now, now_ms())
     }
 
     /// Takes an operator's word for a while, and tells it to all. The error is one line.
     pub fn order(&self, what: What, kind: Kind, name: &str, holds: Duration) -> Result<(), String> {
-        let mut counsel = self.counsel();
-        let subject = counsel.place(kind, name).ok_or_else(|| format!("no {} {name}", word(kind)))?;
+        let mut coordinator = self.coordinator();
+        let subject = coordinator.place(kind, name).ok_or_else(|| format!("no {} {name}", word(kind)))?;
         let (stamp_ms, holds) = (now_ms(), u64::try_from(holds.as_millis()).unwrap_or(u64::MAX));
         let until_ms = stamp_ms.saturating_add(holds);
         let order = Order { subject, what, stamp_ms, until_ms, id: fastrand::u32(..) };
-        match counsel.order(stamp_ms, order) {
+        match coordinator.order(stamp_ms, order) {
             true => Ok(()),
             false => Err("a later word holds, or there are too many".to_owned()),
         }
