--- a/crates/consensus/tests/messages.rs
+++ b/crates/consensus/tests/messages.rs
@@ -311,3 +311,53 @@
     replica.tick(100);
     assert_eq!(sent_at_once(&mut replica), 0);
 }
+
+#[test]
+fn entries_behind_a_snapshot_that_they_do_not_follow_go() {
+    let members = replica().members().clone();
+    let mut replica = replica();
+    let snapshot = Snapshot { index: 3, term: 5, members, state: vec![1] };
+    replica.receive(10, message(2, 5, Body::Install { snapshot, round: 8 }));
+    settled(&mut replica);
+    assert_eq!((replica.log().last_index(), replica.log().last_term()), (3, 5));
+}
+
+/// A leader that has committed in its term, and a replica that asks it to join.
+fn leader_and_learner(id: ReplicaId, address: &str) -> Replica {
+    let mut replica = leader();
+    replica.receive(30, message(2, 6, Body::AppendReply { success: true, index: 5, round: 1 }));
+    settled(&mut replica);
+    replica.join(Member { id, address: address.to_owned() });
+    replica
+}
+
+fn voters(replica: &Replica) -> Vec<ReplicaId> {
+    replica.members().voters.iter().map(|member| member.id).collect()
+}
+
+#[test]
+fn a_learner_votes_only_once_it_has_caught_up() {
+    let mut replica = leader_and_learner(4, "machine-4");
+    replica.tick(200);
+    assert_eq!(voters(&replica), [1, 2, 3]);
+    replica.receive(210, message(4, 6, Body::AppendReply { success: true, index: 4, round: 2 }));
+    replica.tick(250);
+    assert_eq!(voters(&replica), [1, 2, 3], "one entry is missing");
+    replica.receive(260, message(4, 6, Body::AppendReply { success: true, index: 5, round: 2 }));
+    replica.tick(300);
+    assert_eq!(voters(&replica), [1, 2, 3, 4]);
+}
+
+#[test]
+fn a_member_that_lost_its_disk_is_removed_before_its_new_identity_is_added() {
+    let mut replica = leader_and_learner(9, "machine-3");
+    replica.receive(210, message(9, 6, Body::AppendReply { success: true, index: 5, round: 2 }));
+    replica.tick(250);
+    assert_eq!(voters(&replica), [1, 2], "a change of two members at a time");
+    settled(&mut replica);
+    replica.receive(260, message(2, 6, Body::AppendReply { success: true, index: 6, round: 3 }));
+    settled(&mut replica);
+    replica.receive(270, message(9, 6, Body::AppendReply { success: true, index: 6, round: 3 }));
+    replica.tick(300);
+    assert_eq!(voters(&replica), [1, 2, 9]);
+}
