Standin: systems of one process have addresses of their own

Cause: two systems of tests/system.rs, played side by side, could be given the same ports on the same addresses: a process ended on an address in use, or an order went to the other system and was refused. No assertion is changed.

--- a/crates/standin/src/system.rs
+++ b/crates/standin/src/system.rs
@@ -6,6 +6,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
 use std::time::Instant;
@@ -13,6 +14,8 @@
 
 /// Core machines; with their addresses they are the seeds too.
 const CORES: u8 = 3;
+/// Systems of one process must not share addresses: a port that one has found free another may have found free too.
+static NEXT_SUBNET: AtomicU8 = AtomicU8::new(0);
 /// The ports of a machine: control, directory, front, ready, and those between processes.
 const PORTS: usize = 5;
 /// Times of the operator's and the upstreams' calls: far more often than upstreams really say that they are there.
@@ -81,7 +84,7 @@
             program: program.to_owned(),
             folder: tempfile::tempdir().expect("a folder"),
             ports: ports.try_into().expect("all ports"),
-            subnet: (id[0].clamp(1, 250), id[1]),
+            subnet: (id[0].clamp(1, 250), id[1].wrapping_add(NEXT_SUBNET.fetch_add(1, Ordering::Relaxed))),
             cores: (0..CORES).map(|_| None).collect(),
             fronts: (0..fronts).map(|_| None).collect(),
         };
