--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -500,16 +500,15 @@
             entries.iter().take_while(|entry| self.log.term_at(entry.index) == Some(entry.term)).count();
         entries.drain(..known);
         self.append(entries);
-        let agreed = end.max(begin.min(end));
         if commit > self.commit {
             self.commit = commit.min(end).max(self.commit);
             self.apply_committed();
         }
-        if self.durable < agreed {
-            let index = self.durable.min(agreed);
+        if self.durable < end {
+            let index = self.durable;
             self.send(from, Body::AppendReply { success: true, index, round });
         }
-        self.send_durably(from, Body::AppendReply { success: true, index: agreed, round });
+        self.send_durably(from, Body::AppendReply { success: true, index: end, round });
     }
 
     fn on_install(&mut self, from: ReplicaId, snapshot: Snapshot, round: u64) {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -71,14 +71,6 @@
         self.configuration.as_ref().map_or(0, |configuration| configuration.generation)
     }
 
-    /// What would come of a command now.
-    pub fn check(&self, command: &Command) -> Outcome {
-        match self.prepare(command) {
-            Ok(_) => Outcome::Accepted,
-            Err(outcome) => outcome,
-        }
-    }
-
     /// Applies a command at a position of the log.
     pub fn apply(&mut self, index: u64, command: &Command) -> Outcome {
         self.index = index;
--- a/crates/node/src/core/api.rs
+++ b/crates/node/src/core/api.rs
@@ -166,11 +166,9 @@
 
 fn response_of(reply: Reply) -> Response {
     match reply {
-        Reply::Answer(Answer::Done) => Response::json_from(200, "{}".to_owned()),
-        Reply::Registered(address) => {
-            Response::json_from(200, json!({ "heartbeat_url": address }).to_string())
-        }
-        Reply::Answer(Answer::Conflict { current }) => Response::json_from(
+        Reply::Answer(Answer::Done) => json_text(200, "{}".to_owned()),
+        Reply::Registered(address) => json_text(200, json!({ "heartbeat_url": address }).to_string()),
+        Reply::Answer(Answer::Conflict { current }) => json_text(
             412,
             json!({ "error": "another version is current", "generation": current }).to_string(),
         ),
@@ -182,9 +180,9 @@
             text(503, "no balancer is known\n")
         }
         Reply::Balancers(Resolved { addresses, ttl_s }) => {
-            Response::json_from(200, json!({ "addresses": addresses, "ttl_s": ttl_s }).to_string())
+            json_text(200, json!({ "addresses": addresses, "ttl_s": ttl_s }).to_string())
         }
-        Reply::Status(status) => Response::json_from(200, status),
+        Reply::Status(status) => json_text(200, status),
     }
 }
 
@@ -240,12 +238,6 @@
 }
 
 /// A response with JSON that is written already.
-trait JsonText {
-    fn json_from(code: u16, text: String) -> Response;
-}
-
-impl JsonText for Response {
-    fn json_from(code: u16, text: String) -> Response {
-        Response::from_data("application/json", text).with_status_code(code)
-    }
+fn json_text(code: u16, text: String) -> Response {
+    Response::from_data("application/json", text).with_status_code(code)
 }
--- a/crates/node/src/front/attempt.rs
+++ b/crates/node/src/front/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{CONTENT_ENCODING, HeaderName, HeaderValue};
 use hyper::http::request;
 use hyper::http::response::Parts;
 use hyper::{Request, StatusCode};
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, timeout_at};
 use woadstall_inbound::lock;
 use woadstall_routing::{Outcome, Target};
-use woadstall_transport::{Outgoing, end_to_end, named_by_connection};
+use woadstall_transport::{Outgoing, closes, end_to_end};
 
 /// The header that carries a request's id, there and back.
 pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
@@ -244,15 +244,8 @@
 }
 
 fn keep_alive(parts: &Parts) -> Keep {
-    let closes =
-        |headers: &HeaderMap| named_by_connection(headers).iter().any(|name| name.as_str() == "close");
-    if parts.version < hyper::Version::HTTP_11
-        || closes(&parts.headers)
-        || !parts.headers.contains_key(KEEP_ALIVE)
-    {
-        let closes = parts.version < hyper::Version::HTTP_11
-            || parts.headers.contains_key(CONNECTION) && closes(&parts.headers);
-        return if closes { Keep::Closes } else { Keep::Unsaid };
+    if closes(parts) {
+        return Keep::Closes;
     }
     let value = parts.headers.get(KEEP_ALIVE).and_then(|value| value.to_str().ok()).unwrap_or("");
     let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")?.trim().parse().ok());
--- a/crates/node/src/front/clients.rs
+++ b/crates/node/src/front/clients.rs
@@ -62,14 +62,11 @@
         sleep(GO_ON).await;
     };
     let (close, closing) = watch::channel(false);
-    {
-        tokio::spawn(async move {
-            also_stopping.wait_for(|stop| *stop).await.ok();
-            sleep(KEEP_IDLE).await;
-            close.send_replace(true);
-            std::future::pending::<()>().await;
-        });
-    }
+    tokio::spawn(async move {
+        also_stopping.wait_for(|stop| *stop).await.ok();
+        sleep(KEEP_IDLE).await;
+        close.send_replace(true);
+    });
     tokio::select! {
         () = accept(&clients, &listener, &closing) => {}
         () = stopped => {}
--- a/crates/node/src/front/feeds.rs
+++ b/crates/node/src/front/feeds.rs
@@ -61,13 +61,10 @@
         lock(&sources)[number] = Some(address);
         let mut position =
             last.filter(|(former, _)| *former == address).map(|(_, position)| position).unwrap_or_default();
-        match read_from(&front, address, &mut position).await {
-            Ok(()) => tries += 1,
-            Err(error) => {
-                log::debug!("feed ended from={address}: {error}");
-                tries += 1;
-            }
+        if let Err(error) = read_from(&front, address, &mut position).await {
+            log::debug!("feed ended from={address}: {error}");
         }
+        tries += 1;
         last = Some((address, position));
         sleep(PAUSE).await;
     }
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -265,9 +265,6 @@
 
     fn budget(&mut self, service: &str) -> &mut RetryBudget {
         let (ratio, window) = (self.bounds.retry_budget_ratio, self.bounds.budget_window);
-        if !self.budgets.contains_key(service) {
-            self.budgets.insert(service.to_owned(), RetryBudget::new(ratio, window));
-        }
         self.budgets.entry(service.to_owned()).or_insert_with(|| RetryBudget::new(ratio, window))
     }
 
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -18,7 +18,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use thiserror::Error;
-use woadstall_consensus::{DurableState, Record, ReplicaId};
+use woadstall_consensus::{DurableState, Record};
 
 /// Files in the ring. A checkpoint is written to one while the last complete one is in another; the third lets a write
 /// that failed be repeated elsewhere.
@@ -118,11 +118,6 @@
         Ok(())
     }
 
-    /// The replica that this disk belongs to.
-    pub fn id(&self) -> Option<ReplicaId> {
-        self.state.as_ref().map(|state| state.id)
-    }
-
     fn checkpoint(&mut self) -> Result<(), StorageError> {
         let state = self.state.as_ref().ok_or(StorageError::Uninitialized)?;
         let sequence = self.last_sequence + 1;
--- a/crates/transport/src/http1/exchange.rs
+++ b/crates/transport/src/http1/exchange.rs
@@ -113,7 +113,7 @@
 }
 
 /// Whether an upstream says that it closes the connection behind its answer.
-fn closes(head: &Parts) -> bool {
+pub fn closes(head: &Parts) -> bool {
     let named = |name: HeaderName| name == "close";
     head.version < Version::HTTP_11 || named_by_connection(&head.headers).into_iter().any(named)
 }
--- a/crates/transport/src/http1/mod.rs
+++ b/crates/transport/src/http1/mod.rs
@@ -9,6 +9,7 @@
 
 pub use self::answer::Answer;
 pub use self::connection::{Connection, Counts, Outgoing, Progress, is_local};
+pub use self::exchange::closes;
 
 use self::exchange::{Exchanged, Finished, Sizes, exchange};
 use self::pool::Pool;
