Directory: clients without a balancer in their region stay within their routes' regions

Cause: the answer to `GET /v1/resolve` ignored the host.

Ruled out: named balancers that were dead (all were there); a wrong region of the client's zone (the settings have it).

Change: the host's routes tell to which regions requests are bound; what all bound routes have in common goes first, then what any has, then anything. Other hosts keep today's answers. The directory is a module of its own, and the machine knows the zones' regions.

--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -156,12 +156,14 @@
 
     /// The route of a request: the one of its host with the longest prefix that begins the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        self.routes_of(host).find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// The routes of a host, with or without a port, in the order in which they are tried.
+    pub fn routes_of(&self, host: &str) -> impl Iterator<Item = &Route> {
         let host = host.rsplit_once(':').filter(|(_, port)| is_port(port)).map_or(host, |(name, _)| name);
-        let indices = match self.by_host.get(host) {
-            Some(indices) => indices,
-            None => self.by_host.get(&host.to_ascii_lowercase())?,
-        };
-        indices.iter().map(|index| &self.routes[*index]).find(|route| path.starts_with(&route.path_prefix))
+        let indices = self.by_host.get(host).or_else(|| self.by_host.get(&host.to_ascii_lowercase()));
+        indices.into_iter().flatten().map(|index| &self.routes[*index])
     }
 }
 
--- a/crates/control/src/machine/feeds.rs
+++ b/crates/control/src/machine/feeds.rs
@@ -1,36 +1,16 @@
-//! The feeds of balancers, and what clients are told of balancers.
+//! The feeds of balancers.
 
 use super::{Action, Machine};
 use crate::feed::Event;
-use crate::shards::{hash, short_hash};
+use crate::shards::short_hash;
 use crate::state::ControlState;
-use crate::wire::{ControlMachine, Packet, ZoneBalancers};
+use crate::wire::{Packet, ZoneBalancers};
 use std::collections::BTreeMap;
 
 /// How often a feed tells how its machine stands, in milliseconds.
 pub(super) const STATUS_EVERY: u64 = 500;
-/// How long a balancer is named to clients after it was last heard of: three heartbeats, and the way between machines.
-const BALANCER_ALIVE: u64 = 1_100;
 /// How long a balancer counts among those that share budgets.
 const BALANCER_COUNTS: u64 = 10_000;
-/// Balancers that are named to a client at most: enough that some are left where others fail, few enough for short answers.
-/// Each client is named the same ones each time, as it closes its connections to those that are named no more.
-const MOST_NAMED: usize = 16;
-/// Seconds for which names of balancers hold with clients: short, where the questions of all clients are few.
-const TTL_S: u64 = 1;
-const TTL_OF_MANY_S: u64 = 2;
-/// Balancers from which on there are many clients.
-const MANY: usize = 32;
-
-/// What a client is told.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Resolved {
-    /// Addresses of balancers.
-    pub addresses: Vec<String>,
-    /// For how many seconds they hold.
-    pub ttl_s: u64,
-}
-
 /// A balancer that reads the feed.
 #[derive(Clone, Debug)]
 pub(super) struct Subscriber {
@@ -137,43 +117,4 @@
             |(zone, balancers): (&str, Vec<u32>)| ZoneBalancers { zone: zone.to_owned(), balancers };
         zones.into_iter().map(of_zone).collect()
     }
-
-    /// Where an upstream of a zone sends its later heartbeats: a control machine of its zone, else of its region.
-    pub fn heartbeat_address(
-        &self,
-        id: &str,
-        zone: &str,
-        region_of: impl Fn(&str) -> Option<String>,
-    ) -> Option<String> {
-        let machines = self.machines();
-        let region = region_of(zone);
-        let in_zone = machines.iter().filter(|machine| machine.zone == zone);
-        let in_region = machines.iter().filter(|machine| region.as_deref() == Some(&*machine.region));
-        let weight = |machine: &&ControlMachine| hash(&(id, &machine.control));
-        let chosen = in_zone.max_by_key(weight).or_else(|| in_region.max_by_key(weight));
-        chosen.map(|machine| machine.control.clone())
-    }
-
-    /// The balancers that a client of a zone and region goes to: those of its zone, else of its region, else all.
-    pub fn resolve(&self, client: &str, zone: &str, region_of: impl Fn(&str) -> Option<String>) -> Resolved {
-        let region = region_of(zone);
-        let alive = || self.balancers.alive(self.now, BALANCER_ALIVE).filter(|heartbeat| heartbeat.ready);
-        let in_zone: Vec<&str> =
-            alive().filter(|heartbeat| heartbeat.zone == zone).map(|heartbeat| &*heartbeat.address).collect();
-        let in_region = || {
-            let near = alive().filter(|heartbeat| region.is_some() && region_of(&heartbeat.zone) == region);
-            near.map(|heartbeat| &*heartbeat.address).collect::<Vec<&str>>()
-        };
-        let mut named = in_zone;
-        if named.is_empty() {
-            named = in_region();
-        }
-        if named.is_empty() {
-            named = alive().map(|heartbeat| &*heartbeat.address).collect();
-        }
-        named.sort_by_cached_key(|address| hash(&(client, address)));
-        let addresses = named.into_iter().take(MOST_NAMED).map(str::to_owned).collect();
-        let ttl_s = if alive().count() < MANY { TTL_S } else { TTL_OF_MANY_S };
-        Resolved { addresses, ttl_s }
-    }
 }
--- a/crates/control/src/machine/mod.rs
+++ b/crates/control/src/machine/mod.rs
@@ -1,11 +1,13 @@
 //! A control machine: its replica of the configuration's log, the registrations, the balancers, and the feeds. All that
 //! happens to it goes in by a method; what it wants done comes out as [`Action`]s.
 
+mod directory;
 mod feeds;
-pub use feeds::Resolved;
 mod orders;
 mod registrations;
 
+pub use directory::{Question, Resolved};
+
 use crate::balancers::{Balancers, Heard, Heartbeat, StillThere};
 use crate::command::Command;
 use crate::feed::{Event, Journal};
@@ -98,6 +100,8 @@
     pub machine: ControlMachine,
     /// Internal addresses of the seeds.
     pub seeds: Vec<String>,
+    /// The region of each zone.
+    pub zones: BTreeMap<String, String>,
     /// How often upstreams send heartbeats, in milliseconds.
     pub heartbeat_ms: u64,
     /// Machines with a disk that may be lost at a time.
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -130,6 +130,7 @@
         let settings = MachineSettings {
             machine: ControlMachine { member, zone, region, control },
             seeds,
+            zones: BTreeMap::new(),
             heartbeat_ms: 1_200,
             tolerated: 1,
             epoch,
--- a/crates/node/src/core/api.rs
+++ b/crates/node/src/core/api.rs
@@ -10,7 +10,7 @@
 use std::thread;
 use std::time::Duration;
 use woadstall_control::command::Command;
-use woadstall_control::machine::{Answer, Machine, Resolved};
+use woadstall_control::machine::{Answer, Machine, Question, Resolved};
 use woadstall_control::reader::{Findings, Reader};
 use woadstall_control::registry::{Registration, Status};
 
@@ -33,12 +33,7 @@
     /// An upstream leaves.
     Deregister(String),
     /// A client asks where to go.
-    Resolve {
-        /// The client's address.
-        client: String,
-        /// The client's zone.
-        zone: String,
-    },
+    Resolve(Question),
     /// An operator asks how the machine stands.
     Status,
 }
@@ -96,8 +91,13 @@
             Ok(Call::Order(Command::Return { zone: (*zone).to_owned() }))
         }
         ("GET", ["v1", "resolve"]) => {
-            let client = request.remote_addr().ip().to_string();
-            Ok(Call::Resolve { client, zone: request.get_param("zone").unwrap_or_default() })
+            let parameter = |name: &str| request.get_param(name).unwrap_or_default();
+            Ok(Call::Resolve(Question {
+                client: request.remote_addr().ip().to_string(),
+                host: parameter("name"),
+                zone: parameter("zone"),
+                region: parameter("region"),
+            }))
         }
         ("GET", ["v1", "status"]) => Ok(Call::Status),
         (_, ["v1", "instances", _] | ["v1", "evacuations", _] | ["v1", "config" | "resolve" | "status"]) => {
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -133,6 +133,7 @@
     let machine_settings = MachineSettings {
         machine,
         seeds: settings.internal_seeds().iter().map(SocketAddr::to_string).collect(),
+        zones: settings.zones.clone(),
         heartbeat_ms: settings.heartbeat_ms,
         tolerated: settings.tolerated,
         epoch: fastrand::u64(1..),
@@ -159,7 +160,6 @@
         subscribers: BTreeMap::new(),
         calls: HashMap::new(),
         next_token: 0,
-        zones: settings.zones.clone(),
     };
     process.run(received).await
 }
@@ -204,7 +204,6 @@
     subscribers: BTreeMap<u64, mpsc::Sender<Bytes>>,
     calls: HashMap<u64, Waiting>,
     next_token: u64,
-    zones: BTreeMap<String, String>,
 }
 
 impl Process {
@@ -286,9 +285,7 @@
                 self.machine.read(now, token);
             }
             Call::Register(registration) => {
-                let zones = &self.zones;
-                let region_of = |zone: &str| zones.get(zone).cloned();
-                let address = self.machine.heartbeat_address(&registration.id, &registration.zone, region_of);
+                let address = self.machine.heartbeat_address(&registration.id, &registration.zone);
                 self.wait(token, reply, address);
                 self.machine.register(now, token, registration);
             }
@@ -296,9 +293,8 @@
                 self.wait(token, reply, None);
                 self.machine.deregister(now, token, &id);
             }
-            Call::Resolve { client, zone } => {
-                let zones = &self.zones;
-                let balancers = self.machine.resolve(&client, &zone, |zone| zones.get(zone).cloned());
+            Call::Resolve(question) => {
+                let balancers = self.machine.resolve(&question);
                 reply.try_send(Reply::Balancers(balancers)).ok();
             }
             Call::Status => {
