--- a/crates/consensus/src/durable.rs
+++ b/crates/consensus/src/durable.rs
@@ -1,6 +1,7 @@
 //! What a replica must find again after a restart.
 
-use crate::log::{Entry, Log, ReplicaId, Snapshot};
+use crate::log::{Entry, Log, Snapshot};
+use crate::membership::ReplicaId;
 use nanoserde::{DeBin, SerBin};
 
 /// A change to the durable state. Records are made durable in the order in which they were handed out.
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -1,5 +1,5 @@
-//! A replicated log in the manner of Raft: elections with pre-vote, check of quorum, leadership transfer,
-//! single-member changes, learners and snapshots.
+//! A replicated log in the manner of Raft: elections with pre-vote, check of quorum, leadership transfer, changes of
+//! members by joint consensus, learners, and snapshots in pieces.
 //!
 //! The crate does no I/O and reads no clock. [`Replica`] is handed the time, messages and completed disk writes; it
 //! hands back [`Output`]s: records to make durable, messages to send and committed entries to apply.
@@ -8,12 +8,24 @@
 #![warn(missing_docs)]
 
 mod durable;
+mod election;
+mod follower;
 mod leader;
 mod log;
+mod membership;
 mod message;
+mod reads;
+mod reconfiguration;
 mod replica;
+mod roles;
+mod snapshots;
+mod voters;
 
 pub use durable::{DurableState, Record};
-pub use log::{Entry, Log, Member, Membership, Payload, ReplicaId, Snapshot};
+pub use log::{Entry, Log, Payload, Snapshot};
+pub use membership::{Member, Membership, ReplicaId};
 pub use message::{Body, Message};
-pub use replica::{Output, ProposeError, Replica, Role, Settings, Timing};
+pub use replica::{Output, ProposeError, Replica, Settings, Timing};
+pub use roles::Role;
+pub use snapshots::{SnapshotHead, SnapshotPiece};
+pub use voters::{Candidate, Place, Presence, choose_voters};
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -1,42 +1,8 @@
-//! Entries, the members of the group and the part of the log that is held in memory.
+//! Entries, snapshots, and the part of the log that is held in memory.
 
+use crate::membership::Membership;
 use nanoserde::{DeBin, SerBin};
-
-/// Identifies a replica. A replica whose disk was lost starts again with a new identity.
-pub type ReplicaId = u64;
-
-/// A member of the replica group.
-#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
-pub struct Member {
-    /// The identity that its votes and acknowledgements carry.
-    pub id: ReplicaId,
-    /// Where other replicas reach it, as `ip:port`.
-    pub address: String,
-}
-
-/// The voting members of the group.
-#[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
-pub struct Membership {
-    /// Members whose acknowledgements count for the quorum.
-    pub voters: Vec<Member>,
-}
-
-impl Membership {
-    /// Whether a replica votes.
-    pub fn is_voter(&self, id: ReplicaId) -> bool {
-        self.voters.iter().any(|member| member.id == id)
-    }
-
-    /// The number of voters that makes a majority.
-    pub fn quorum(&self) -> usize {
-        self.voters.len() / 2 + 1
-    }
-
-    /// Whether these replicas hold a majority of the votes.
-    pub fn is_quorum(&self, mut holds: impl FnMut(ReplicaId) -> bool) -> bool {
-        self.voters.iter().filter(|member| holds(member.id)).count() >= self.quorum()
-    }
-}
+use std::sync::Arc;
 
 /// What an entry carries.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
@@ -76,14 +42,14 @@
 /// A snapshot and the entries behind it.
 #[derive(Clone, Debug, Default)]
 pub struct Log {
-    snapshot: Snapshot,
+    snapshot: Arc<Snapshot>,
     entries: Vec<Entry>,
 }
 
 impl Log {
     /// A log that begins with a snapshot.
     pub fn new(snapshot: Snapshot, entries: Vec<Entry>) -> Self {
-        Self { snapshot, entries }
+        Self { snapshot: Arc::new(snapshot), entries }
     }
 
     /// The snapshot at its beginning.
@@ -91,6 +57,17 @@
         &self.snapshot
     }
 
+    /// That snapshot, for a transfer that outlasts it here.
+    pub(crate) fn shared_snapshot(&self) -> Arc<Snapshot> {
+        self.snapshot.clone()
+    }
+
+    /// The bytes that the entries behind a position count as.
+    pub(crate) fn bytes_behind(&self, index: u64) -> usize {
+        let skipped = index.saturating_sub(self.snapshot.index);
+        self.entries.iter().skip(usize::try_from(skipped).unwrap_or(usize::MAX)).map(size_of).sum()
+    }
+
     /// The entries behind the snapshot.
     pub fn entries(&self) -> &[Entry] {
         &self.entries
@@ -151,7 +128,7 @@
         } else {
             self.entries.clear();
         }
-        self.snapshot = snapshot;
+        self.snapshot = Arc::new(snapshot);
     }
 
     /// The members as of the last entry.
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -1,6 +1,8 @@
 //! What replicas tell each other.
 
-use crate::log::{Entry, ReplicaId, Snapshot};
+use crate::log::Entry;
+use crate::membership::ReplicaId;
+use crate::snapshots::{SnapshotHead, SnapshotPiece};
 use nanoserde::{DeBin, SerBin};
 
 /// A message between two replicas.
@@ -59,13 +61,22 @@
         /// The round that is answered.
         round: u64,
     },
-    /// A snapshot for a follower whose missing entries are gone.
+    /// A piece of a snapshot for a follower whose missing entries are gone.
     Install {
-        /// The snapshot.
-        snapshot: Snapshot,
+        /// The piece.
+        piece: SnapshotPiece,
         /// The leader's counter of heartbeat rounds.
         round: u64,
     },
+    /// Tells how much of a snapshot has come; a whole one is answered like entries.
+    InstallReply {
+        /// The snapshot.
+        head: SnapshotHead,
+        /// The bytes that are held.
+        received: u64,
+        /// The round that is answered.
+        round: u64,
+    },
     /// The leader asks a follower to stand for election at once.
     Elect,
 }
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -1,14 +1,14 @@
-//! A replica: terms, elections, and what a follower does.
+//! A replica: its state, what it is told and what it wants done. Elections, replication, reads and changes of members are in
+//! modules of their own.
 
 use crate::durable::{DurableState, Record};
-use crate::leader::{Leadership, Read};
-use crate::log::{Entry, Log, Member, Membership, Payload, ReplicaId, Snapshot};
+use crate::log::{Entry, Log, Payload, Snapshot};
+use crate::membership::{Membership, ReplicaId};
 use crate::message::{Body, Message};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-
-/// When a replica that has just started asks for votes, in milliseconds: one that follows a leader hears of it within a
-/// heartbeat.
-const FIRST_ELECTION: std::ops::Range<u64> = 250..600;
+use crate::roles::Role;
+use crate::snapshots::IncomingSnapshot;
+use crate::voters::Place;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Times in milliseconds.
 #[derive(Clone, Copy, Debug)]
@@ -31,25 +31,6 @@
     pub least_voters: usize,
 }
 
-/// The role of a replica in its term.
-#[derive(Debug)]
-pub enum Role {
-    /// Follows a leader, if it knows of one.
-    Follower {
-        /// The leader of the term.
-        leader: Option<ReplicaId>,
-    },
-    /// Stands for election, or asks whether it could.
-    Candidate {
-        /// Whether it only asks.
-        pre: bool,
-        /// Who has granted a vote.
-        votes: BTreeSet<ReplicaId>,
-    },
-    /// Leads the term.
-    Leader(Box<Leadership>),
-}
-
 /// What the shell has to do, in this order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Output {
@@ -83,8 +64,10 @@
 pub enum ProposeError {
     /// This replica does not lead; the leader, if it is known.
     NotLeader(Option<ReplicaId>),
-    /// A change of members is under way, or the leader has committed nothing in its term yet.
+    /// A change of members is under way, too much waits to be committed, or the leader has committed nothing in its term yet.
     Busy,
+    /// A group needs a voter.
+    NoVoters,
 }
 
 /// A replica of the group.
@@ -93,28 +76,33 @@
     pub(crate) id: ReplicaId,
     pub(crate) timing: Timing,
     pub(crate) least_voters: usize,
-    /// Zones of replicas, as far as they are known.
-    pub(crate) zones: BTreeMap<ReplicaId, String>,
+    /// Where replicas are, as far as it is known.
+    pub(crate) places: BTreeMap<ReplicaId, Place>,
+    /// Replicas that have said that they leave, and until when that holds.
+    pub(crate) leaving: BTreeMap<ReplicaId, u64>,
     pub(crate) now: u64,
     pub(crate) term: u64,
-    vote: ReplicaId,
+    pub(crate) vote: ReplicaId,
     pub(crate) log: Log,
     pub(crate) commit: u64,
-    applied: u64,
+    pub(crate) applied: u64,
     pub(crate) role: Role,
-    election_due: u64,
-    leader_heard: Option<u64>,
-    random: fastrand::Rng,
+    pub(crate) election_due: u64,
+    pub(crate) leader_heard: Option<u64>,
+    pub(crate) random: fastrand::Rng,
     pub(crate) outputs: VecDeque<Output>,
-    next_sequence: u64,
+    pub(crate) next_sequence: u64,
     persisted: u64,
     /// Messages that must not leave before the record with this number is durable.
-    held: VecDeque<(u64, Message)>,
+    pub(crate) held: VecDeque<(u64, Message)>,
     /// Ends of appended runs that are not durable yet: record number, index, term.
-    appended: VecDeque<(u64, u64, u64)>,
+    pub(crate) appended: VecDeque<(u64, u64, u64)>,
     /// The last entry that is durable.
     pub(crate) durable: u64,
-    vote_sequence: u64,
+    /// The record that holds this replica's vote for itself, until it is durable.
+    pub(crate) vote_sequence: u64,
+    /// The snapshot that is on its way here.
+    pub(crate) incoming: Option<IncomingSnapshot>,
 }
 
 impl Replica {
@@ -126,7 +114,8 @@
             id: state.id,
             timing,
             least_voters,
-            zones: BTreeMap::new(),
+            places: BTreeMap::new(),
+            leaving: BTreeMap::new(),
             now,
             term: state.term.max(snapshot.term),
             vote: state.vote,
@@ -144,13 +133,13 @@
             held: VecDeque::new(),
             appended: VecDeque::new(),
             vote_sequence: 0,
+            incoming: None,
         };
         if snapshot.index > 0 {
             replica.outputs.push_back(Output::Restore(snapshot));
         }
         replica.apply_up_to_commit();
-        // Nobody was heard yet, and a pre-vote disturbs no leader that is there.
-        replica.election_due = now + replica.random.u64(FIRST_ELECTION);
+        replica.wait_for_first_election();
         replica
     }
 
@@ -197,7 +186,7 @@
     /// when a quorum last answered it.
     pub fn leader_heard(&self) -> Option<u64> {
         match &self.role {
-            Role::Leader(leadership) => Some(leadership.quorum_contact(self)),
+            Role::Leader(leadership) => Some(self.quorum_contact(leadership)),
             _ => self.leader_heard,
         }
     }
@@ -210,9 +199,9 @@
         !self.members().is_voter(self.id) || is_left
     }
 
-    /// Hears which zone a replica is in: a newcomer takes the vote of a silent member of its zone.
-    pub fn set_zone(&mut self, id: ReplicaId, zone: String) {
-        self.zones.insert(id, zone);
+    /// Hears where a replica is: voters are spread over regions and zones.
+    pub fn set_place(&mut self, id: ReplicaId, place: Place) {
+        self.places.insert(id, place);
     }
 
     /// Takes the outputs.
@@ -226,16 +215,7 @@
         if self.is_leader() {
             self.lead();
         } else if self.now >= self.election_due {
-            self.reset_election_timer();
-            if self.leader().is_none() {
-                // Whoever could not be reached may be there soon.
-                self.election_due = self.now + self.random.u64(FIRST_ELECTION);
-            }
-            if self.log.members().is_voter(self.id) {
-                self.ask_for_votes(true, false);
-            } else {
-                self.role = Role::Follower { leader: None };
-            }
+            self.seek_leader();
         }
     }
 
@@ -294,9 +274,12 @@
             Body::AppendReply { success, index, round } => {
                 self.on_append_reply(message.from, success, index, round);
             }
-            Body::Install { snapshot, round } => {
+            Body::Install { piece, round } => {
                 self.follow(message.from);
-                self.on_install(message.from, snapshot, round);
+                self.on_install(message.from, piece, round);
+            }
+            Body::InstallReply { received, round, .. } => {
+                self.on_install_reply(message.from, received, round);
             }
             Body::Elect => {
                 if self.log.members().is_voter(self.id) {
@@ -324,7 +307,7 @@
     }
 
     /// Sends a message once all that was handed out for the disk is durable.
-    fn send_durably(&mut self, to: ReplicaId, body: Body) {
+    pub(crate) fn send_durably(&mut self, to: ReplicaId, body: Body) {
         if self.persisted + 1 == self.next_sequence {
             self.send(to, body);
             return;
@@ -333,7 +316,7 @@
         self.held.push_back((self.next_sequence - 1, message));
     }
 
-    fn persist(&mut self, record: Record) {
+    pub(crate) fn persist(&mut self, record: Record) {
         let sequence = self.next_sequence;
         self.next_sequence += 1;
         self.outputs.push_back(Output::Persist { sequence, record });
@@ -362,170 +345,7 @@
         }
     }
 
-    fn reset_election_timer(&mut self) {
-        self.election_due = self.now + self.random.u64(self.timing.election_min..=self.timing.election_max);
-    }
-
-    fn adopt_term(&mut self, term: u64) {
-        self.step_down(None);
-        (self.term, self.vote) = (term, 0);
-        self.vote_sequence = 0;
-        self.persist(Record::Term { term, vote: 0 });
-    }
-
-    pub(crate) fn step_down(&mut self, leader: Option<ReplicaId>) {
-        let role = std::mem::replace(&mut self.role, Role::Follower { leader });
-        if let Role::Leader(leadership) = role {
-            let failed =
-                leadership.into_reads().map(|Read { number, .. }| Output::ReadFailed { read: number });
-            self.outputs.extend(failed);
-            self.reset_election_timer();
-        }
-    }
-
-    fn follow(&mut self, leader: ReplicaId) {
-        self.step_down(Some(leader));
-        self.leader_heard = Some(self.now);
-        self.reset_election_timer();
-    }
-
-    fn refuse_old_term(&mut self, message: &Message) {
-        // The sender learns the newer term from the reply.
-        let body = match message.body {
-            Body::Append { round, .. } | Body::Install { round, .. } => {
-                Body::AppendReply { success: false, index: self.log.last_index(), round }
-            }
-            _ => return,
-        };
-        self.send_durably(message.from, body);
-    }
-
-    /// Whether a leader was heard from so lately that no election is due.
-    fn has_live_leader(&self) -> bool {
-        let heard = self.leader_heard();
-        let lately = heard.is_some_and(|at| self.now < at + self.timing.election_min);
-        lately && self.leader().is_some()
-    }
-
-    fn on_vote(&mut self, from: ReplicaId, term: u64, pre: bool, last: (u64, u64), transfer: bool) {
-        if !transfer && self.has_live_leader() {
-            return;
-        }
-        let up_to_date = last >= (self.log.last_term(), self.log.last_index());
-        if pre {
-            let granted = term > self.term && up_to_date;
-            let message =
-                Message { from: self.id, to: from, term, body: Body::VoteReply { pre: true, granted } };
-            self.outputs.push_back(Output::Send(message));
-            return;
-        }
-        if term > self.term {
-            self.adopt_term(term);
-        }
-        if term < self.term {
-            return;
-        }
-        let free = self.vote == 0 || self.vote == from;
-        let granted = free && up_to_date && !self.is_leader();
-        if granted && self.vote == 0 {
-            self.vote = from;
-            self.persist(Record::Term { term, vote: from });
-            self.reset_election_timer();
-        }
-        self.send_durably(from, Body::VoteReply { pre: false, granted });
-    }
-
-    fn ask_for_votes(&mut self, pre: bool, transfer: bool) {
-        self.step_down(None);
-        self.role = Role::Candidate { pre, votes: BTreeSet::new() };
-        if !pre {
-            self.term += 1;
-            self.vote = self.id;
-            self.vote_sequence = self.next_sequence;
-            self.persist(Record::Term { term: self.term, vote: self.id });
-        }
-        let term = self.term + u64::from(pre);
-        let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
-        let others: Vec<Member> = self.log.members().voters.clone();
-        for member in others.into_iter().filter(|member| member.id != self.id) {
-            let body = Body::Vote { pre, last_index, last_term, transfer };
-            let message = Message { from: self.id, to: member.id, term, body };
-            match pre {
-                true => self.outputs.push_back(Output::Send(message)),
-                false => self.held.push_back((self.vote_sequence, message)),
-            }
-        }
-        if pre {
-            self.count_vote(self.id, true);
-        }
-    }
-
-    fn count_vote(&mut self, from: ReplicaId, pre_vote: bool) {
-        let Role::Candidate { pre, votes } = &mut self.role else { return };
-        if *pre != pre_vote {
-            return;
-        }
-        votes.insert(from);
-        if !self.log.members().is_quorum(|id| votes.contains(&id)) {
-            return;
-        }
-        if pre_vote {
-            self.ask_for_votes(false, false);
-        } else {
-            self.become_leader();
-        }
-    }
-
-    fn on_append(
-        &mut self,
-        from: ReplicaId,
-        previous: (u64, u64),
-        mut entries: Vec<Entry>,
-        commit: u64,
-        round: u64,
-    ) {
-        let (previous_index, previous_term) = previous;
-        let begin = self.log.snapshot().index;
-        let matches = previous_index < begin || self.log.term_at(previous_index) == Some(previous_term);
-        if !matches {
-            let index = self.log.last_index().min(previous_index.saturating_sub(1));
-            // Positions up to the commit agree with every leader.
-            let index = index.max(self.commit.min(previous_index.saturating_sub(1)));
-            self.send(from, Body::AppendReply { success: false, index, round });
-            return;
-        }
-        let end = previous_index + entries.len() as u64;
-        entries.retain(|entry| entry.index > begin);
-        let known =
-            entries.iter().take_while(|entry| self.log.term_at(entry.index) == Some(entry.term)).count();
-        entries.drain(..known);
-        self.append(entries);
-        if commit > self.commit {
-            self.commit = commit.min(end).max(self.commit);
-            self.apply_committed();
-        }
-        if self.durable < end {
-            let index = self.durable;
-            self.send(from, Body::AppendReply { success: true, index, round });
-        }
-        self.send_durably(from, Body::AppendReply { success: true, index: end, round });
-    }
-
-    fn on_install(&mut self, from: ReplicaId, snapshot: Snapshot, round: u64) {
-        let index = snapshot.index;
-        if index > self.commit {
-            self.log.install(snapshot.clone());
-            (self.commit, self.applied) = (index, index);
-            self.durable = self.durable.min(index);
-            self.appended.retain(|(_, end, _)| *end > index);
-            self.appended.push_back((self.next_sequence, index, snapshot.term));
-            self.persist(Record::Install(snapshot.clone()));
-            self.outputs.push_back(Output::Restore(snapshot));
-        }
-        self.send_durably(from, Body::AppendReply { success: true, index, round });
-    }
-
-    /// An empty payload begins a leader's term.
+    /// The next entry of a leader.
     pub(crate) fn next_entry(&self, payload: Payload) -> Entry {
         Entry { index: self.log.last_index() + 1, term: self.term, payload }
     }
--- /dev/null
+++ b/crates/consensus/src/voters.rs
@@ -0,0 +1,157 @@
+//! The choice of voters: an odd number of replicas that are there, spread over regions and zones so that the loss of one takes
+//! no majority where another choice would leave one.
+
+use crate::membership::Member;
+use std::collections::BTreeMap;
+
+/// Voters at most, where fewer bear the losses that the group is built for: each order waits for a majority of them.
+const MOST_VOTERS: usize = 7;
+
+/// Where a replica is.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Place {
+    /// Its zone.
+    pub zone: String,
+    /// Its region.
+    pub region: String,
+}
+
+/// Whether a replica is there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// It answers, and does not say that it leaves.
+    Live,
+    /// It has been silent for so long that another one may take its vote.
+    Silent,
+    /// It has been silent for so long that it may lose its vote without another one taking it.
+    Lost,
+}
+
+/// A replica that votes or could.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// The replica.
+    pub member: Member,
+    /// Where it is.
+    pub place: Place,
+    /// Whether it is there.
+    pub presence: Presence,
+    /// Whether it votes now.
+    pub is_voter: bool,
+    /// Whether it leads; a leader that is there stays a voter.
+    pub is_leader: bool,
+}
+
+/// The voters that these candidates should have, for a group that is built for `least` voters or more. The current ones stay
+/// unless another choice is better.
+pub fn choose_voters(candidates: &[Candidate], least: usize) -> Vec<Member> {
+    let key = place_to_bear(candidates);
+    let current: Vec<&Candidate> = candidates.iter().filter(|candidate| candidate.is_voter).collect();
+    let live: Vec<&Candidate> =
+        candidates.iter().filter(|candidate| candidate.presence == Presence::Live).collect();
+    let chosen = match best_of(&live, least, key) {
+        Some(chosen) if may_take(&current, chosen.len(), key) => chosen,
+        _ => with_replacements(&current, &live),
+    };
+    let chosen = if is_better(&chosen, &current, key) { chosen } else { current };
+    chosen.into_iter().map(|candidate| candidate.member.clone()).collect()
+}
+
+/// Tells a candidate's region or its zone.
+type Key = fn(&Candidate) -> &str;
+
+fn region(candidate: &Candidate) -> &str {
+    &candidate.place.region
+}
+
+fn zone(candidate: &Candidate) -> &str {
+    &candidate.place.zone
+}
+
+/// What may be lost as a whole without its voters being a majority: a region, or where there is only one, a zone.
+fn place_to_bear(candidates: &[Candidate]) -> Key {
+    let is_one = candidates.iter().all(|candidate| candidate.place.region == candidates[0].place.region);
+    if is_one { zone } else { region }
+}
+
+/// The largest odd number of live candidates, spread so that no place holds a majority where that can be.
+fn best_of<'a>(live: &[&'a Candidate], least: usize, key: Key) -> Option<Vec<&'a Candidate>> {
+    let most = live.len().min(MOST_VOTERS.max(least));
+    let sizes = (least.max(1)..=most).rev().filter(|size| size % 2 == 1);
+    let mut choices = sizes.map(|size| spread(live, size)).peekable();
+    let largest = choices.peek().cloned();
+    choices.find(|choice| !has_majority_place(choice, key)).or(largest)
+}
+
+/// Whether a group may get this size: it shrinks only by members that are lost, to become odd, or to bear the loss of a place.
+fn may_take(current: &[&Candidate], size: usize, key: Key) -> bool {
+    let are_live_or = |presence: Presence| {
+        let is = |candidate: &&Candidate| [Presence::Live, presence].contains(&candidate.presence);
+        current.iter().all(is)
+    };
+    let has_lost = current.iter().any(|candidate| candidate.presence == Presence::Lost);
+    let becomes_odd = current.len().is_multiple_of(2) && size + 1 == current.len();
+    let is_ill_placed = becomes_odd || has_majority_place(current, key);
+    size >= current.len()
+        || has_lost && are_live_or(Presence::Lost)
+        || size > 1 && is_ill_placed && are_live_or(Presence::Live)
+}
+
+/// As many voters as now, with live candidates in the places of those that are not there.
+fn with_replacements<'a>(current: &[&'a Candidate], live: &[&'a Candidate]) -> Vec<&'a Candidate> {
+    let mut chosen = spread(live, current.len());
+    let absent = current.iter().filter(|candidate| candidate.presence != Presence::Live);
+    chosen.extend(absent.take(current.len().saturating_sub(chosen.len())));
+    chosen
+}
+
+/// So many candidates, each time from the region and zone that has the fewest; the leader first, then present voters.
+fn spread<'a>(live: &[&'a Candidate], size: usize) -> Vec<&'a Candidate> {
+    let mut left: Vec<&Candidate> = live.to_vec();
+    let mut chosen: Vec<&Candidate> = Vec::new();
+    while chosen.len() < size && !left.is_empty() {
+        let same = |key: Key, candidate: &Candidate| {
+            chosen.iter().filter(|other| key(other) == key(candidate)).count()
+        };
+        let rank = |candidate: &&Candidate| {
+            (
+                !candidate.is_leader,
+                same(region, candidate),
+                same(zone, candidate),
+                !candidate.is_voter,
+                candidate.member.id,
+            )
+        };
+        let Some(best) = (0..left.len()).min_by_key(|position| rank(&left[*position])) else { break };
+        chosen.push(left.swap_remove(best));
+    }
+    chosen
+}
+
+/// How many candidates each region or zone has, the greatest number first.
+fn counts(chosen: &[&Candidate], key: Key) -> Vec<usize> {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for candidate in chosen {
+        *counts.entry(key(candidate)).or_default() += 1;
+    }
+    let mut counts: Vec<usize> = counts.into_values().collect();
+    counts.sort_unstable_by(|a, b| b.cmp(a));
+    counts
+}
+
+/// Whether the loss of one place would leave no majority.
+fn has_majority_place(chosen: &[&Candidate], key: Key) -> bool {
+    let most = counts(chosen, key).first().copied().unwrap_or_default();
+    2 * (chosen.len() - most) <= chosen.len()
+}
+
+/// Whether a choice has fewer voters that are not there, bears the loss of a place better, or has a better number or spread.
+fn is_better(chosen: &[&Candidate], current: &[&Candidate], key: Key) -> bool {
+    let measure = |choice: &[&Candidate]| {
+        let absent = choice.iter().filter(|candidate| candidate.presence != Presence::Live).count();
+        let is_even = choice.len().is_multiple_of(2);
+        let size = std::cmp::Reverse(choice.len());
+        (absent, has_majority_place(choice, key), is_even, size, counts(choice, region), counts(choice, zone))
+    };
+    measure(chosen) < measure(current)
+}
--- a/crates/consensus/tests/messages.rs
+++ b/crates/consensus/tests/messages.rs
@@ -1,9 +1,10 @@
 //! Single messages to a single replica: one thing is changed at a time.
 
+use nanoserde::SerBin;
 use rstest::rstest;
 use woadstall_consensus::{
-    Body, DurableState, Entry, Member, Membership, Message, Output, Payload, Record, Replica, ReplicaId,
-    Settings, Snapshot, Timing,
+    Body, DurableState, Entry, Member, Membership, Message, Output, Payload, ProposeError, Record, Replica,
+    ReplicaId, Settings, Snapshot, SnapshotHead, SnapshotPiece, Timing,
 };
 
 const SETTINGS: Settings =
@@ -16,7 +17,7 @@
 /// Replica 1 of three, in term 5, with entries up to position 4 of terms 2, 2 and 4 behind the founding snapshot.
 fn replica() -> Replica {
     let voters = (1..=3).map(|id| Member { id, address: format!("machine-{id}") }).collect();
-    let founding = Snapshot { index: 1, term: 1, members: Membership { voters }, state: Vec::new() };
+    let founding = Snapshot { index: 1, term: 1, members: Membership::new(voters), state: Vec::new() };
     let mut state = DurableState::new(1, founding);
     state.fold(&Record::Term { term: 5, vote: 0 });
     state.fold(&Record::Append(vec![entry(2, 2), entry(3, 2), entry(4, 4)]));
@@ -25,6 +26,14 @@
     replica
 }
 
+/// A snapshot as one piece.
+fn install(snapshot: &Snapshot, round: u64) -> Body {
+    let bytes = snapshot.serialize_bin();
+    let (size, checksum) = (bytes.len() as u64, crc32fast::hash(&bytes));
+    let head = SnapshotHead { index: snapshot.index, term: snapshot.term, size, checksum };
+    Body::Install { piece: SnapshotPiece { head, offset: 0, bytes }, round }
+}
+
 fn message(from: ReplicaId, term: u64, body: Body) -> Message {
     Message { from, to: 1, term, body }
 }
@@ -241,10 +250,10 @@
     let mut replica = replica();
     replica.receive(10, append((4, 4), Vec::new(), 3));
     settled(&mut replica);
-    replica.receive(20, message(2, 5, Body::Install { snapshot: snapshot(2, 2), round: 8 }));
+    replica.receive(20, message(2, 5, install(&snapshot(2, 2), 8)));
     settled(&mut replica);
     assert_eq!((replica.commit_index(), replica.log().last_index()), (3, 4));
-    replica.receive(30, message(2, 5, Body::Install { snapshot: snapshot(4, 5), round: 9 }));
+    replica.receive(30, message(2, 5, install(&snapshot(4, 5), 9)));
     settled(&mut replica);
     assert_eq!((replica.commit_index(), replica.log().last_index(), replica.log().last_term()), (4, 4, 5));
     assert!(replica.log().entries().is_empty());
@@ -298,11 +307,19 @@
 #[test]
 fn members_change_one_at_a_time_and_only_once_a_term_has_committed() {
     let mut replica = leader();
-    assert!(replica.remove(3).is_err(), "nothing of this term is committed");
+    let others = |replica: &Replica, gone: ReplicaId| {
+        replica.members().voters.iter().filter(|member| member.id != gone).cloned().collect::<Vec<_>>()
+    };
+    let (without_2, without_3) = (others(&replica, 2), others(&replica, 3));
+    assert!(replica.change_voters(without_3.clone()).is_err(), "nothing of this term is committed");
     replica.receive(30, message(2, 6, Body::AppendReply { success: true, index: 5, round: 1 }));
     settled(&mut replica);
-    assert!(replica.remove(3).is_ok());
-    assert!(replica.remove(2).is_err(), "the first change is not committed");
+    assert!(replica.change_voters(without_3).is_ok());
+    assert!(replica.change_voters(without_2.clone()).is_err(), "the first change is not committed");
+    assert_eq!(replica.change_voters(Vec::new()), Err(ProposeError::NoVoters));
+    replica.receive(40, message(2, 6, Body::AppendReply { success: true, index: 6, round: 3 }));
+    settled(&mut replica);
+    assert!(replica.change_voters(without_2).is_err(), "it is committed and not complete");
 }
 
 #[test]
@@ -317,7 +334,7 @@
     let members = replica().members().clone();
     let mut replica = replica();
     let snapshot = Snapshot { index: 3, term: 5, members, state: vec![1] };
-    replica.receive(10, message(2, 5, Body::Install { snapshot, round: 8 }));
+    replica.receive(10, message(2, 5, install(&snapshot, 8)));
     settled(&mut replica);
     assert_eq!((replica.log().last_index(), replica.log().last_term()), (3, 5));
 }
@@ -335,29 +352,86 @@
     replica.members().voters.iter().map(|member| member.id).collect()
 }
 
-#[test]
-fn a_learner_votes_only_once_it_has_caught_up() {
+/// All voters, also those that come next.
+fn all_voters(replica: &Replica) -> Vec<ReplicaId> {
+    replica.members().members().map(|member| member.id).collect()
+}
+
+/// Two learners, of which one has caught up so far.
+fn leader_and_two_learners() -> Replica {
     let mut replica = leader_and_learner(4, "machine-4");
-    replica.tick(200);
-    assert_eq!(voters(&replica), [1, 2, 3]);
-    replica.receive(210, message(4, 6, Body::AppendReply { success: true, index: 4, round: 2 }));
+    replica.join(Member { id: 5, address: "machine-5".to_owned() });
+    replica.receive(210, message(4, 6, Body::AppendReply { success: true, index: 5, round: 2 }));
+    replica
+}
+
+#[test]
+fn a_learner_votes_only_once_it_has_caught_up_and_the_number_stays_odd() {
+    let mut replica = leader_and_two_learners();
+    replica.tick(220);
+    assert_eq!(all_voters(&replica), [1, 2, 3], "four voters bear no more than three");
+    replica.receive(230, message(5, 6, Body::AppendReply { success: true, index: 4, round: 2 }));
     replica.tick(250);
-    assert_eq!(voters(&replica), [1, 2, 3], "one entry is missing");
-    replica.receive(260, message(4, 6, Body::AppendReply { success: true, index: 5, round: 2 }));
+    assert_eq!(all_voters(&replica), [1, 2, 3], "one entry is missing");
+    replica.receive(260, message(5, 6, Body::AppendReply { success: true, index: 5, round: 2 }));
+    replica.tick(300);
+    assert_eq!(all_voters(&replica), [1, 2, 3, 4, 5]);
+    assert!(replica.members().is_changing(), "the former voters agree first");
+}
+
+#[test]
+fn a_change_counts_only_with_a_majority_of_the_former_and_of_the_next_voters() {
+    let mut replica = leader_and_two_learners();
+    replica.receive(260, message(5, 6, Body::AppendReply { success: true, index: 5, round: 2 }));
     replica.tick(300);
-    assert_eq!(voters(&replica), [1, 2, 3, 4]);
+    settled(&mut replica);
+    let change = replica.log().last_index();
+    replica.receive(310, message(4, 6, Body::AppendReply { success: true, index: change, round: 3 }));
+    replica.receive(320, message(5, 6, Body::AppendReply { success: true, index: change, round: 3 }));
+    assert_eq!(replica.commit_index(), change - 1, "three of five next voters, one of three former ones");
+    replica.receive(330, message(2, 6, Body::AppendReply { success: true, index: change, round: 3 }));
+    settled(&mut replica);
+    assert_eq!(replica.commit_index(), change);
+    replica.tick(400);
+    settled(&mut replica);
+    assert_eq!(voters(&replica), [1, 2, 3, 4, 5]);
+    assert!(!replica.members().is_changing());
 }
 
 #[test]
-fn a_member_that_lost_its_disk_is_removed_before_its_new_identity_is_added() {
+fn a_member_that_lost_its_disk_is_replaced_by_its_new_identity_in_one_joint_change() {
     let mut replica = leader_and_learner(9, "machine-3");
     replica.receive(210, message(9, 6, Body::AppendReply { success: true, index: 5, round: 2 }));
     replica.tick(250);
-    assert_eq!(voters(&replica), [1, 2], "a change of two members at a time");
+    let members = replica.members().clone();
+    assert_eq!((voters(&replica), members.next.len()), (vec![1, 2, 3], 3));
+    assert!(
+        members.next.iter().any(|member| member.id == 9) && !members.next.iter().any(|member| member.id == 3)
+    );
     settled(&mut replica);
+    replica.receive(255, message(9, 6, Body::AppendReply { success: true, index: 6, round: 3 }));
+    assert_eq!(replica.commit_index(), 5, "a majority of the next voters alone");
     replica.receive(260, message(2, 6, Body::AppendReply { success: true, index: 6, round: 3 }));
     settled(&mut replica);
-    replica.receive(270, message(9, 6, Body::AppendReply { success: true, index: 6, round: 3 }));
     replica.tick(300);
-    assert_eq!(voters(&replica), [1, 2, 9]);
+    settled(&mut replica);
+    assert_eq!((voters(&replica), replica.members().is_changing()), (vec![1, 2, 9], false));
+}
+
+#[test]
+fn a_sound_member_that_leaves_votes_until_its_replacement_does() {
+    let mut replica = leader_and_learner(4, "machine-4");
+    replica.receive(210, message(4, 6, Body::AppendReply { success: true, index: 5, round: 2 }));
+    replica.leaves(220, 3);
+    replica.tick(250);
+    assert_eq!(all_voters(&replica), [1, 2, 3, 4]);
+    settled(&mut replica);
+    // A majority of the former voters (1 and 3) is none of the next ones (1, 2 and 4).
+    replica.receive(255, message(3, 6, Body::AppendReply { success: true, index: 6, round: 3 }));
+    assert_eq!(replica.commit_index(), 5);
+    replica.receive(260, message(4, 6, Body::AppendReply { success: true, index: 6, round: 3 }));
+    settled(&mut replica);
+    assert_eq!(replica.commit_index(), 6);
+    replica.tick(300);
+    assert_eq!(voters(&replica), [1, 2, 4]);
 }
--- a/crates/consensus/tests/support/mod.rs
+++ b/crates/consensus/tests/support/mod.rs
@@ -65,8 +65,7 @@
     pub fn new(seed: u64, machines: usize, weather: Weather) -> Self {
         let founders: Vec<Member> =
             (0..3.min(machines)).map(|place| member(place as u64 + 1, place)).collect();
-        let founding =
-            Snapshot { index: 1, term: 1, members: Membership { voters: founders }, state: Vec::new() };
+        let founding = Snapshot { index: 1, term: 1, members: Membership::new(founders), state: Vec::new() };
         let machine = |place: usize| {
             let snapshot = if place < 3 { founding.clone() } else { Snapshot::default() };
             Machine {
--- /dev/null
+++ b/crates/consensus/tests/voters.rs
@@ -0,0 +1,157 @@
+//! The choice of voters, on drawn groups.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::collections::{BTreeMap, BTreeSet};
+use woadstall_consensus::{Candidate, Member, Place, Presence, ReplicaId, choose_voters};
+
+const REGIONS: u8 = 3;
+const MOST: usize = 9;
+
+fn candidate(id: ReplicaId, zone: u8, presence: Presence, is_voter: bool) -> Candidate {
+    Candidate {
+        member: Member { id, address: format!("machine-{id}") },
+        place: Place { zone: format!("zone-{zone}"), region: format!("region-{}", zone % REGIONS) },
+        presence,
+        is_voter,
+        is_leader: false,
+    }
+}
+
+/// Drawn candidates; learners are always there, and the first one leads.
+fn groups() -> impl Strategy<Value = Vec<Candidate>> {
+    let presences = prop_oneof![
+        4 => Just(Presence::Live),
+        1 => Just(Presence::Silent),
+        1 => Just(Presence::Lost)
+    ];
+    let drawn = prop::collection::vec((0..2 * REGIONS, presences, any::<bool>()), 1..MOST);
+    drawn.prop_map(|drawn| {
+        let mut group: Vec<Candidate> = drawn
+            .into_iter()
+            .enumerate()
+            .map(|(number, (zone, presence, is_voter))| {
+                let presence = if is_voter { presence } else { Presence::Live };
+                candidate(number as u64 + 1, zone, presence, is_voter)
+            })
+            .collect();
+        group[0].is_voter = true;
+        group[0].presence = Presence::Live;
+        group[0].is_leader = true;
+        group
+    })
+}
+
+fn ids(voters: &[Member]) -> BTreeSet<ReplicaId> {
+    voters.iter().map(|voter| voter.id).collect()
+}
+
+fn choose(group: &[Candidate], least: usize) -> BTreeSet<ReplicaId> {
+    ids(&choose_voters(group, least))
+}
+
+fn voters_of(group: &[Candidate]) -> Vec<Member> {
+    group.iter().filter(|candidate| candidate.is_voter).map(|candidate| candidate.member.clone()).collect()
+}
+
+fn with_voters(group: &[Candidate], voters: &BTreeSet<ReplicaId>) -> Vec<Candidate> {
+    let with = |candidate: &Candidate| Candidate {
+        is_voter: voters.contains(&candidate.member.id),
+        ..candidate.clone()
+    };
+    group.iter().map(with).collect()
+}
+
+fn live<'a>(group: &'a [Candidate], voters: &'a BTreeSet<ReplicaId>) -> impl Iterator<Item = &'a Candidate> {
+    group
+        .iter()
+        .filter(|candidate| candidate.presence == Presence::Live && voters.contains(&candidate.member.id))
+}
+
+/// Whether the loss of a region leaves no majority.
+fn has_majority_region(group: &[Candidate], voters: &BTreeSet<ReplicaId>) -> bool {
+    let mut regions: BTreeMap<&str, usize> = BTreeMap::new();
+    for candidate in group.iter().filter(|candidate| voters.contains(&candidate.member.id)) {
+        *regions.entry(&candidate.place.region).or_default() += 1;
+    }
+    regions.values().any(|count| 2 * (voters.len() - count) <= voters.len())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, max_global_rejects: 20_000, rng_seed: RngSeed::Fixed(51), failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn the_choice_stands_once_it_is_made(group in groups(), least in 1usize..6) {
+        // Absent voters are replaced first; an even number, a lost voter or a bad place is mended by a change of its own.
+        const CHANGES: usize = 3;
+        let next = |group: &[Candidate]| with_voters(group, &choose(group, least));
+        let settled = (0..CHANGES).fold(group, |group, _| next(&group));
+        let voters: BTreeSet<ReplicaId> = ids(&voters_of(&settled));
+        prop_assert_eq!(choose(&settled, least), voters);
+    }
+
+    #[test]
+    fn the_leader_stays_and_no_live_vote_is_given_up_for_an_absent_one(group in groups(), least in 1usize..6) {
+        let chosen = choose(&group, least);
+        let current: BTreeSet<ReplicaId> =
+            group.iter().filter(|candidate| candidate.is_voter).map(|candidate| candidate.member.id).collect();
+        prop_assert!(chosen.contains(&1));
+        let (before, after) = (live(&group, &current).count(), live(&group, &chosen).count());
+        prop_assert!(after >= before.min(chosen.len()), "{before} live voters become {after} of {}", chosen.len());
+        prop_assert!(chosen.len() - after <= current.len() - before, "more absent voters than before");
+    }
+
+    #[test]
+    fn where_all_are_there_the_number_is_odd_and_no_region_decides_if_that_can_be(
+        group in groups(),
+        least in 1usize..6,
+    ) {
+        let group: Vec<Candidate> =
+            group.into_iter().map(|candidate| Candidate { presence: Presence::Live, ..candidate }).collect();
+        let voters = group.iter().filter(|candidate| candidate.is_voter).count();
+        prop_assume!(voters >= 3 && voters >= least && group.len() >= least);
+        let chosen = choose(&group, least);
+        prop_assert!(chosen.len() >= least.min(voters));
+        if (least..=group.len().min(7)).any(|size| size % 2 == 1) {
+            prop_assert_eq!(chosen.len() % 2, 1);
+        }
+        // By brute force: any odd number of three or more with the leader that bears the loss of a region.
+        let can_bear = (0u32..1 << group.len()).any(|subset| {
+            let subset: BTreeSet<ReplicaId> =
+                group.iter().map(|candidate| candidate.member.id).filter(|id| subset >> (id - 1) & 1 == 1).collect();
+            let size = subset.len();
+            subset.contains(&1) && size % 2 == 1 && size >= least.max(3) && size <= 7 && !has_majority_region(&group, &subset)
+        });
+        if can_bear {
+            prop_assert!(!has_majority_region(&group, &chosen), "{chosen:?}");
+        }
+    }
+
+    #[test]
+    fn a_group_shrinks_only_by_lost_members_or_for_a_better_place(group in groups(), least in 1usize..6) {
+        let chosen = choose(&group, least);
+        let voters: Vec<&Candidate> = group.iter().filter(|candidate| candidate.is_voter).collect();
+        if chosen.len() < voters.len() {
+            let is_silent = |candidate: &&Candidate| candidate.presence == Presence::Silent;
+            prop_assert!(!voters.iter().any(is_silent), "a vote was taken too soon");
+            prop_assert!(chosen.len() >= least);
+        }
+    }
+}
+
+#[test]
+fn of_six_machines_in_three_regions_five_vote_and_no_region_has_more_than_two() {
+    let group: Vec<Candidate> =
+        (0..6).map(|zone| candidate(u64::from(zone) + 1, zone, Presence::Live, zone < 3)).collect();
+    let chosen = choose(&group, 5);
+    assert_eq!(chosen.len(), 5);
+    assert!(!has_majority_region(&group, &chosen));
+}
+
+#[test]
+fn the_sixth_takes_the_vote_of_one_that_falls_silent() {
+    let mut group: Vec<Candidate> =
+        (0..6).map(|zone| candidate(u64::from(zone) + 1, zone, Presence::Live, zone < 5)).collect();
+    group[2].presence = Presence::Silent;
+    assert_eq!(choose(&group, 5), BTreeSet::from([1, 2, 4, 5, 6]));
+}
--- a/crates/control/tests/cluster.rs
+++ b/crates/control-simulation/tests/cluster.rs
@@ -1,13 +1,11 @@
 //! Control machines together, in virtual time: orders, reads, registrations and feeds under faults.
 
-mod support;
-
 use rstest::rstest;
 use serde_json::json;
-use support::Cluster;
 use woadstall_control::command::Command;
 use woadstall_control::machine::Answer;
 use woadstall_control::registry::{Registration, Status};
+use woadstall_control_simulation::cluster::Cluster;
 
 const SEEDS: u64 = 20;
 
@@ -32,6 +30,7 @@
         status,
         cold_remaining_ms: 0,
         remaining_ms: 0,
+        age_ms: 0,
     }
 }
 
@@ -100,7 +99,7 @@
         cluster.run(5_000);
         let cut = cluster.leader().unwrap();
         let other = (cut + 1) % 3;
-        cluster.cut_off.insert(cut);
+        cluster.cut_off(cut);
         let lost = cluster.order(cut, put(0, 5));
         cluster.run(5_000);
         assert_eq!(cluster.answers.get(&lost), Some(&Answer::Unclear));
@@ -108,7 +107,7 @@
         let taken = cluster.order(other, put(0, 9));
         cluster.run(1_000);
         assert_eq!(cluster.answers.get(&taken), Some(&Answer::Done));
-        cluster.cut_off.clear();
+        cluster.heal();
         cluster.run(5_000);
         assert_eq!(read_back(&mut cluster, cut), Some(9));
     }
@@ -165,7 +164,7 @@
 fn draining_told_to_a_machine_that_is_cut_off_is_not_acknowledged() {
     let mut cluster = Cluster::new(5, 3);
     cluster.run(5_000);
-    cluster.cut_off.insert(1);
+    cluster.cut_off(1);
     cluster.run(100);
     let token = cluster.call(1, |machine, now, token| {
         machine.register(now, token, registration("i-1", 1, Status::Draining));
@@ -173,7 +172,7 @@
     cluster.run(1_500);
     assert_eq!(cluster.answers.get(&token), Some(&Answer::Unclear));
     // Once the link is back, the others hear of it all the same.
-    cluster.cut_off.clear();
+    cluster.heal();
     cluster.run(1_000);
     let known = cluster.machine(0).unwrap().registrations();
     assert_eq!(known[0].status, Status::Draining);
@@ -231,12 +230,14 @@
                 generation += 2;
             }
             if cluster.random.u8(..6) == 0 {
-                cluster.cut_off = [cluster.random.usize(..3)].into();
+                cluster.heal();
+                let cut = cluster.random.usize(..3);
+                cluster.cut_off(cut);
             } else if cluster.random.u8(..3) == 0 {
-                cluster.cut_off.clear();
+                cluster.heal();
             }
         }
-        cluster.cut_off.clear();
+        cluster.heal();
         cluster.run(6_000);
         let newest = read_back(&mut cluster, 0);
         for place in 0..3 {
--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -67,6 +67,13 @@
         }
     }
 
+    /// Forgets all events: a reader from any offset so far needs a snapshot.
+    pub fn restart(&mut self) {
+        self.first = self.end() + 1;
+        self.events.clear();
+        self.bytes = 0;
+    }
+
     /// The events from an offset of an epoch on; `None` where they are not kept, so that a snapshot is needed.
     pub fn tail(&self, epoch: u64, offset: u64) -> Option<Vec<Event>> {
         let skipped = offset.checked_sub(self.first).filter(|_| epoch == self.epoch)?;
--- a/crates/control/src/machine/feeds.rs
+++ b/crates/control/src/machine/feeds.rs
@@ -88,6 +88,8 @@
     pub(super) fn restore(&mut self, state: ControlState) {
         self.state = state;
         self.log_bytes = 0;
+        // The journal lacks the orders that the snapshot covers: nobody may go on from an offset before it.
+        self.journal.restart();
         self.told = self.journal.end();
         let packet = self.snapshot(0);
         self.tell_all(packet);
--- /dev/null
+++ b/crates/control/src/machine/leader_clock.rs
@@ -0,0 +1,34 @@
+//! The leader's clock, as far as a follower can tell it: a lower bound, since a message takes time on its way. A moment by it
+//! is one that the leader itself can compare with its clock, however late it hears of it.
+
+use crate::wire::LeaderTime;
+use woadstall_consensus::{Body, Message};
+
+/// What was heard of the clock of one term's leader.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct LeaderClock {
+    term: u64,
+    /// The greatest difference that was seen between the leader's clock, as told, and this machine's.
+    ahead: i128,
+}
+
+impl LeaderClock {
+    /// The leader of a term has told its clock.
+    pub fn hear(&mut self, now: u64, term: u64, clock: u64) {
+        let ahead = i128::from(clock) - i128::from(now);
+        self.ahead = if term == self.term { self.ahead.max(ahead) } else { ahead };
+        self.term = term;
+    }
+
+    /// A moment of this machine's clock by that of the leader of a term, or an earlier one; `None` where that leader was not
+    /// heard of.
+    pub fn by_leader(&self, term: u64, moment: u64) -> Option<LeaderTime> {
+        let at = u64::try_from(i128::from(moment) + self.ahead).ok()?;
+        (term == self.term).then_some(LeaderTime { term, at })
+    }
+}
+
+/// Whether only the leader of a term sends such a message.
+pub(super) fn tells_time(message: &Message) -> bool {
+    matches!(message.body, Body::Append { .. } | Body::Install { .. })
+}
--- a/crates/control/src/machine/registrations.rs
+++ b/crates/control/src/machine/registrations.rs
@@ -1,11 +1,12 @@
 //! Registrations of upstreams: merged here, told to the other machines, and judged silent by their shard's owner.
 
-use super::{Answer, CALL_PATIENCE, Machine};
+use super::{Action, Answer, CALL_PATIENCE, Machine};
 use crate::feed::Event;
 use crate::registry::{Merge, Registration, Status};
 use crate::shards::{MONITORS, replica_group, shard_of};
-use crate::wire::{Packet, Renewal};
+use crate::wire::{CallId, Packet, Renewal};
 use std::collections::BTreeSet;
+use woadstall_consensus::Member;
 
 /// Heartbeats that must be missing before an upstream counts as silent, and what is added for calls that go from one
 /// machine to the next.
@@ -18,8 +19,17 @@
     token: u64,
     taken: BTreeSet<String>,
     deadline: u64,
-    /// Whether the caller may be told that it is done although few have it.
-    is_optional: bool,
+    /// The wish that must be met before this machine has it on disk.
+    keep: u64,
+}
+
+/// A call of another machine that is answered once the registrations that came with it are on disk.
+#[derive(Clone, Debug)]
+pub(super) struct PendingTaken {
+    address: String,
+    call: CallId,
+    keep: u64,
+    deadline: u64,
 }
 
 impl Machine {
@@ -29,28 +39,35 @@
         let (id, sequence) = (registration.id.clone(), registration.sequence);
         let is_ready = registration.status == Status::Ready;
         match self.registry.merge(self.now, registration) {
-            Merge::Changed => self.spread(token, &id, is_ready),
+            Merge::Changed if is_ready => {
+                self.tell(&id);
+                self.answer(token, Answer::Done);
+            }
             Merge::Renewed | Merge::Old if is_ready => {
                 self.renewals.push(Renewal { id, sequence });
                 self.answer(token, Answer::Done);
             }
+            Merge::Changed => {
+                self.want_kept();
+                self.spread(token, &id);
+            }
             // Said again, perhaps because its first acknowledgement was lost, or never given.
-            Merge::Renewed | Merge::Old => self.spread(token, &id, false),
+            Merge::Renewed | Merge::Old => self.spread(token, &id),
         }
     }
 
     /// An upstream leaves.
     pub fn deregister(&mut self, now: u64, token: u64, id: &str) {
         self.now = self.now.max(now);
-        match self.registry.leave(self.now, id) {
-            Some(_) => self.spread(token, id, false),
-            None => self.answer(token, Answer::Done),
+        if self.registry.leave(self.now, id) == Merge::Changed {
+            self.want_kept();
         }
+        self.spread(token, id);
     }
 
-    /// Tells balancers and the other machines of a registration, and answers once a majority has it.
-    fn spread(&mut self, token: u64, id: &str, is_optional: bool) {
-        let Some(registration) = self.registry.get(self.now, id) else { return };
+    /// Tells balancers and the other machines of a registration.
+    fn tell(&mut self, id: &str) -> Option<CallId> {
+        let registration = self.registry.get(self.now, id)?;
         self.log(format!(
             "registration id={} service={} status={:?} cold_ms={} sequence={}",
             registration.id,
@@ -60,14 +77,23 @@
             registration.sequence
         ));
         self.publish(Event::Registered(registration.clone()));
-        let number = self.number();
-        self.broadcast(&Packet::Registrations { number, registrations: vec![registration] });
+        let call = self.next_call();
+        self.broadcast(&Packet::Registrations { call, registrations: vec![registration] });
+        Some(call)
+    }
+
+    /// Tells of an upstream that leaves, and answers once a majority has that on disk: no loss that the group bears, not even
+    /// one of power everywhere, brings it back.
+    fn spread(&mut self, token: u64, id: &str) {
+        let Some(call) = self.tell(id) else { return };
         let deadline = self.now + CALL_PATIENCE;
-        self.spreads.insert(number, Spread { token, taken: BTreeSet::new(), deadline, is_optional });
-        self.finish_spread(number);
+        let spread = Spread { token, taken: BTreeSet::new(), deadline, keep: self.keep_wanted };
+        self.spreads.insert(call.number, spread);
+        self.finish_spread(call.number);
     }
 
-    pub(super) fn on_taken(&mut self, from: &str, number: u64) {
+    pub(super) fn on_taken(&mut self, from: &str, call: CallId) {
+        let Some(number) = self.own_number(call) else { return };
         if let Some(spread) = self.spreads.get_mut(&number) {
             spread.taken.insert(from.to_owned());
             self.finish_spread(number);
@@ -77,10 +103,12 @@
     fn finish_spread(&mut self, number: u64) {
         let Some(spread) = self.spreads.get(&number) else { return };
         let own = &self.settings.machine.member.address;
-        let members = self.replica.members();
-        let holds = |address: &String| address == own || spread.taken.contains(address);
-        let having = members.voters.iter().filter(|member| holds(&member.address)).count();
-        if spread.is_optional || having >= members.quorum() {
+        let has_kept = self.kept >= spread.keep;
+        let holds = |member: &Member| match member.address == *own {
+            true => has_kept,
+            false => spread.taken.contains(&member.address),
+        };
+        if self.replica.members().is_quorum(holds) {
             let token = spread.token;
             self.spreads.remove(&number);
             self.answer(token, Answer::Done);
@@ -89,21 +117,68 @@
 
     pub(super) fn give_up_spreads(&mut self) {
         let now = self.now;
+        self.taken.retain(|taken| now < taken.deadline);
         let overdue = self.spreads.extract_if(|_, spread| now >= spread.deadline);
         let overdue: Vec<u64> = overdue.map(|(_, spread)| spread.token).collect();
         overdue.into_iter().for_each(|token| self.answer(token, Answer::Unclear));
     }
 
+    /// Has the disk keep the registrations as they are now.
+    fn want_kept(&mut self) {
+        self.keep_wanted += 1;
+        self.actions.push(Action::KeepRegistrations { number: self.keep_wanted });
+    }
+
+    /// The registrations are on disk as they were when this wish was made, or later.
+    pub fn kept(&mut self, now: u64, number: u64) {
+        self.now = self.now.max(now);
+        self.kept = self.kept.max(number);
+        let kept = self.kept;
+        for PendingTaken { address, call, .. } in
+            self.taken.extract_if(.., |taken| taken.keep <= kept).collect::<Vec<_>>()
+        {
+            self.send(&address, Packet::RegistrationsTaken { call });
+        }
+        let waiting: Vec<u64> = self.spreads.keys().copied().collect();
+        waiting.into_iter().for_each(|number| self.finish_spread(number));
+    }
+
+    /// Another machine tells of registrations.
+    pub(super) fn on_registrations(&mut self, from: &str, call: CallId, registrations: Vec<Registration>) {
+        let leaves = registrations.iter().any(|registration| registration.status.is_leaving());
+        self.merge_all(registrations);
+        if leaves && self.kept < self.keep_wanted {
+            let (address, keep, deadline) = (from.to_owned(), self.keep_wanted, self.now + CALL_PATIENCE);
+            self.taken.push(PendingTaken { address, call, keep, deadline });
+        } else {
+            self.send(from, Packet::RegistrationsTaken { call });
+        }
+    }
+
     /// Merges what another machine tells.
-    pub(super) fn merge_all(&mut self, registrations: Vec<Registration>) {
+    fn merge_all(&mut self, registrations: Vec<Registration>) {
+        let mut leaves = false;
         for registration in registrations {
             let id = registration.id.clone();
             if self.registry.merge(self.now, registration) == Merge::Changed
                 && let Some(merged) = self.registry.get(self.now, &id)
             {
+                leaves |= merged.status.is_leaving();
                 self.publish(Event::Registered(merged));
             }
         }
+        if leaves {
+            self.want_kept();
+        }
+    }
+
+    /// Takes over the registrations that an earlier process of this machine kept. They are hints: whatever is heard goes
+    /// before them.
+    pub fn remember(&mut self, registrations: Vec<Registration>) {
+        for registration in registrations {
+            self.registry.merge(self.now, registration.clone());
+            self.publish(Event::Registered(registration));
+        }
     }
 
     /// Tells the other machines who was heard from.
@@ -139,8 +214,8 @@
         for silent in self.registry.expire(self.now, after, owns) {
             self.log(format!("upstream silent id={} service={} after_ms={after}", silent.id, silent.service));
             self.publish(Event::Registered(silent.clone()));
-            let number = self.number();
-            self.broadcast(&Packet::Registrations { number, registrations: vec![silent] });
+            let call = self.next_call();
+            self.broadcast(&Packet::Registrations { call, registrations: vec![silent] });
         }
     }
 }
--- a/crates/control/src/registry.rs
+++ b/crates/control/src/registry.rs
@@ -17,6 +17,13 @@
     Gone,
 }
 
+impl Status {
+    /// Whether an upstream says by this that it leaves or has left.
+    pub fn is_leaving(self) -> bool {
+        matches!(self, Self::Draining | Self::Gone)
+    }
+}
+
 /// An upstream's registration.
 #[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
 pub struct Registration {
@@ -38,9 +45,27 @@
     pub cold_remaining_ms: u64,
     /// The time left of one that goes away at short notice, in milliseconds; 0 where none was told.
     pub remaining_ms: u64,
+    /// How long ago its newest heartbeat came, in milliseconds, as of when this record was made or sent.
+    pub age_ms: u64,
 }
 
 impl Registration {
+    /// All that is known of an upstream that has left without having been heard of.
+    fn departed(id: &str) -> Self {
+        Self {
+            id: id.to_owned(),
+            service: String::new(),
+            address: String::new(),
+            zone: String::new(),
+            capacity: 0,
+            sequence: 0,
+            status: Status::Gone,
+            cold_remaining_ms: 0,
+            remaining_ms: 0,
+            age_ms: 0,
+        }
+    }
+
     /// Whether this says something that balancers must hear of, beside what the other says.
     fn differs(&self, other: &Self) -> bool {
         let became_cold = self.cold_remaining_ms > other.cold_remaining_ms;
@@ -81,16 +106,24 @@
     held: BTreeMap<String, Held>,
 }
 
-/// How long an incarnation that has left, or fell silent, is remembered, so that a late heartbeat does not bring it back.
+/// How long an incarnation that has left, or fell silent, is remembered in milliseconds, so that a late heartbeat does not bring it
+/// back.
 const REMEMBER: u64 = 120_000;
+/// The age in milliseconds from which on nothing is believed of an unknown upstream that was ready: others may have heard that
+/// it left and have forgotten it since. Far less than what is remembered, far more than heartbeats are apart.
+const STALE: u64 = 60_000;
 
 impl Registry {
     /// Merges a registration, heard of at a time.
-    pub fn merge(&mut self, now: u64, registration: Registration) -> Merge {
+    pub fn merge(&mut self, now: u64, mut registration: Registration) -> Merge {
         let cold_until = now + registration.cold_remaining_ms;
+        let heard = now.saturating_sub(registration.age_ms);
         let id = registration.id.clone();
         let Some(held) = self.held.get_mut(&id) else {
-            let held = Held { registration, heard: now, changed: now, cold_until };
+            if registration.status == Status::Ready && registration.age_ms > STALE {
+                registration.status = Status::Silent;
+            }
+            let held = Held { registration, heard, changed: now, cold_until };
             self.held.insert(id, held);
             return Merge::Changed;
         };
@@ -103,8 +136,13 @@
         if !newer {
             return Merge::Old;
         }
+        if registration.status == Status::Gone {
+            held.registration.status = Status::Gone;
+            held.changed = now;
+            return Merge::Changed;
+        }
         if registration.sequence > old.sequence {
-            held.heard = now;
+            held.heard = held.heard.max(heard);
         }
         let left = held.cold_until.saturating_sub(now);
         let before = Registration { cold_remaining_ms: left + COLD_JITTER, ..old.clone() };
@@ -120,15 +158,10 @@
         Merge::Renewed
     }
 
-    /// An upstream says that it has left. One that is not known is remembered all the same.
-    pub fn leave(&mut self, now: u64, id: &str) -> Option<Registration> {
-        let held = self.held.get_mut(id)?;
-        if held.registration.status == Status::Gone {
-            return Some(held.registration.clone());
-        }
-        held.registration.status = Status::Gone;
-        held.changed = now;
-        Some(held.registration.clone())
+    /// An upstream says that it has left. One that is not known is remembered all the same: others may know it, or hear of it
+    /// later.
+    pub fn leave(&mut self, now: u64, id: &str) -> Merge {
+        self.merge(now, Registration::departed(id))
     }
 
     /// Marks upstreams of the given services silent whose last heartbeat is longer ago than this, and tells which.
@@ -191,6 +224,7 @@
 impl Held {
     fn as_of(&self, now: u64) -> Registration {
         let cold_remaining_ms = self.cold_until.saturating_sub(now);
-        Registration { cold_remaining_ms, ..self.registration.clone() }
+        let age_ms = now.saturating_sub(self.heard);
+        Registration { cold_remaining_ms, age_ms, ..self.registration.clone() }
     }
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -90,6 +90,20 @@
         Outcome::Accepted
     }
 
+    /// Applies a command unless it is applied already: a balancer may hear of it from several machines.
+    pub fn apply_if_newer(&mut self, index: u64, command: &Command) {
+        if index > self.index {
+            self.apply(index, command);
+        }
+    }
+
+    /// Takes another state over if it is newer: what is in force never goes back.
+    pub fn replace_if_newer(&mut self, other: Self) {
+        if other.index > self.index {
+            *self = other;
+        }
+    }
+
     /// The state as bytes.
     pub fn encode(&self) -> Vec<u8> {
         let accepted = self.accepted.iter();
--- a/crates/control/src/wire.rs
+++ b/crates/control/src/wire.rs
@@ -7,10 +7,10 @@
 use crate::registry::Registration;
 use nanoserde::{DeBin, SerBin};
 use thiserror::Error;
-use woadstall_consensus::{Member, Message};
+use woadstall_consensus::{Member, Message, ReplicaId};
 
 /// The version of the protocol. Another one is refused.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 /// Bytes of a frame's head: version, reserved, length, checksum.
 pub const HEAD_BYTES: usize = 12;
 /// Bytes of a frame at most: a snapshot of the configuration and its history.
@@ -29,6 +29,25 @@
     pub control: String,
 }
 
+/// Identifies a call between control machines among those of all processes that ever ran: a late answer to a former process
+/// is no answer to a call of the one that runs now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, SerBin, DeBin)]
+pub struct CallId {
+    /// The process that calls.
+    pub incarnation: u64,
+    /// Its number of the call.
+    pub number: u64,
+}
+
+/// A moment on the clock of the leader of a term.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct LeaderTime {
+    /// The term, which stands for the leader's process.
+    pub term: u64,
+    /// Milliseconds on that process's clock.
+    pub at: u64,
+}
+
 /// What one process tells another.
 #[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
 pub enum Packet {
@@ -40,20 +59,27 @@
         known: Vec<ControlMachine>,
     },
     /// A message of the replicated log.
-    Consensus(Message),
+    Consensus {
+        /// The message.
+        message: Message,
+        /// The sender's clock, in milliseconds.
+        clock: u64,
+    },
     /// A replica asks to become a member.
     Join(Member),
+    /// A replica's process is about to end.
+    Leaves(ReplicaId),
     /// Registrations that have changed, or all of them; answered with `RegistrationsTaken`.
     Registrations {
-        /// The sender's number of this packet.
-        number: u64,
+        /// The call.
+        call: CallId,
         /// The registrations, with times as of sending.
         registrations: Vec<Registration>,
     },
-    /// Registrations were taken.
+    /// Registrations were taken; upstreams that leave are on disk.
     RegistrationsTaken {
-        /// The number that they came under.
-        number: u64,
+        /// The call that they came with.
+        call: CallId,
     },
     /// Upstreams were heard from, with the sequence numbers of their heartbeats.
     Renewals(Vec<Renewal>),
@@ -63,27 +89,29 @@
     BalancersStillThere(Vec<StillThere>),
     /// An order that came to a machine that does not lead.
     Order {
-        /// The sender's number of it.
-        number: u64,
+        /// The call.
+        call: CallId,
+        /// Until when the order may be proposed, so that it is never taken after its caller was told that nobody can tell.
+        expires: LeaderTime,
         /// The order.
         command: Command,
     },
-    /// What came of an order; `None` where that is not clear.
+    /// What came of an order; `None` where it was not taken or that is not clear.
     OrderDone {
-        /// The number that it came under.
-        number: u64,
+        /// The call that it came with.
+        call: CallId,
         /// The outcome.
         outcome: Option<Outcome>,
     },
     /// Asks for the position up to which a read must have applied the log.
     Read {
-        /// The sender's number of it.
-        number: u64,
+        /// The call.
+        call: CallId,
     },
     /// Answers a read; `None` where this machine can't.
     ReadDone {
-        /// The number that it came under.
-        number: u64,
+        /// The call that asked.
+        call: CallId,
         /// The position.
         index: Option<u64>,
     },
@@ -170,48 +198,57 @@
 impl Packet {
     /// The packet as a frame.
     pub fn frame(&self) -> Vec<u8> {
-        let mut bytes = vec![0; HEAD_BYTES];
-        self.ser_bin(&mut bytes);
-        let length = (bytes.len() - HEAD_BYTES) as u32;
-        let checksum = crc32fast::hash(&bytes[HEAD_BYTES..]);
-        bytes[..2].copy_from_slice(&VERSION.to_le_bytes());
-        bytes[4..8].copy_from_slice(&length.to_le_bytes());
-        bytes[8..12].copy_from_slice(&checksum.to_le_bytes());
-        bytes
-    }
-
-    /// The length of a frame's payload, from its head.
-    pub fn payload_length(head: &[u8; HEAD_BYTES]) -> Result<usize, WireError> {
-        let version = u16::from_le_bytes([head[0], head[1]]);
-        if version != VERSION {
-            return Err(WireError::Version(version));
-        }
-        let length = u32::from_le_bytes([head[4], head[5], head[6], head[7]]) as usize;
-        if length > MOST_BYTES { Err(WireError::TooLong(length)) } else { Ok(length) }
+        frame(self)
     }
 
     /// The packet of a frame's head and payload.
     pub fn decode(head: &[u8; HEAD_BYTES], payload: &[u8]) -> Result<Self, WireError> {
-        if Self::payload_length(head)? != payload.len() {
-            return Err(WireError::Short);
-        }
-        let checksum = u32::from_le_bytes([head[8], head[9], head[10], head[11]]);
-        if crc32fast::hash(payload) != checksum {
-            return Err(WireError::Checksum);
-        }
-        let mut offset = 0;
-        let packet =
-            Self::de_bin(&mut offset, payload).map_err(|error| WireError::Encoding(error.to_string()))?;
-        if offset == payload.len() {
-            Ok(packet)
-        } else {
-            Err(WireError::Encoding("surplus bytes".to_owned()))
-        }
+        decode(head, payload)
     }
 
     /// The packet of a whole datagram.
     pub fn decode_datagram(bytes: &[u8]) -> Result<Self, WireError> {
-        let (head, payload) = bytes.split_first_chunk().ok_or(WireError::Short)?;
-        Self::decode(head, payload)
+        decode_whole(bytes)
+    }
+}
+
+/// A value as a frame.
+pub fn frame(value: &impl SerBin) -> Vec<u8> {
+    let mut bytes = vec![0; HEAD_BYTES];
+    value.ser_bin(&mut bytes);
+    let length = (bytes.len() - HEAD_BYTES) as u32;
+    let checksum = crc32fast::hash(&bytes[HEAD_BYTES..]);
+    bytes[..2].copy_from_slice(&VERSION.to_le_bytes());
+    bytes[4..8].copy_from_slice(&length.to_le_bytes());
+    bytes[8..12].copy_from_slice(&checksum.to_le_bytes());
+    bytes
+}
+
+/// The length of a frame's payload, from its head.
+pub fn payload_length(head: &[u8; HEAD_BYTES]) -> Result<usize, WireError> {
+    let version = u16::from_le_bytes([head[0], head[1]]);
+    if version != VERSION {
+        return Err(WireError::Version(version));
+    }
+    let length = u32::from_le_bytes([head[4], head[5], head[6], head[7]]) as usize;
+    if length > MOST_BYTES { Err(WireError::TooLong(length)) } else { Ok(length) }
+}
+
+/// The value of a whole frame.
+pub fn decode_whole<T: DeBin>(bytes: &[u8]) -> Result<T, WireError> {
+    let (head, payload) = bytes.split_first_chunk().ok_or(WireError::Short)?;
+    decode(head, payload)
+}
+
+fn decode<T: DeBin>(head: &[u8; HEAD_BYTES], payload: &[u8]) -> Result<T, WireError> {
+    if payload_length(head)? != payload.len() {
+        return Err(WireError::Short);
+    }
+    let checksum = u32::from_le_bytes([head[8], head[9], head[10], head[11]]);
+    if crc32fast::hash(payload) != checksum {
+        return Err(WireError::Checksum);
     }
+    let mut offset = 0;
+    let value = T::de_bin(&mut offset, payload).map_err(|error| WireError::Encoding(error.to_string()))?;
+    if offset == payload.len() { Ok(value) } else { Err(WireError::Encoding("surplus bytes".to_owned())) }
 }
--- a/crates/control/tests/directory.rs
+++ b/crates/control/tests/directory.rs
@@ -26,7 +26,7 @@
         zones: BTreeMap::from(zones),
         heartbeat_ms: 1_200,
         tolerated: 0,
-        epoch: 1,
+        incarnation: 1,
     };
     let mut machine = Machine::new(settings, DurableState::new(1, founding_snapshot(&[member])), 0, 1);
     for now in (0..2_000).step_by(50) {
--- a/crates/control/tests/registry.rs
+++ b/crates/control/tests/registry.rs
@@ -20,6 +20,7 @@
         status,
         cold_remaining_ms: 0,
         remaining_ms: 0,
+        age_ms: 0,
     }
 }
 
@@ -105,6 +106,40 @@
     assert!(registry.is_empty());
 }
 
+#[test]
+fn one_that_left_unknown_is_remembered_and_keeps_what_is_known_of_others() {
+    let mut registry = Registry::default();
+    assert_eq!(registry.leave(0, "i-1"), Merge::Changed);
+    assert_eq!(registry.leave(0, "i-1"), Merge::Old);
+    assert_eq!(registry.merge(10, registration(9, Status::Ready)), Merge::Old, "a late heartbeat");
+    assert_eq!(registry.get(10, "i-1").unwrap().status, Status::Gone);
+    // What another machine tells of it that did not know it either takes nothing from one that does.
+    let departed = registry.get(10, "i-1").unwrap();
+    let mut other = Registry::default();
+    other.merge(0, registration(9, Status::Ready));
+    assert_eq!(other.merge(10, departed), Merge::Changed);
+    let kept = other.get(10, "i-1").unwrap();
+    assert_eq!((kept.status, kept.address.as_str(), kept.sequence), (Status::Gone, "10.0.0.1:80", 9));
+}
+
+#[rstest]
+#[case::fresh(1_000, Status::Ready, Status::Ready)]
+#[case::old(61_000, Status::Ready, Status::Silent)]
+#[case::old_and_leaving(61_000, Status::Draining, Status::Draining)]
+fn old_news_of_an_unknown_upstream_is_not_believed(
+    #[case] age_ms: u64,
+    #[case] status: Status,
+    #[case] expected: Status,
+) {
+    let mut registry = Registry::default();
+    registry.merge(100_000, Registration { age_ms, ..registration(3, status) });
+    let merged = registry.get(100_000, "i-1").unwrap();
+    assert_eq!((merged.status, merged.age_ms), (expected, age_ms));
+    registry.merge(100_100, registration(4, Status::Ready));
+    let heard = registry.get(100_100, "i-1").unwrap();
+    assert_eq!((heard.status, heard.age_ms), (Status::Ready, 0), "its own heartbeat is");
+}
+
 fn machines(count: usize) -> Vec<String> {
     (0..count).map(|number| format!("10.0.{number}.1:7720")).collect()
 }
--- a/crates/control/tests/wire.rs
+++ b/crates/control/tests/wire.rs
@@ -1,12 +1,13 @@
 //! Frames: one change of one message at a time is refused whole, with a typed error.
 
-use woadstall_consensus::{Body, Entry, Member, Membership, Message, Payload, Snapshot};
+use woadstall_consensus::{Body, Entry, Member, Membership, Message, Payload, SnapshotHead, SnapshotPiece};
 use woadstall_control::balancers::{Heartbeat, StillThere};
 use woadstall_control::command::{Command, Outcome};
 use woadstall_control::feed::Event;
 use woadstall_control::registry::{Registration, Status};
 use woadstall_control::wire::{
-    ControlMachine, HEAD_BYTES, MOST_BYTES, Packet, Renewal, VERSION, WireError, ZoneBalancers,
+    CallId, ControlMachine, HEAD_BYTES, LeaderTime, MOST_BYTES, Packet, Renewal, VERSION, WireError,
+    ZoneBalancers, payload_length,
 };
 
 fn member() -> Member {
@@ -29,23 +30,27 @@
         status: Status::Draining,
         cold_remaining_ms: 5,
         remaining_ms: 6,
+        age_ms: 7,
     }
 }
 
 fn consensus(body: Body) -> Packet {
-    Packet::Consensus(Message { from: 1, to: 2, term: 3, body })
+    Packet::Consensus { message: Message { from: 1, to: 2, term: 3, body }, clock: 77 }
 }
 
 /// One packet of each kind.
 fn packets() -> Vec<Packet> {
     let command = Command::Put { base: 1, body: b"{}".to_vec() };
-    let members = Membership { voters: vec![member()] };
+    let members = Membership { voters: vec![member()], next: vec![member()] };
     let entries = vec![
         Entry { index: 1, term: 1, payload: Payload::Empty },
         Entry { index: 2, term: 1, payload: Payload::Command(vec![1, 2, 3]) },
-        Entry { index: 3, term: 1, payload: Payload::Members(members.clone()) },
+        Entry { index: 3, term: 1, payload: Payload::Members(members) },
     ];
-    let snapshot = Snapshot { index: 3, term: 1, members, state: vec![9; 20] };
+    let head = SnapshotHead { index: 3, term: 1, size: 20, checksum: 7 };
+    let piece = SnapshotPiece { head, offset: 0, bytes: vec![9; 20] };
+    let call = CallId { incarnation: 5, number: 1 };
+    let expires = LeaderTime { term: 3, at: 900 };
     let heartbeat = Heartbeat {
         name: "front-1".to_owned(),
         incarnation: 1,
@@ -60,18 +65,20 @@
         consensus(Body::VoteReply { pre: false, granted: true }),
         consensus(Body::Append { previous_index: 0, previous_term: 0, entries, commit: 1, round: 9 }),
         consensus(Body::AppendReply { success: true, index: 3, round: 9 }),
-        consensus(Body::Install { snapshot, round: 9 }),
+        consensus(Body::Install { piece, round: 9 }),
+        consensus(Body::InstallReply { head, received: 20, round: 9 }),
         consensus(Body::Elect),
         Packet::Join(member()),
-        Packet::Registrations { number: 1, registrations: vec![registration()] },
-        Packet::RegistrationsTaken { number: 1 },
+        Packet::Leaves(7),
+        Packet::Registrations { call, registrations: vec![registration()] },
+        Packet::RegistrationsTaken { call },
         Packet::Renewals(vec![Renewal { id: "i-1".to_owned(), sequence: 4 }]),
         Packet::Balancers(vec![heartbeat.clone()]),
         Packet::BalancersStillThere(vec![StillThere { name: 1, incarnation: 2, sequence: 3 }]),
-        Packet::Order { number: 1, command: command.clone() },
-        Packet::OrderDone { number: 1, outcome: Some(Outcome::Conflict { current: 4 }) },
-        Packet::Read { number: 1 },
-        Packet::ReadDone { number: 1, index: Some(4) },
+        Packet::Order { call, expires, command: command.clone() },
+        Packet::OrderDone { call, outcome: Some(Outcome::Conflict { current: 4 }) },
+        Packet::Read { call },
+        Packet::ReadDone { call, index: Some(4) },
         Packet::Subscribe { balancer: "front-1".to_owned(), epoch: 1, offset: 2, index: 3 },
         Packet::Snapshot { epoch: 1, offset: 2, state: vec![1], registrations: vec![registration()] },
         Packet::Events { offset: 2, events: vec![Event::Committed { index: 1, command }] },
@@ -120,9 +127,9 @@
 fn heads_are_refused_before_anything_is_read() {
     let mut head: [u8; HEAD_BYTES] = packets()[0].frame()[..HEAD_BYTES].try_into().unwrap();
     head[4..8].copy_from_slice(&u32::MAX.to_le_bytes());
-    assert_eq!(Packet::payload_length(&head), Err(WireError::TooLong(u32::MAX as usize)));
+    assert_eq!(payload_length(&head), Err(WireError::TooLong(u32::MAX as usize)));
     assert!(MOST_BYTES < u32::MAX as usize);
     head[0] = 99;
-    assert_eq!(Packet::payload_length(&head), Err(WireError::Version(99)));
+    assert_eq!(payload_length(&head), Err(WireError::Version(99)));
     assert_ne!(VERSION, 99);
 }
--- a/crates/node/src/core/api.rs
+++ b/crates/node/src/core/api.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::mpsc::sync_channel;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use woadstall_control::command::Command;
 use woadstall_control::machine::{Answer, Machine, Question, Resolved};
 use woadstall_control::reader::{Findings, Reader};
@@ -60,7 +60,7 @@
         Err(response) => return response,
     };
     let (sender, receiver) = sync_channel(1);
-    if events.send(Event::Call(call, sender)).is_err() {
+    if events.send(Event::Call { call, read_at: Instant::now(), reply: sender }).is_err() {
         return unclear();
     }
     match receiver.recv_timeout(PATIENCE) {
@@ -157,6 +157,7 @@
         status,
         cold_remaining_ms: root.field("cold_remaining_ms").number_or(0.0, findings) as u64,
         remaining_ms: root.field("remaining_ms").number_or(0.0, findings) as u64,
+        age_ms: 0,
     };
     if !registration.address.is_empty() && registration.address.parse::<SocketAddr>().is_err() {
         findings.add("address", "is no address with a port");
@@ -174,7 +175,6 @@
         ),
         Reply::Answer(Answer::Invalid { findings }) => text(400, &findings),
         Reply::Answer(Answer::Document(document)) => Response::from_data("application/json", document),
-        Reply::Answer(Answer::Missing) => text(404, "there is no configuration yet\n"),
         Reply::Answer(Answer::Unclear) => unclear(),
         Reply::Balancers(Resolved { addresses, .. }) if addresses.is_empty() => {
             text(503, "no balancer is known\n")
@@ -191,8 +191,7 @@
     let replica = machine.replica();
     let members: Vec<Value> = replica
         .members()
-        .voters
-        .iter()
+        .members()
         .map(|member| json!({ "id": format!("{:x}", member.id), "address": member.address }))
         .collect();
     let machines: Vec<Value> = machine
--- a/crates/node/src/core/disk.rs
+++ b/crates/node/src/core/disk.rs
@@ -2,9 +2,9 @@
 
 use super::hints::Hints;
 use super::{Event, Events};
-use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use woadstall_consensus::Record;
 use woadstall_control::registry::Registration;
 use woadstall_storage::Storage;
@@ -13,11 +13,12 @@
 const RETRY: Duration = Duration::from_millis(200);
 
 /// What the thread is to do.
+#[derive(Debug, PartialEq)]
 enum Job {
     /// Make a record durable.
     Record(u64, Record),
-    /// Keep the registrations.
-    Registrations(Vec<Registration>),
+    /// Keep the registrations, as the machine wishes under this number.
+    Registrations(u64, Vec<Registration>),
 }
 
 /// The way to the disk's thread.
@@ -39,9 +40,9 @@
         self.submit(Job::Record(sequence, record));
     }
 
-    /// Has the registrations kept.
-    pub fn keep(&self, registrations: Vec<Registration>) {
-        self.submit(Job::Registrations(registrations));
+    /// Has the registrations kept; [`Event::Kept`] tells when they are durable.
+    pub fn keep(&self, number: u64, registrations: Vec<Registration>) {
+        self.submit(Job::Registrations(number, registrations));
     }
 
     fn submit(&self, job: Job) {
@@ -51,16 +52,31 @@
     }
 }
 
+/// Registrations that the disk has not taken yet, and the machine's wish that they meet.
+type Unkept = Option<(u64, Vec<Registration>)>;
+
 fn work(mut storage: Storage, mut hints: Hints, jobs: &Receiver<Job>, events: &Events) {
-    while let Ok(first) = jobs.recv() {
-        let (mut records, mut last, mut registrations) = (Vec::new(), None, None);
-        for job in std::iter::once(first).chain(jobs.try_iter()) {
+    let mut unkept: Unkept = None;
+    loop {
+        // What the disk has refused is tried again, without holding up the log.
+        let first = match unkept {
+            None => jobs.recv().map_err(|_| RecvTimeoutError::Disconnected),
+            Some(_) => jobs.recv_timeout(RETRY),
+        };
+        if first == Err(RecvTimeoutError::Disconnected) {
+            return;
+        }
+        let (mut records, mut last) = (Vec::new(), None);
+        for job in first.into_iter().chain(jobs.try_iter()) {
             match job {
                 Job::Record(sequence, record) => {
                     records.push(record);
                     last = Some(sequence);
                 }
-                Job::Registrations(newest) => registrations = Some(newest),
+                Job::Registrations(number, newest) => {
+                    let number = unkept.map_or(number, |(older, _)| older.max(number));
+                    unkept = Some((number, newest));
+                }
             }
         }
         if let Some(last) = last {
@@ -69,8 +85,26 @@
                 return;
             }
         }
-        if let Some(Err(error)) = registrations.map(|registrations| hints.write(registrations)) {
+        if let Some(number) = keep(&mut hints, &mut unkept)
+            && events.send(Event::Kept(number)).is_err()
+        {
+            return;
+        }
+    }
+}
+
+/// Writes the registrations, and tells the wish that this has met.
+fn keep(hints: &mut Hints, unkept: &mut Unkept) -> Option<u64> {
+    let (number, registrations) = unkept.as_ref()?;
+    match hints.write(registrations, time_of_day()) {
+        Ok(()) => {
+            let number = *number;
+            *unkept = None;
+            Some(number)
+        }
+        Err(error) => {
             log::warn!("registrations not kept: {error}");
+            None
         }
     }
 }
@@ -83,3 +117,8 @@
         written = storage.write(&[]);
     }
 }
+
+/// The time since 1970.
+pub(super) fn time_of_day() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -4,6 +4,8 @@
 mod disk;
 mod hints;
 mod peers;
+mod queue;
+mod stall;
 
 use crate::settings::NodeSettings;
 use crate::watch::SettingsWatch;
@@ -12,6 +14,8 @@
 use disk::Disk;
 use hints::Hints;
 use peers::Links;
+use queue::FrameSender;
+use stall::StallDetector;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::mpsc::SyncSender;
@@ -33,8 +37,12 @@
 const SETTINGS_EVERY: Duration = Duration::from_secs(1);
 /// How often changed registrations are written to the disk at most.
 const KEEP_EVERY: Duration = Duration::from_millis(500);
+/// How often registrations are written although nothing has changed, so that their age can be told.
+const KEEP_AT_LEAST_EVERY: Duration = Duration::from_secs(10);
 /// How long calls are answered after SIGTERM, while leadership moves.
 const LEAVING: Duration = Duration::from_millis(600);
+/// How much longer at most, while another machine takes this one's vote.
+const LEAVING_REPLACED: Duration = Duration::from_millis(2_000);
 
 /// The process can't run.
 #[derive(Debug, Error)]
@@ -74,14 +82,23 @@
         /// What it asks.
         packet: Packet,
         /// Where packets for it go.
-        queue: mpsc::Sender<Bytes>,
+        queue: FrameSender,
     },
     /// A balancer's connection has ended.
     Unsubscribe(u64),
     /// Records are durable.
     Persisted(u64),
-    /// A call of an operator, an upstream or a client, and where its answer goes.
-    Call(Call, SyncSender<Reply>),
+    /// Registrations are durable.
+    Kept(u64),
+    /// A call of an operator, an upstream or a client.
+    Call {
+        /// The call.
+        call: Call,
+        /// When it was read.
+        read_at: Instant,
+        /// Where its answer goes.
+        reply: SyncSender<Reply>,
+    },
 }
 
 /// The answer to a call, as the HTTP side needs it.
@@ -136,7 +153,7 @@
         zones: settings.zones.clone(),
         heartbeat_ms: settings.heartbeat_ms,
         tolerated: settings.tolerated,
-        epoch: fastrand::u64(1..),
+        incarnation: fastrand::u64(1..),
     };
     let (events, received) = mpsc::unbounded_channel();
     let listener = TcpListener::bind(internal).await.map_err(io("the internal address"))?;
@@ -144,7 +161,7 @@
     tokio::spawn(peers::accept(listener, events.clone()));
     tokio::spawn(peers::receive(datagrams, events.clone()));
     api::start(settings, control, &events)?;
-    let (hints, registrations) = Hints::open(folder);
+    let (hints, registrations) = Hints::open(folder, disk::time_of_day());
     let mut machine = Machine::new(machine_settings, durable, 0, fastrand::u64(..));
     log::info!("registrations remembered: {}", registrations.len());
     machine.remember(registrations);
@@ -155,6 +172,7 @@
         disk: Disk::start(storage, hints, events),
         kept: 0,
         kept_at: Instant::now(),
+        stalls: StallDetector::new(Instant::now()),
         watch,
         settings_read: Instant::now(),
         subscribers: BTreeMap::new(),
@@ -199,9 +217,10 @@
     /// The version of the registrations that the disk has, and since when.
     kept: u64,
     kept_at: Instant,
+    stalls: StallDetector,
     watch: SettingsWatch,
     settings_read: Instant,
-    subscribers: BTreeMap<u64, mpsc::Sender<Bytes>>,
+    subscribers: BTreeMap<u64, FrameSender>,
     calls: HashMap<u64, Waiting>,
     next_token: u64,
 }
@@ -217,10 +236,16 @@
         loop {
             tokio::select! {
                 event = events.recv() => match event {
-                    Some(event) => self.handle(event),
+                    Some(event) => {
+                        self.stalls.turn(Instant::now());
+                        self.handle(event);
+                    }
                     None => return Ok(()),
                 },
-                _ = ticks.tick() => self.machine.tick(self.now()),
+                _ = ticks.tick() => {
+                    self.stalls.turn(Instant::now());
+                    self.machine.tick(self.now());
+                }
                 _ = hangup.recv() => self.take_settings(true),
                 _ = terminate.recv() => {
                     log::info!("SIGTERM: leadership is handed over");
@@ -237,7 +262,8 @@
             if self.settings_read.elapsed() >= SETTINGS_EVERY {
                 self.take_settings(false);
             }
-            if leaving.is_some_and(|since| since.elapsed() > LEAVING) {
+            let patience = if self.machine.is_being_replaced() { LEAVING_REPLACED } else { LEAVING };
+            if leaving.is_some_and(|since| since.elapsed() > patience) {
                 return Ok(());
             }
         }
@@ -264,7 +290,13 @@
                 self.machine.unsubscribe(subscriber);
             }
             Event::Persisted(sequence) => self.machine.persisted(now, sequence),
-            Event::Call(call, reply) => self.call(now, call, reply),
+            Event::Kept(number) => self.machine.kept(now, number),
+            Event::Call { call: Call::Order(_), read_at, reply }
+                if self.stalls.is_stale(Instant::now(), read_at) =>
+            {
+                reply.try_send(Reply::Answer(Answer::Unclear)).ok();
+            }
+            Event::Call { call, reply, .. } => self.call(now, call, reply),
         }
     }
 
@@ -316,18 +348,24 @@
 
     fn keep_registrations(&mut self) {
         let version = self.machine.registry_version();
-        if version != self.kept && self.kept_at.elapsed() >= KEEP_EVERY {
-            (self.kept, self.kept_at) = (version, Instant::now());
-            self.disk.keep(self.machine.registrations());
+        let age = self.kept_at.elapsed();
+        if age >= KEEP_AT_LEAST_EVERY || version != self.kept && age >= KEEP_EVERY {
+            self.keep(0);
         }
     }
 
+    /// Has the registrations written, as the machine wishes under this number.
+    fn keep(&mut self, number: u64) {
+        (self.kept, self.kept_at) = (self.machine.registry_version(), Instant::now());
+        self.disk.keep(number, self.machine.registrations());
+    }
+
     /// Sends a packet, encoded once. A reader that is too slow is cut off; it comes back and gets a snapshot.
     fn deliver(&mut self, subscribers: &[u64], packet: &Packet) {
         let frame = Bytes::from(packet.frame());
         for subscriber in subscribers {
             let queue = self.subscribers.get(subscriber);
-            if queue.is_some_and(|queue| queue.try_send(frame.clone()).is_err()) {
+            if queue.is_some_and(|queue| queue.send(frame.clone()).is_err()) {
                 self.subscribers.remove(subscriber);
                 self.machine.unsubscribe(*subscriber);
             }
@@ -335,25 +373,31 @@
     }
 
     fn carry_out(&mut self) {
+        let mut keep = None;
         for action in self.machine.take_actions() {
             match action {
                 Action::Connect { address } => self.links.keep(address),
                 Action::Disconnect { address } => self.links.drop(&address),
-                Action::Send { address, packet } => self.links.send(&address, packet),
+                Action::Send { address, packet } => self.links.send(&address, &packet),
                 Action::Persist { sequence, record } => self.disk.write(sequence, record),
-                Action::Answer { token, answer } => {
-                    if let Some(Waiting { reply, heartbeat_address }) = self.calls.remove(&token) {
-                        let answer = match (answer, heartbeat_address) {
-                            (Answer::Done, Some(address)) => Reply::Registered(address),
-                            (answer, _) => Reply::Answer(answer),
-                        };
-                        reply.try_send(answer).ok();
-                    }
-                }
+                Action::KeepRegistrations { number } => keep = Some(number),
+                Action::Answer { token, answer } => self.answer(token, answer),
                 Action::Deliver { subscribers, packet } => self.deliver(&subscribers, &packet),
                 Action::Log(line) => log::info!("{line}"),
             }
         }
+        if let Some(number) = keep {
+            self.keep(number);
+        }
+    }
+
+    fn answer(&mut self, token: u64, answer: Answer) {
+        let Some(Waiting { reply, heartbeat_address }) = self.calls.remove(&token) else { return };
+        let answer = match (answer, heartbeat_address) {
+            (Answer::Done, Some(address)) => Reply::Registered(address),
+            (answer, _) => Reply::Answer(answer),
+        };
+        reply.try_send(answer).ok();
     }
 }
 
--- a/crates/node/src/core/peers.rs
+++ b/crates/node/src/core/peers.rs
@@ -1,26 +1,30 @@
 //! Connections between the system's processes, as a core process has them: it dials each other machine to send, and takes
 //! the connections of machines and balancers.
 
+use super::queue::{FrameReceiver, FrameSender, queue};
 use super::{Event, Events};
 use crate::link;
-use bytes::Bytes;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 use woadstall_control::wire::Packet;
 
-/// Packets that wait for a link at most; beyond that the link is made anew, and its peer told what it may have missed.
-const QUEUE: usize = 4_096;
-/// Packets that wait for a balancer at most.
-const FEED_QUEUE: usize = 512;
+/// Frames and bytes that wait for a link at most; beyond that the link is made anew, and its peer told what it may have
+/// missed. A frame may be as large as a configuration.
+const LINK_FRAMES: usize = 4_096;
+const LINK_BYTES: usize = 8 << 20;
+/// Frames and bytes that wait for a balancer at most.
+const FEED_FRAMES: usize = 512;
+const FEED_BYTES: usize = 8 << 20;
 /// Wait before a link is tried again.
 const RECONNECT: Duration = Duration::from_millis(250);
-/// How long a write may take.
+/// Bytes that are written at a time, and how long that may take. A large frame may take longer as a whole, as long as its
+/// peer goes on reading.
+const WRITE_BYTES: usize = 64 << 10;
 const WRITE: Duration = Duration::from_secs(3);
 /// How long a new connection may take for its first packet.
 const FIRST_PACKET: Duration = Duration::from_secs(3);
@@ -33,7 +37,7 @@
 #[derive(Debug)]
 pub(super) struct Links {
     events: Events,
-    queues: HashMap<String, mpsc::Sender<Bytes>>,
+    queues: HashMap<String, FrameSender>,
 }
 
 impl Links {
@@ -42,15 +46,15 @@
         Self { events, queues: HashMap::new() }
     }
 
-    /// Keeps a link to a machine.
+    /// Keeps a link to a machine; a former one to it ends.
     pub fn keep(&mut self, address: String) {
         let Ok(parsed) = address.parse::<SocketAddr>() else {
             log::warn!("{address:?} is no address of a machine");
             return;
         };
-        let (queue, packets) = mpsc::channel(QUEUE);
-        self.queues.insert(address.clone(), queue);
-        tokio::spawn(keep_link(address, parsed, packets, self.events.clone()));
+        let (sender, frames) = queue(LINK_FRAMES, LINK_BYTES);
+        self.queues.insert(address.clone(), sender);
+        tokio::spawn(keep_link(address, parsed, frames, self.events.clone()));
     }
 
     /// Keeps a link no longer.
@@ -58,43 +62,47 @@
         self.queues.remove(address);
     }
 
-    /// Sends a packet, if there is a link with room.
-    pub fn send(&self, address: &str, packet: Packet) {
-        if let Some(queue) = self.queues.get(address) {
-            queue.try_send(packet.frame().into()).ok();
+    /// Sends a packet, if there is a link. One that is too slow is made anew.
+    pub fn send(&mut self, address: &str, packet: &Packet) {
+        let Some(queue) = self.queues.get(address) else { return };
+        if queue.send(packet.frame().into()).is_err() {
+            log::warn!("link too slow peer={address}: made anew");
+            self.keep(address.to_owned());
         }
     }
 }
 
-async fn keep_link(address: String, socket: SocketAddr, mut packets: mpsc::Receiver<Bytes>, events: Events) {
+async fn keep_link(address: String, socket: SocketAddr, mut frames: FrameReceiver, events: Events) {
     loop {
         if let Ok(mut stream) = link::connect(socket).await {
-            while packets.try_recv().is_ok() {} // meant for the former link: what matters is told anew
+            frames.clear(); // meant for the former link: what matters is told anew
             if events.send(Event::LinkUp(address.clone())).is_err() {
                 return;
             }
-            let ended = pass_on(&mut stream, &mut packets).await;
+            let ended = pass_on(&mut stream, &mut frames).await;
             if let Err(error) = ended {
                 log::info!("link lost peer={address}: {error}");
             }
         }
         sleep(RECONNECT).await;
-        while packets.try_recv().is_ok() {}
-        if packets.is_closed() {
+        frames.clear();
+        if frames.is_closed() {
             return;
         }
     }
 }
 
-/// Writes packets until the connection ends.
-async fn pass_on(stream: &mut TcpStream, packets: &mut mpsc::Receiver<Bytes>) -> io::Result<()> {
+/// Writes frames until the connection ends.
+async fn pass_on(stream: &mut TcpStream, frames: &mut FrameReceiver) -> io::Result<()> {
     let (mut read, mut write) = stream.split();
     let mut nothing = [0; 1];
     loop {
         tokio::select! {
-            packet = packets.recv() => {
-                let Some(packet) = packet else { return Ok(()) };
-                timeout(WRITE, write.write_all(&packet)).await??;
+            frame = frames.receive() => {
+                let Some(frame) = frame else { return Ok(()) };
+                for part in frame.chunks(WRITE_BYTES) {
+                    timeout(WRITE, write.write_all(part)).await??;
+                }
             }
             // The other side sends nothing: whatever comes is its end.
             got = tokio::io::AsyncReadExt::read(&mut read, &mut nothing) => {
@@ -140,9 +148,9 @@
             Ok(())
         }
         Packet::Subscribe { .. } => {
-            let (queue, mut packets) = mpsc::channel(FEED_QUEUE);
+            let (queue, mut frames) = queue(FEED_FRAMES, FEED_BYTES);
             events.send(Event::Subscribe { subscriber: number, packet: first, queue }).ok();
-            let ended = pass_on(&mut stream, &mut packets).await;
+            let ended = pass_on(&mut stream, &mut frames).await;
             events.send(Event::Unsubscribe(number)).ok();
             ended
         }
--- a/crates/node/src/front/feeds.rs
+++ b/crates/node/src/front/feeds.rs
@@ -144,22 +144,16 @@
 /// Takes the state over, unless a newer one is in force: versions never go back.
 fn take_snapshot(front: &Front, bytes: &[u8]) {
     match ControlState::decode(bytes) {
-        Ok(state) => front.update_state(|current| {
-            if state.index > current.index {
-                *current = state;
-            }
-        }),
+        Ok(state) => front.update_state(|current| current.replace_if_newer(state)),
         Err(error) => log::error!("snapshot refused: {error}"),
     }
 }
 
 fn take_event(front: &Front, event: Event) {
     match event {
-        Event::Committed { index, command } => front.update_state(|state| {
-            if index > state.index {
-                state.apply(index, &command);
-            }
-        }),
+        Event::Committed { index, command } => {
+            front.update_state(|state| state.apply_if_newer(index, &command));
+        }
         Event::Registered(registration) => {
             log::info!(
                 "registration id={} service={} status={:?}",
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -7,7 +7,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use woadstall_control::wire::{HEAD_BYTES, Packet};
+use woadstall_control::wire::{HEAD_BYTES, Packet, payload_length};
 
 /// How long bytes may stay unacknowledged before a connection counts as dead. A lost packet is sent again within a few
 /// hundred milliseconds, also between regions.
@@ -44,7 +44,7 @@
     let mut head = [0; HEAD_BYTES];
     stream.read_exact(&mut head).await?;
     let invalid = |error| io::Error::new(ErrorKind::InvalidData, error);
-    let length = Packet::payload_length(&head).map_err(invalid)?;
+    let length = payload_length(&head).map_err(invalid)?;
     let mut payload = Vec::new();
     // The buffer grows with what comes, not with what a head claims.
     let got = stream.take(length as u64).read_to_end(&mut payload).await?;
--- a/crates/routing/tests/support.rs
+++ b/crates/routing/tests/support.rs
@@ -44,6 +44,7 @@
         status: Status::Ready,
         cold_remaining_ms: 0,
         remaining_ms: 0,
+        age_ms: 0,
     }
 }
 
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -13,7 +13,7 @@
 
 mod segment;
 
-use segment::{Item, Reader, Segment};
+use segment::{Header, Item, Reader, Segment, VERSION};
 use std::fs::{self, File};
 use std::io;
 use std::path::{Path, PathBuf};
@@ -23,7 +23,8 @@
 /// Files in the ring. A checkpoint is written to one while the last complete one is in another; the third lets a write
 /// that failed be repeated elsewhere.
 const SEGMENTS: usize = 3;
-/// Bytes of a file. A checkpoint holds one configuration and the entries since it, both bounded well below this.
+/// Bytes of a file. The largest checkpoint holds a configuration of 6 MB and what is remembered of orders, 4 MB of entries that
+/// are about to be compacted, 4 MB that wait to be committed, and one order of 6 MB more.
 const SEGMENT_BYTES: u64 = 24 << 20;
 
 /// Why the state could not be read or written.
@@ -43,6 +44,16 @@
         /// The bytes of a checkpoint.
         bytes: usize,
     },
+    /// A file was written by another version of the program. It is not taken for an empty one: what it holds was acknowledged.
+    #[error(
+        "{path}: format {version} instead of {VERSION}; start the program that wrote it, or give the machine an empty disk"
+    )]
+    Version {
+        /// The file.
+        path: PathBuf,
+        /// The version of its format.
+        version: u32,
+    },
     /// No state is there yet.
     #[error("the storage was not initialized")]
     Uninitialized,
@@ -74,8 +85,14 @@
         File::open(folder).and_then(|folder| folder.sync_all()).map_err(StorageError::at(folder))?;
         let mut newest = None;
         for (path, file) in &files {
-            let Some(reader) = Reader::open(file).map_err(StorageError::at(path))? else { continue };
-            let sequence = reader.sequence();
+            let sequence = match Reader::header(file).map_err(StorageError::at(path))? {
+                Header::Unsound => continue,
+                Header::Version(version) => {
+                    return Err(StorageError::Version { path: path.clone(), version });
+                }
+                Header::Segment(sequence) => sequence,
+            };
+            let reader = Reader::new(file, sequence).map_err(StorageError::at(path))?;
             let Some(state) = reader.replay().map_err(StorageError::at(path))? else { continue };
             if newest.as_ref().is_none_or(|(best, _)| sequence > *best) {
                 newest = Some((sequence, state));
@@ -124,7 +141,7 @@
         let file = (sequence % SEGMENTS as u64) as usize;
         let mut segment = Segment::new(file, sequence);
         let bytes = segment.encode_checkpoint(state);
-        if bytes.len() as u64 > SEGMENT_BYTES / 2 {
+        if bytes.len() as u64 > SEGMENT_BYTES {
             return Err(StorageError::TooLarge { bytes: bytes.len() });
         }
         let (path, opened) = &self.files[file];
--- a/crates/storage/src/segment.rs
+++ b/crates/storage/src/segment.rs
@@ -8,7 +8,7 @@
 /// Begins each segment that was ever used.
 const MAGIC: u64 = 0x0102_7741_4453_544c;
 /// The version of the format; another one is not read.
-const VERSION: u32 = 1;
+pub const VERSION: u32 = 2;
 /// Bytes of a header: magic, version, sequence, checksum.
 const HEADER_BYTES: usize = 24;
 /// Bytes before each record: its length and checksum.
@@ -78,6 +78,30 @@
     }
 }
 
+/// What the beginning of a file says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Header {
+    /// Nothing that was written whole.
+    Unsound,
+    /// A segment of another version of the format.
+    Version(u32),
+    /// A segment with this sequence number.
+    Segment(u64),
+}
+
+impl Header {
+    fn read(bytes: &[u8; HEADER_BYTES]) -> Self {
+        let short = |at: usize| u32::from_le_bytes(bytes[at..at + 4].try_into().unwrap_or_default());
+        let long = |at: usize| u64::from_le_bytes(bytes[at..at + 8].try_into().unwrap_or_default());
+        let is_sound = long(0) == MAGIC && short(20) == crc32fast::hash(&bytes[..20]);
+        match short(8) {
+            _ if !is_sound => Self::Unsound,
+            VERSION => Self::Segment(long(12)),
+            version => Self::Version(version),
+        }
+    }
+}
+
 /// Reads a segment.
 pub struct Reader<'a> {
     file: &'a File,
@@ -87,22 +111,24 @@
 }
 
 impl<'a> Reader<'a> {
-    /// A reader behind the header; `None` where there is no sound header.
-    pub fn open(mut file: &'a File) -> io::Result<Option<Self>> {
+    /// The header of a file.
+    pub fn header(mut file: &File) -> io::Result<Header> {
         let mut bytes = [0; HEADER_BYTES];
         file.seek(SeekFrom::Start(0))?;
         if let Err(error) = file.read_exact(&mut bytes) {
-            return if error.kind() == io::ErrorKind::UnexpectedEof { Ok(None) } else { Err(error) };
-        }
-        let sequence = u64::from_le_bytes(bytes[12..20].try_into().unwrap_or_default());
-        if bytes[..] != header(sequence)[..] {
-            return Ok(None);
+            return if error.kind() == io::ErrorKind::UnexpectedEof {
+                Ok(Header::Unsound)
+            } else {
+                Err(error)
+            };
         }
-        Ok(Some(Self { file, sequence, offset: HEADER_BYTES as u64, buffer: Vec::new() }))
+        Ok(Header::read(&bytes))
     }
 
-    pub fn sequence(&self) -> u64 {
-        self.sequence
+    /// A reader behind the header of a segment.
+    pub fn new(mut file: &'a File, sequence: u64) -> io::Result<Self> {
+        file.seek(SeekFrom::Start(HEADER_BYTES as u64))?;
+        Ok(Self { file, sequence, offset: HEADER_BYTES as u64, buffer: Vec::new() })
     }
 
     /// The state; `None` where the checkpoint is not complete.
--- a/crates/storage/tests/ring.rs
+++ b/crates/storage/tests/ring.rs
@@ -164,3 +164,34 @@
     let mut storage = Storage::open(folder.path()).unwrap();
     assert!(matches!(storage.write(&[append(1)]), Err(StorageError::Uninitialized)));
 }
+
+#[test]
+fn a_file_of_another_version_is_told_and_not_taken_for_an_empty_one() {
+    const VERSION: std::ops::Range<usize> = 8..12;
+    const CHECKSUM: std::ops::Range<usize> = 20..24;
+    let folder = tempfile::tempdir().unwrap();
+    fresh(folder.path());
+    let path = newest_segment(folder.path());
+    let mut content = std::fs::read(&path).unwrap();
+    content[VERSION].copy_from_slice(&1u32.to_le_bytes());
+    let checksum = crc32fast::hash(&content[..CHECKSUM.start]);
+    content[CHECKSUM].copy_from_slice(&checksum.to_le_bytes());
+    std::fs::write(&path, &content).unwrap();
+    let error = Storage::open(folder.path()).unwrap_err();
+    assert!(matches!(error, StorageError::Version { version: 1, .. }), "{error}");
+    assert!(error.to_string().contains(path.file_name().unwrap().to_str().unwrap()));
+}
+
+#[test]
+fn the_largest_state_that_the_log_allows_is_written_and_read() {
+    const ORDER: usize = 6 << 20;
+    const FOLLOWING: usize = 4 << 20;
+    let folder = tempfile::tempdir().unwrap();
+    let mut storage = fresh(folder.path());
+    let snapshot = Snapshot { index: 1, term: 1, state: vec![7; ORDER + 20_000 * 16], ..Snapshot::default() };
+    storage.write(&[Record::Install(snapshot)]).unwrap();
+    storage.write(&[Record::Append(vec![entry(2, FOLLOWING), entry(3, FOLLOWING)])]).unwrap();
+    storage.write(&[Record::Append(vec![entry(4, ORDER)])]).unwrap();
+    drop(storage);
+    assert_eq!(last_index(folder.path()), 4);
+}
