--- a/crates/control-simulation/tests/incidents.rs
+++ b/crates/control-simulation/tests/incidents.rs
@@ -179,8 +179,8 @@
             cluster.start(places[round % 2]);
             // The answers are lost: both send the same again, to other machines.
             let mut won = BTreeSet::new();
-            for operator in 0..2 {
-                if cluster.answers.get(&first[operator]) == Some(&Answer::Done) {
+            for (operator, token) in first.iter().enumerate() {
+                if cluster.answers.get(token) == Some(&Answer::Done) {
                     won.insert(operator);
                 }
             }
