Consensus: every course of a small group, by a model checker on the shipped replica

Change: `stateright` over the shipped `Replica`, messages in any order and at any later time, seven groups; `description` tells what a replica's future depends on beside time and chance. Time stands still: timers and leases are the simulator's.

--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -71,7 +71,7 @@
 }
 
 /// A replica of the group.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Replica {
     pub(crate) id: ReplicaId,
     pub(crate) timing: Timing,
@@ -204,6 +204,13 @@
         self.places.insert(address, place);
     }
 
+    /// All that its future depends on beside time and chance, as text: replicas of which it is equal behave alike.
+    pub fn description(&self) -> String {
+        let disk = (self.id, self.term, self.vote, self.durable, self.persisted + 1 - self.next_sequence);
+        let log = (self.log.snapshot().index, self.log.entries(), self.commit, self.applied);
+        format!("{disk:?} {log:?} {:?} {:?}", self.role, self.held)
+    }
+
     /// Takes the outputs.
     pub fn take_outputs(&mut self) -> Vec<Output> {
         self.outputs.drain(..).collect()
--- a/crates/consensus/src/roles.rs
+++ b/crates/consensus/src/roles.rs
@@ -8,7 +8,7 @@
 const ROUNDS_KEPT: usize = 256;
 
 /// The role of a replica in its term.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub enum Role {
     /// Follows a leader, if it knows of one.
     Follower {
@@ -27,7 +27,7 @@
 }
 
 /// How far a follower is.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Progress {
     /// The next entry to send.
     pub next: u64,
@@ -49,7 +49,7 @@
 }
 
 /// A read that waits for a quorum to confirm the leader.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Read {
     /// The caller's number of it.
     pub number: u64,
@@ -58,7 +58,7 @@
 }
 
 /// A replica that asks for a vote.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Learner {
     pub member: Member,
     /// When it last asked.
@@ -66,7 +66,7 @@
 }
 
 /// The state of a leader.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Leadership {
     pub(crate) since: u64,
     pub(crate) progress: BTreeMap<ReplicaId, Progress>,
--- a/crates/consensus/src/snapshots.rs
+++ b/crates/consensus/src/snapshots.rs
@@ -38,7 +38,7 @@
 }
 
 /// A snapshot as the leader sends it to one follower.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct OutgoingSnapshot {
     head: SnapshotHead,
     encoded: Vec<u8>,
@@ -95,7 +95,7 @@
 }
 
 /// A snapshot as a follower receives it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct IncomingSnapshot {
     head: SnapshotHead,
     encoded: Vec<u8>,
--- /dev/null
+++ b/crates/consensus/tests/exhaustive.rs
@@ -0,0 +1,320 @@
+//! Every course of a small group, up to a bound: the shipped replica under a model checker. Messages are delivered in any order
+//! and at any later time, or never; elections, commands, a change of members, reads and restarts happen at any moment. Time
+//! stands still, so that nothing but these moves the replicas.
+
+use nanoserde::{DeBin, SerBin};
+use rstest::rstest;
+use stateright::{Checker, Model, Property};
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{Hash, Hasher};
+use woadstall_consensus::{
+    Body, DurableState, Entry, Member, Membership, Message, Output, Replica, ReplicaId, Settings, Snapshot,
+    Timing,
+};
+
+const SETTINGS: Settings =
+    Settings { timing: Timing { heartbeat: 150, election_min: 900, election_max: 1_500 }, least_voters: 1 };
+/// A replica's own chance decides nothing here.
+const SEED: u64 = 1;
+const NOW: u64 = 0;
+
+/// How often each thing may happen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+struct Events {
+    elections: u8,
+    commands: u8,
+    changes: u8,
+    reads: u8,
+    restarts: u8,
+}
+
+/// A small group: who votes, who votes after the change, and how often what happens.
+#[derive(Clone, Debug)]
+struct Group {
+    voters: Vec<ReplicaId>,
+    next: Vec<ReplicaId>,
+    most: Events,
+}
+
+/// A replica and what its disk holds.
+#[derive(Clone, Debug)]
+struct Node {
+    replica: Replica,
+    disk: DurableState,
+}
+
+/// The state of the group.
+#[derive(Clone, Debug)]
+struct State {
+    nodes: Vec<Node>,
+    /// Messages on their way, encoded.
+    network: BTreeSet<Vec<u8>>,
+    left: Events,
+    leaders: BTreeMap<u64, ReplicaId>,
+    committed: BTreeMap<u64, Entry>,
+    /// The newest committed position when a read began, by its number.
+    floors: BTreeMap<u64, u64>,
+    violation: Option<String>,
+}
+
+impl PartialEq for State {
+    fn eq(&self, other: &Self) -> bool {
+        self.key() == other.key()
+    }
+}
+
+impl Eq for State {}
+
+impl Hash for State {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        self.key().hash(hasher);
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Action {
+    Campaign(usize),
+    Deliver(Vec<u8>),
+    Command(usize),
+    Change(usize),
+    Complete(usize),
+    Read(usize),
+    Restart(usize),
+}
+
+fn member(id: ReplicaId) -> Member {
+    Member { id, address: format!("machine-{id}") }
+}
+
+fn membership(ids: &[ReplicaId]) -> Vec<Member> {
+    ids.iter().copied().map(member).collect()
+}
+
+impl State {
+    fn key(&self) -> (Vec<String>, &BTreeSet<Vec<u8>>, Events, &BTreeMap<u64, u64>) {
+        let nodes = self.nodes.iter().map(|node| node.replica.description()).collect();
+        (nodes, &self.network, self.left, &self.floors)
+    }
+
+    fn fail(&mut self, what: String) {
+        self.violation.get_or_insert(what);
+    }
+
+    /// Carries out what a replica wants; its disk is quick.
+    fn settle(&mut self, place: usize) {
+        loop {
+            let outputs = self.nodes[place].replica.take_outputs();
+            if outputs.is_empty() {
+                break;
+            }
+            outputs.into_iter().for_each(|output| self.carry_out(place, output));
+        }
+        let replica = &self.nodes[place].replica;
+        if replica.is_leader() {
+            let (term, id) = (replica.term(), replica.id());
+            let first = *self.leaders.entry(term).or_insert(id);
+            if first != id {
+                self.fail(format!("term {term} has the leaders {first} and {id}"));
+            }
+        }
+    }
+
+    fn carry_out(&mut self, place: usize, output: Output) {
+        let node = &mut self.nodes[place];
+        match output {
+            Output::Persist { sequence, record } => {
+                node.disk.fold(&record);
+                node.replica.persisted(sequence);
+            }
+            Output::Send(message) => drop(self.network.insert(message.serialize_bin())),
+            Output::Apply(entry) => {
+                let first = self.committed.entry(entry.index).or_insert_with(|| entry.clone());
+                if *first != entry {
+                    let index = entry.index;
+                    self.fail(format!("two entries are committed at {index}"));
+                }
+            }
+            Output::ReadReady { read } => {
+                let (floor, held) = (self.floors[&read], node.replica.log().last_index());
+                if held < floor {
+                    self.fail(format!(
+                        "a read is confirmed at {held} though {floor} was committed before it"
+                    ));
+                }
+            }
+            Output::ReadFailed { .. } | Output::Restore(_) => {}
+        }
+    }
+
+    fn newest_committed(&self) -> u64 {
+        self.committed.keys().next_back().copied().unwrap_or_default()
+    }
+
+    fn place_of(&self, id: ReplicaId) -> Option<usize> {
+        self.nodes.iter().position(|node| node.replica.id() == id)
+    }
+}
+
+impl Group {
+    fn ids(&self) -> BTreeSet<ReplicaId> {
+        self.voters.iter().chain(&self.next).copied().collect()
+    }
+
+    /// Replica 1 leads, and all have its first entry.
+    fn begin(&self) -> State {
+        let members = Membership::new(membership(&self.voters));
+        let founding = Snapshot { index: 1, term: 1, members, state: Vec::new() };
+        let node = |id: ReplicaId| {
+            let disk = DurableState::new(id, founding.clone());
+            Node { replica: Replica::new(disk.clone(), SETTINGS, NOW, SEED), disk }
+        };
+        let mut state = State {
+            nodes: self.ids().into_iter().map(node).collect(),
+            network: BTreeSet::new(),
+            left: self.most,
+            leaders: BTreeMap::new(),
+            committed: BTreeMap::new(),
+            floors: BTreeMap::new(),
+            violation: None,
+        };
+        (0..state.nodes.len()).for_each(|place| state.settle(place));
+        state.network.clear();
+        campaign(&mut state, 0);
+        while let Some(bytes) = state.network.pop_first() {
+            deliver(&mut state, &bytes);
+        }
+        assert!(state.nodes[0].replica.is_leader() && state.nodes[0].replica.commit_index() == 2);
+        state
+    }
+}
+
+fn campaign(state: &mut State, place: usize) {
+    let replica = &mut state.nodes[place].replica;
+    let (id, term) = (replica.id(), replica.term());
+    replica.receive(NOW, Message { from: id, to: id, term, body: Body::Elect });
+    state.settle(place);
+}
+
+fn deliver(state: &mut State, bytes: &[u8]) {
+    let message = Message::deserialize_bin(bytes).expect("a message that was sent");
+    if let Some(place) = state.place_of(message.to) {
+        state.nodes[place].replica.receive(NOW, message);
+        state.settle(place);
+    }
+}
+
+impl Model for Group {
+    type State = State;
+    type Action = Action;
+
+    fn init_states(&self) -> Vec<State> {
+        vec![self.begin()]
+    }
+
+    fn actions(&self, state: &State, actions: &mut Vec<Action>) {
+        let left = state.left;
+        actions.extend(state.network.iter().cloned().map(Action::Deliver));
+        for (place, node) in state.nodes.iter().enumerate() {
+            let replica = &node.replica;
+            let is_leader = replica.is_leader();
+            if left.elections > 0 && replica.members().is_voter(replica.id()) && !is_leader {
+                actions.push(Action::Campaign(place));
+            }
+            if left.commands > 0 && is_leader {
+                actions.push(Action::Command(place));
+            }
+            if left.changes > 0 && is_leader && !replica.members().is_changing() {
+                actions.push(Action::Change(place));
+            }
+            if is_leader && replica.members().is_changing() {
+                actions.push(Action::Complete(place));
+            }
+            if left.reads > 0 && is_leader {
+                actions.push(Action::Read(place));
+            }
+            if left.restarts > 0 {
+                actions.push(Action::Restart(place));
+            }
+        }
+    }
+
+    fn next_state(&self, last: &State, action: Action) -> Option<State> {
+        let mut state = last.clone();
+        match action {
+            Action::Deliver(bytes) => {
+                state.network.remove(&bytes);
+                deliver(&mut state, &bytes);
+            }
+            Action::Campaign(place) => {
+                state.left.elections -= 1;
+                campaign(&mut state, place);
+            }
+            Action::Command(place) => {
+                state.left.commands -= 1;
+                state.nodes[place].replica.propose(vec![state.left.commands]).ok()?;
+                state.settle(place);
+            }
+            Action::Change(place) => {
+                state.left.changes -= 1;
+                state.nodes[place].replica.change_voters(membership(&self.next)).ok()?;
+                state.settle(place);
+            }
+            Action::Complete(place) => {
+                state.nodes[place].replica.tick(NOW);
+                state.settle(place);
+            }
+            Action::Read(place) => {
+                state.left.reads -= 1;
+                let number = u64::from(state.left.reads);
+                let floor = state.newest_committed();
+                state.floors.insert(number, floor);
+                state.nodes[place].replica.read(number);
+                state.settle(place);
+            }
+            Action::Restart(place) => {
+                state.left.restarts -= 1;
+                let disk = state.nodes[place].disk.clone();
+                state.nodes[place].replica = Replica::new(disk, SETTINGS, NOW, SEED);
+                state.settle(place);
+            }
+        }
+        Some(state)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![Property::always("one leader a term, one entry a position, no old reads", |_, state: &State| {
+            state.violation.is_none()
+        })]
+    }
+}
+
+/// States that are looked at, unless `WOADSTALL_STATES` names another number.
+fn most_states() -> usize {
+    const STATES: usize = 300_000;
+    std::env::var("WOADSTALL_STATES").ok().and_then(|states| states.parse().ok()).unwrap_or(STATES)
+}
+
+#[rstest]
+#[case::elections_and_commands(&[1, 2, 3], &[1, 2, 3], Events { elections: 2, commands: 2, ..Events::default() })]
+#[case::reads_while_leaders_change(&[1, 2, 3], &[1, 2, 3], Events { elections: 1, commands: 1, reads: 1, ..Events::default() })]
+#[case::restarts(&[1, 2, 3], &[1, 2, 3], Events { elections: 1, commands: 1, restarts: 1, ..Events::default() })]
+#[case::one_of_three_is_replaced(&[1, 2, 3], &[1, 2, 4], Events { elections: 1, commands: 1, changes: 1, ..Events::default() })]
+#[case::two_of_three_are_replaced(&[1, 2, 3], &[1, 4, 5], Events { elections: 1, changes: 1, ..Events::default() })]
+#[case::the_leader_is_replaced(&[1, 2, 3], &[2, 3, 4], Events { elections: 1, changes: 1, ..Events::default() })]
+#[case::three_become_five(&[1, 2, 3], &[1, 2, 3, 4, 5], Events { elections: 1, changes: 1, ..Events::default() })]
+fn no_course_breaks_what_the_log_promises(
+    #[case] voters: &[ReplicaId],
+    #[case] next: &[ReplicaId],
+    #[case] most: Events,
+) {
+    let group = Group { voters: voters.to_vec(), next: next.to_vec(), most };
+    let checker = group.checker().target_state_count(most_states()).threads(2).spawn_bfs().join();
+    println!(
+        "{} states, {} of them different, depth {}",
+        checker.state_count(),
+        checker.unique_state_count(),
+        checker.max_depth()
+    );
+    checker.assert_properties();
+    assert!(checker.unique_state_count() > 1_000);
+}
