Tests: what mutants of log and control side outlived; fronts pass over machines that they left

Change: tests of quorums, of single messages and of calls for each; the property of the leader's vote draws it last, since the first one has the least identity anyway.

--- a/crates/consensus/tests/messages.rs
+++ b/crates/consensus/tests/messages.rs
@@ -14,14 +14,19 @@
     Entry { index, term, payload: Payload::Command(vec![index as u8]) }
 }
 
-/// Replica 1 of three, in term 5, with entries up to position 4 of terms 2, 2 and 4 behind the founding snapshot.
-fn replica() -> Replica {
+/// The state of replica 1 of three, in term 5, with entries up to position 4 of terms 2, 2 and 4 behind the founding snapshot.
+fn durable() -> DurableState {
     let voters = (1..=3).map(|id| Member { id, address: format!("machine-{id}") }).collect();
     let founding = Snapshot { index: 1, term: 1, members: Membership::new(voters), state: Vec::new() };
     let mut state = DurableState::new(1, founding);
     state.fold(&Record::Term { term: 5, vote: 0 });
     state.fold(&Record::Append(vec![entry(2, 2), entry(3, 2), entry(4, 4)]));
-    let mut replica = Replica::new(state, SETTINGS, 0, 1);
+    state
+}
+
+/// Replica 1, just started.
+fn replica() -> Replica {
+    let mut replica = Replica::new(durable(), SETTINGS, 0, 1);
     replica.take_outputs();
     replica
 }
@@ -435,3 +440,159 @@
     replica.tick(300);
     assert_eq!(voters(&replica), [1, 2, 4]);
 }
+
+#[test]
+fn a_leader_that_is_replaced_stays_until_the_change_is_complete_and_hands_over() {
+    let mut replica = leader_and_learner(4, "machine-4");
+    let voters_after = [2, 3, 4].map(|id| Member { id, address: format!("machine-{id}") });
+    replica.change_voters(voters_after.to_vec()).unwrap();
+    settled(&mut replica);
+    for (round, index) in [(3, 6), (4, 7)] {
+        for follower in [2, 3, 4] {
+            replica.receive(210, message(follower, 6, Body::AppendReply { success: true, index, round }));
+        }
+        settled(&mut replica);
+        if index == 6 {
+            assert!(replica.is_leader(), "the change is not complete");
+            replica.tick(220);
+            settled(&mut replica);
+        }
+    }
+    assert!(!replica.is_leader(), "it has no vote");
+    assert_eq!(voters(&replica), [2, 3, 4]);
+}
+
+#[test]
+fn a_change_is_completed_only_once_it_is_committed() {
+    let mut replica = leader_and_two_learners();
+    replica.receive(260, message(5, 6, Body::AppendReply { success: true, index: 5, round: 2 }));
+    replica.tick(300);
+    settled(&mut replica);
+    replica.tick(350);
+    settled(&mut replica);
+    assert_eq!((replica.log().last_index(), replica.members().is_changing()), (6, true));
+}
+
+/// Those that are sent entries or heartbeats.
+fn appended_to(sent: &[(ReplicaId, u64, Body)]) -> Vec<ReplicaId> {
+    let append = |(to, _, body): &(ReplicaId, u64, Body)| matches!(body, Body::Append { .. }).then_some(*to);
+    let mut all: Vec<ReplicaId> = sent.iter().filter_map(append).collect();
+    all.dedup();
+    all
+}
+
+#[test]
+fn a_member_without_a_vote_hears_of_it_for_a_while() {
+    let mut replica = leader_and_learner(4, "machine-4");
+    replica.receive(210, message(4, 6, Body::AppendReply { success: true, index: 5, round: 2 }));
+    replica.leaves(220, 3);
+    replica.tick(250);
+    settled(&mut replica);
+    for follower in [2, 4] {
+        replica.receive(255, message(follower, 6, Body::AppendReply { success: true, index: 6, round: 3 }));
+    }
+    settled(&mut replica);
+    replica.tick(300);
+    assert_eq!(voters(&replica), [1, 2, 4]);
+    assert_eq!(
+        appended_to(&settled(&mut replica)),
+        [2, 3, 4],
+        "the change itself goes to the former member too"
+    );
+    for now in [500, 1_000, 1_500] {
+        for follower in [2, 4] {
+            let round = (now - 300) / 20;
+            replica.receive(now, message(follower, 6, Body::AppendReply { success: true, index: 7, round }));
+        }
+        replica.tick(now);
+        assert!(appended_to(&settled(&mut replica)).contains(&3), "at {now} ms");
+    }
+}
+
+#[test]
+fn a_replica_without_a_vote_never_stands() {
+    let mut state = DurableState::new(9, Snapshot::default());
+    let voters = (1..=3).map(|id| Member { id, address: format!("machine-{id}") }).collect();
+    state.fold(&Record::Install(Snapshot {
+        index: 1,
+        term: 1,
+        members: Membership::new(voters),
+        state: Vec::new(),
+    }));
+    let mut replica = Replica::new(state, SETTINGS, 0, 1);
+    settled(&mut replica);
+    for now in (0..20_000).step_by(50) {
+        replica.tick(now);
+        assert!(settled(&mut replica).is_empty(), "at {now} ms");
+    }
+    replica.receive(20_000, Message { to: 9, ..message(2, 1, Body::Elect) });
+    assert!(settled(&mut replica).is_empty());
+    assert!(replica.wants_to_join());
+}
+
+#[test]
+fn whoever_grants_a_pre_vote_gives_the_time_to_be_elected() {
+    const ROUND_TRIP: u64 = 220;
+    for seed in 0..50 {
+        let mut replica = Replica::new(durable(), SETTINGS, 0, seed);
+        replica.take_outputs();
+        let pre_vote = Body::Vote { pre: true, last_index: 4, last_term: 4, transfer: false };
+        replica.receive(240, message(2, 6, pre_vote));
+        assert_eq!(is_granted(&settled(&mut replica)), Some(true));
+        replica.tick(240 + ROUND_TRIP);
+        assert!(
+            settled(&mut replica).is_empty(),
+            "seed {seed}: it stands against the one that it let go before"
+        );
+    }
+}
+
+#[rstest]
+#[case::of_two_with_equal_logs_the_greater_identity(1, 4, true)]
+#[case::a_longer_log_goes_before(9, 5, true)]
+#[case::the_lesser_identity_waits(9, 4, false)]
+fn of_two_that_stand_one_goes_before(#[case] own: ReplicaId, #[case] last_index: u64, #[case] granted: bool) {
+    let mut state = durable();
+    let voters = [own, 2, 3].map(|id| Member { id, address: format!("machine-{id}") });
+    let founding =
+        Snapshot { index: 1, term: 1, members: Membership::new(voters.to_vec()), state: Vec::new() };
+    let mut own_state = DurableState::new(own, founding);
+    own_state.fold(&Record::Term { term: 5, vote: 0 });
+    own_state.fold(&Record::Append(state.log.entries().to_vec()));
+    state = own_state;
+    let mut replica = Replica::new(state, SETTINGS, 0, 1);
+    replica.tick(700);
+    settled(&mut replica);
+    let pre_vote = Body::Vote { pre: true, last_index, last_term: 4, transfer: false };
+    replica.receive(710, Message { to: own, ..message(2, 6, pre_vote) });
+    assert_eq!(is_granted(&settled(&mut replica)), Some(granted));
+}
+
+#[test]
+fn a_leader_is_in_contact_since_the_round_that_is_answered_not_since_the_answer() {
+    let mut replica = leader();
+    // Both answers to the first round come late: bytes that a cut held up.
+    for now in (50..1_500).step_by(50) {
+        replica.tick(now);
+        settled(&mut replica);
+    }
+    assert!(replica.is_leader());
+    for follower in [2, 3] {
+        replica.receive(1_500, message(follower, 6, Body::AppendReply { success: true, index: 5, round: 1 }));
+    }
+    settled(&mut replica);
+    replica.tick(1_600);
+    assert!(!replica.is_leader(), "nobody has answered anything that was sent within the last 1.5 s");
+}
+
+#[test]
+fn nothing_is_read_before_the_term_has_committed() {
+    let mut replica = leader();
+    replica.read(77);
+    for round in 1..5 {
+        replica.receive(30, message(2, 6, Body::AppendReply { success: true, index: 4, round }));
+    }
+    let outputs = replica.take_outputs();
+    assert!(outputs.contains(&Output::ReadFailed { read: 77 }));
+    assert!(!outputs.contains(&Output::ReadReady { read: 77 }));
+}
--- a/crates/consensus/tests/voters.rs
+++ b/crates/consensus/tests/voters.rs
@@ -18,7 +18,7 @@
     }
 }
 
-/// Drawn candidates; learners are always there, and the first one leads.
+/// Drawn candidates; learners are always there, and the last one leads.
 fn groups() -> impl Strategy<Value = Vec<Candidate>> {
     let presences = prop_oneof![
         4 => Just(Presence::Live),
@@ -35,9 +35,10 @@
                 candidate(number as u64 + 1, zone, presence, is_voter)
             })
             .collect();
-        group[0].is_voter = true;
-        group[0].presence = Presence::Live;
-        group[0].is_leader = true;
+        // The last one: nothing but leading keeps its vote.
+        if let Some(leader) = group.last_mut() {
+            (leader.is_voter, leader.is_leader, leader.presence) = (true, true, Presence::Live);
+        }
         group
     })
 }
@@ -50,6 +51,10 @@
     ids(&choose_voters(group, least))
 }
 
+fn leader_of(group: &[Candidate]) -> ReplicaId {
+    group.iter().find(|candidate| candidate.is_leader).expect("one leads").member.id
+}
+
 fn voters_of(group: &[Candidate]) -> Vec<Member> {
     group.iter().filter(|candidate| candidate.is_voter).map(|candidate| candidate.member.clone()).collect()
 }
@@ -95,7 +100,7 @@
         let chosen = choose(&group, least);
         let current: BTreeSet<ReplicaId> =
             group.iter().filter(|candidate| candidate.is_voter).map(|candidate| candidate.member.id).collect();
-        prop_assert!(chosen.contains(&1));
+        prop_assert!(chosen.contains(&leader_of(&group)));
         let (before, after) = (live(&group, &current).count(), live(&group, &chosen).count());
         prop_assert!(after >= before.min(chosen.len()), "{before} live voters become {after} of {}", chosen.len());
         prop_assert!(chosen.len() - after <= current.len() - before, "more absent voters than before");
@@ -115,12 +120,13 @@
         if (least..=group.len().min(7)).any(|size| size % 2 == 1) {
             prop_assert_eq!(chosen.len() % 2, 1);
         }
+        let leader = leader_of(&group);
         // By brute force: any odd number of three or more with the leader that bears the loss of a region.
         let can_bear = (0u32..1 << group.len()).any(|subset| {
             let subset: BTreeSet<ReplicaId> =
                 group.iter().map(|candidate| candidate.member.id).filter(|id| subset >> (id - 1) & 1 == 1).collect();
             let size = subset.len();
-            subset.contains(&1) && size % 2 == 1 && size >= least.max(3) && size <= 7 && !has_majority_region(&group, &subset)
+            subset.contains(&leader) && size % 2 == 1 && size >= least.max(3) && size <= 7 && !has_majority_region(&group, &subset)
         });
         if can_bear {
             prop_assert!(!has_majority_region(&group, &chosen), "{chosen:?}");
--- a/crates/control/tests/calls.rs
+++ b/crates/control/tests/calls.rs
@@ -335,3 +335,65 @@
     });
     assert!(matches!(&delivered, Some(Packet::Snapshot { state, .. }) if !state.is_empty()), "{delivered:?}");
 }
+
+/// Machine 1, which follows machine 2 and has a configuration at position 3.
+fn follower_with_configuration() -> Machine {
+    let mut machine = follower();
+    let body = br#"{"generation":5,"services":[],"routes":[]}"#.to_vec();
+    let command = nanoserde::SerBin::serialize_bin(&Command::Put { base: 0, body });
+    let entries = vec![
+        woadstall_consensus::Entry { index: 2, term: TERM, payload: woadstall_consensus::Payload::Empty },
+        woadstall_consensus::Entry {
+            index: 3,
+            term: TERM,
+            payload: woadstall_consensus::Payload::Command(command),
+        },
+    ];
+    let body = Body::Append { previous_index: 1, previous_term: 1, entries, commit: 3, round: 2 };
+    let message = Message { from: 2, to: 1, term: TERM, body };
+    machine.packet(1_005, &address(2), Packet::Consensus { message, clock: LEADER_CLOCK + 5 });
+    settled(&mut machine, 1_005);
+    assert_eq!(machine.state().generation(), 5);
+    machine
+}
+
+#[rstest]
+#[case::confirmed_and_applied(Some(3), true)]
+#[case::confirmed_and_not_applied_yet(Some(4), false)]
+#[case::not_confirmed(None, false)]
+fn a_read_is_answered_once_what_the_leader_confirmed_is_applied(
+    #[case] index: Option<u64>,
+    #[case] answered: bool,
+) {
+    let mut machine = follower_with_configuration();
+    machine.read(1_010, TOKEN);
+    let packets = sent_to(&settled(&mut machine, 1_010), 2);
+    let Some(Packet::Read { call }) = packets.first() else { panic!("{packets:?}") };
+    machine.packet(1_100, &address(2), Packet::ReadDone { call: *call, index });
+    let actions = settled(&mut machine, 1_100);
+    assert_eq!(matches!(answers(&actions)[..], [Answer::Document(_)]), answered, "{actions:?}");
+    machine.tick(1_910);
+    let late = settled(&mut machine, 1_910);
+    assert_eq!(answers(&late) == [&Answer::Unclear], !answered, "{late:?}");
+}
+
+#[test]
+fn a_read_at_the_leader_waits_for_what_is_in_doubt() {
+    let mut machine = leader();
+    let term = machine.replica().term();
+    machine.order(1_100, TOKEN, Command::Evacuate { zone: "z".to_owned() });
+    settled(&mut machine, 1_100);
+    machine.read(1_110, TOKEN + 1);
+    settled(&mut machine, 1_110);
+    // Both others confirm the leader; the disks of both are slow.
+    let reply = |index| Packet::Consensus {
+        message: Message { from: 2, to: 1, term, body: Body::AppendReply { success: true, index, round: 9 } },
+        clock: 0,
+    };
+    machine.packet(1_200, &address(2), reply(2));
+    let actions = settled(&mut machine, 1_200);
+    assert!(answers(&actions).is_empty(), "the order may be taken yet: {actions:?}");
+    machine.packet(1_300, &address(2), reply(3));
+    let actions = settled(&mut machine, 1_300);
+    assert_eq!(answers(&actions).len(), 2, "the order is taken, and the read shows it: {actions:?}");
+}
--- a/crates/node/src/front/feeds.rs
+++ b/crates/node/src/front/feeds.rs
@@ -2,10 +2,11 @@
 //! tells. Each feed holds all commands behind its beginning in order, so whichever tells of one first may be followed.
 
 use super::Front;
+use super::sources::Sources;
 use crate::link;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use std::{io, mem};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -24,9 +25,6 @@
 /// Wait before the next machine is tried.
 const PAUSE: Duration = Duration::from_millis(150);
 
-/// Which machines are read now, so that the feeds differ.
-type Sources = Arc<Mutex<Vec<Option<SocketAddr>>>>;
-
 /// How far a feed was read.
 #[derive(Clone, Copy, Debug, Default)]
 struct Position {
@@ -36,36 +34,26 @@
 
 /// Starts reading.
 pub(super) fn start(front: &Arc<Front>) {
-    let sources: Sources = Arc::new(Mutex::new(vec![None; FEEDS]));
-    for number in 0..FEEDS {
-        tokio::spawn(follow(front.clone(), number, sources.clone()));
+    let sources = Arc::new(Mutex::new(Sources::new(FEEDS)));
+    for feed in 0..FEEDS {
+        tokio::spawn(follow(front.clone(), feed, sources.clone()));
     }
 }
 
-async fn follow(front: Arc<Front>, number: usize, sources: Sources) {
-    let mut tries = 0;
+async fn follow(front: Arc<Front>, feed: usize, sources: Arc<Mutex<Sources>>) {
     let mut last: Option<(SocketAddr, Position)> = None;
     loop {
-        let candidates = candidates(&front, number);
-        let taken: Vec<SocketAddr> = {
-            let mut sources = lock(&sources);
-            sources[number] = None;
-            sources.iter().flatten().copied().collect()
-        };
-        let free: Vec<SocketAddr> =
-            candidates.iter().copied().filter(|address| !taken.contains(address)).collect();
-        let Some(address) = free.get(tries % free.len().max(1)).copied() else {
-            sleep(PAUSE).await;
-            continue;
-        };
-        lock(&sources)[number] = Some(address);
-        let mut position =
-            last.filter(|(former, _)| *former == address).map(|(_, position)| position).unwrap_or_default();
-        if let Err(error) = read_from(&front, address, &mut position).await {
-            log::debug!("feed ended from={address}: {error}");
+        let preference = candidates(&front, feed);
+        let chosen = lock(&sources).choose(Instant::now(), feed, &preference);
+        if let Some(address) = chosen {
+            let former = last.filter(|(former, _)| *former == address);
+            let mut position = former.map(|(_, position)| position).unwrap_or_default();
+            if let Err(error) = read_from(&front, address, &mut position).await {
+                log::debug!("feed ended from={address}: {error}");
+            }
+            lock(&sources).leave(Instant::now(), feed);
+            last = Some((address, position));
         }
-        tries += 1;
-        last = Some((address, position));
         sleep(PAUSE).await;
     }
 }
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -9,6 +9,7 @@
 mod pool;
 mod readiness;
 mod reply;
+mod sources;
 mod stream;
 
 use crate::settings::NodeSettings;
