--- a/crates/control/tests/calls.rs
+++ b/crates/control/tests/calls.rs
@@ -397,3 +397,57 @@
     let actions = settled(&mut machine, 1_300);
     assert_eq!(answers(&actions).len(), 2, "the order is taken, and the read shows it: {actions:?}");
 }
+
+#[test]
+fn another_entry_at_the_position_of_an_order_does_not_answer_its_call() {
+    let mut machine = leader();
+    let term = machine.replica().term();
+    machine.order(1_100, TOKEN, evacuate());
+    settled(&mut machine, 1_100);
+    // The next leader never had the order, and has another one in its place.
+    let command = nanoserde::SerBin::serialize_bin(&Command::Evacuate { zone: "other".to_owned() });
+    let payload = woadstall_consensus::Payload::Command(command);
+    let entries = vec![woadstall_consensus::Entry { index: 3, term: term + 1, payload }];
+    let body = Body::Append { previous_index: 2, previous_term: term, entries, commit: 3, round: 1 };
+    let message = Message { from: 3, to: 1, term: term + 1, body };
+    machine.packet(1_200, &address(3), Packet::Consensus { message, clock: 0 });
+    let mut actions = settled(&mut machine, 1_200);
+    machine.tick(1_250);
+    actions.extend(settled(&mut machine, 1_250));
+    assert!(machine.state().evacuated.contains("other"));
+    assert_eq!(answers(&actions), [&Answer::Unclear]);
+}
+
+#[test]
+fn the_same_change_waits_for_its_own_entry_and_another_one_does_not() {
+    let mut machine = leader();
+    let put = |generation: u64| {
+        let body = format!("{{\"generation\":{generation},\"services\":[],\"routes\":[]}}").into_bytes();
+        Command::Put { base: 0, body }
+    };
+    machine.order(1_100, 1, put(5));
+    machine.order(1_110, 2, put(5));
+    machine.order(1_120, 3, put(6));
+    settled(&mut machine, 1_120);
+    assert_eq!(machine.replica().log().last_index(), 4, "two entries for three calls");
+    let reply = Body::AppendReply { success: true, index: 4, round: 9 };
+    let message = Message { from: 2, to: 1, term: machine.replica().term(), body: reply };
+    machine.packet(1_200, &address(2), Packet::Consensus { message, clock: 0 });
+    let actions = settled(&mut machine, 1_200);
+    assert_eq!(answers(&actions), [&Answer::Done, &Answer::Done, &Answer::Conflict { current: 5 }]);
+}
+
+#[test]
+fn evacuations_are_taken_in_the_order_in_which_they_come() {
+    let mut machine = leader();
+    let zone = || "z".to_owned();
+    machine.order(1_100, 1, Command::Evacuate { zone: zone() });
+    machine.order(1_110, 2, Command::Return { zone: zone() });
+    machine.order(1_120, 3, Command::Evacuate { zone: zone() });
+    settled(&mut machine, 1_120);
+    let reply = Body::AppendReply { success: true, index: 5, round: 9 };
+    let message = Message { from: 2, to: 1, term: machine.replica().term(), body: reply };
+    machine.packet(1_200, &address(2), Packet::Consensus { message, clock: 0 });
+    settled(&mut machine, 1_200);
+    assert!(machine.state().evacuated.contains("z"), "the third is not the first one said again");
+}
