Simulator: the shipped storage over bytes that lose power, torn and out of order; refused writes

Cause: the simulated disks folded whole records; what a loss of power leaves of the ring itself was tested by itself only. Change: the ring reads and writes a `Medium`: a folder, or in the simulator a platter that keeps, loses, tears or scatters each write that was not synced. Disks refuse writes for some seconds as well.

--- a/crates/control-simulation/src/cluster.rs
+++ b/crates/control-simulation/src/cluster.rs
@@ -17,6 +17,8 @@
 pub const TICK: u64 = 50;
 /// How long a sync takes, in milliseconds.
 const SYNC: u64 = 5;
+/// How long the process waits before it tries again what the disk has refused.
+const RETRY: u64 = 200;
 
 /// How a deployment is made.
 #[derive(Clone, Copy, Debug)]
@@ -137,7 +139,7 @@
         let host = &mut self.hosts[place];
         host.incarnation += 1;
         host.frozen_until = 0;
-        let member = Member { id: host.disk.durable.id, address: address(place) };
+        let member = Member { id: host.disk.durable().id, address: address(place) };
         let zone = format!("zone-{place}");
         let region = format!("region-{}", place % self.layout.regions);
         let settings = MachineSettings {
@@ -148,28 +150,28 @@
             tolerated: self.layout.tolerated,
             incarnation,
         };
-        let mut machine = Machine::new(settings, host.disk.durable.clone(), self.now, seed);
+        let mut machine = Machine::new(settings, host.disk.durable().clone(), self.now, seed);
         machine.remember(host.disk.registrations.clone());
         host.machine = Some(machine);
         self.settle(place);
     }
 
-    /// Ends a process; what was not synced is lost.
+    /// Ends a process; what was not begun to be written is lost.
     pub fn stop(&mut self, place: usize) {
         self.end(place, 0);
     }
 
-    /// Ends a process; some of what was not synced is there all the same.
+    /// Ends a process by a loss of power; some of what was not synced is there all the same, or torn.
     pub fn kill(&mut self, place: usize) {
-        let kept = self.random.usize(..=self.hosts[place].disk.pending());
-        self.end(place, kept);
+        let begun = self.random.usize(..=self.hosts[place].disk.pending());
+        self.end(place, begun);
     }
 
-    fn end(&mut self, place: usize, kept: usize) {
+    fn end(&mut self, place: usize, begun: usize) {
         let host = &mut self.hosts[place];
         host.machine = None;
         host.fronts = BTreeMap::new();
-        host.disk.interrupt(kept);
+        host.disk.lose_power(begun, &mut self.random);
         for other in 0..self.len() {
             self.network.reset(self.now, place, other);
             self.network.reset(self.now, other, place);
@@ -216,6 +218,11 @@
         self.hosts[place].disk.stalls_until = self.now + time;
     }
 
+    /// A disk refuses all writes for so long.
+    pub fn refuse_writes(&mut self, place: usize, time: u64) {
+        self.hosts[place].disk.refuses_until = self.now + time;
+    }
+
     /// Tells a process that it is about to be stopped.
     pub fn announce_stop(&mut self, place: usize) {
         self.call(place, |machine, now, _| machine.leave(now));
@@ -386,7 +393,7 @@
         self.heal();
         for host in &mut self.hosts {
             host.frozen_until = 0;
-            host.disk.stalls_until = 0;
+            (host.disk.stalls_until, host.disk.refuses_until) = (0, 0);
         }
         (0..self.len()).for_each(|place| self.start(place));
     }
@@ -446,13 +453,16 @@
             self.schedule(stalled_until - now, Due::Synced { place, incarnation });
             return;
         }
-        for synced in host.disk.sync(1) {
-            let Some(machine) = host.machine.as_mut() else { break };
+        let synced = host.disk.sync(now);
+        if let (Some(synced), Some(machine)) = (synced, host.machine.as_mut()) {
             match synced {
                 Synced::Records(sequence) => machine.persisted(now, sequence),
                 Synced::Registrations(number) => machine.kept(now, number),
             }
         }
+        if synced.is_none() && (host.disk.has_refused() || host.disk.pending() > 0) {
+            self.schedule(RETRY, Due::Synced { place, incarnation });
+        }
         self.settle(place);
     }
 
@@ -554,8 +564,10 @@
         let Some(newest) = newest.max_by_key(|machine| machine.replica().commit_index()) else { return };
         let members = newest.replica().members().clone();
         let holds = |member: &Member| {
-            let of_member = self.hosts.iter().find(|host| host.disk.durable.id == member.id);
-            of_member.is_some_and(|host| holds_generation(&host.disk.durable, generation))
+            let of_member = self.hosts.iter().find(|host| host.disk.durable().id == member.id);
+            of_member.is_some_and(|host| {
+                !host.disk.has_refused() && holds_generation(host.disk.durable(), generation)
+            })
         };
         if !members.is_quorum(holds) {
             self.oracle.fail(format!("version {generation} was acknowledged and is on too few disks"));
--- a/crates/control-simulation/src/disk.rs
+++ b/crates/control-simulation/src/disk.rs
@@ -1,9 +1,12 @@
-//! A machine's disk: records and registrations that are synced in order, after a while.
+//! A machine's disk: the shipped storage over bytes that lose power, and the registrations; written in order, after a while.
 
+use crate::platter::Platter;
+use std::collections::VecDeque;
 use woadstall_consensus::{DurableState, Record};
 use woadstall_control::registry::Registration;
+use woadstall_storage::Storage;
 
-/// Something that is being written.
+/// Something that waits to be written.
 #[derive(Clone, Debug)]
 enum Write {
     Record(u64, Record),
@@ -20,60 +23,106 @@
 }
 
 /// The disk.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Disk {
-    /// What a loss of power leaves of the log.
-    pub durable: DurableState,
-    /// What it leaves of the registrations.
+    storage: Storage<Platter>,
+    /// The registrations that were kept last.
     pub registrations: Vec<Registration>,
-    writes: Vec<Write>,
+    writes: VecDeque<Write>,
+    /// The newest record that was refused, and is to be written with the next ones.
+    refused: Option<u64>,
     /// Until when nothing is synced.
     pub stalls_until: u64,
+    /// Until when writes are refused.
+    pub refuses_until: u64,
 }
 
 impl Disk {
     /// A disk that holds a replica's first state.
-    pub fn new(durable: DurableState) -> Self {
-        Self { durable, registrations: Vec::new(), writes: Vec::new(), stalls_until: 0 }
+    pub fn new(first: DurableState) -> Self {
+        let mut storage = Storage::read(Platter::empty()).expect("an empty disk can be read");
+        storage.initialize(first).expect("a first state fits");
+        Self {
+            storage,
+            registrations: Vec::new(),
+            writes: VecDeque::new(),
+            refused: None,
+            stalls_until: 0,
+            refuses_until: 0,
+        }
+    }
+
+    /// The state that is durable, as long as the disk refuses nothing.
+    pub fn durable(&self) -> &DurableState {
+        self.storage.state().expect("the disk was initialized")
     }
 
     /// Begins to write a record.
     pub fn write(&mut self, sequence: u64, record: Record) {
-        self.writes.push(Write::Record(sequence, record));
+        self.writes.push_back(Write::Record(sequence, record));
     }
 
     /// Begins to write the registrations.
     pub fn keep(&mut self, number: u64, registrations: Vec<Registration>) {
-        self.writes.push(Write::Registrations(number, registrations));
+        self.writes.push_back(Write::Registrations(number, registrations));
     }
 
-    /// The writes so far, all together.
+    /// The writes that wait.
     pub fn pending(&self) -> usize {
         self.writes.len()
     }
 
-    /// Makes the oldest writes durable.
-    pub fn sync(&mut self, count: usize) -> Vec<Synced> {
-        let count = count.min(self.writes.len());
-        let mut synced = Vec::new();
-        for write in self.writes.drain(..count) {
-            match write {
-                Write::Record(sequence, record) => {
-                    self.durable.fold(&record);
-                    synced.push(Synced::Records(sequence));
-                }
-                Write::Registrations(number, registrations) => {
-                    self.registrations = registrations;
-                    synced.push(Synced::Registrations(number));
+    /// Whether something was refused and is to be tried again.
+    pub fn has_refused(&self) -> bool {
+        self.refused.is_some()
+    }
+
+    /// Writes and syncs what waits longest.
+    pub fn sync(&mut self, now: u64) -> Option<Synced> {
+        self.storage.medium().refuses = now < self.refuses_until;
+        match self.writes.pop_front() {
+            Some(Write::Record(sequence, record)) => self.sync_records(sequence, &[record]),
+            Some(Write::Registrations(number, registrations)) => {
+                if now < self.refuses_until {
+                    self.writes.push_front(Write::Registrations(number, registrations));
+                    return None;
                 }
+                self.registrations = registrations;
+                Some(Synced::Registrations(number))
+            }
+            None => {
+                let refused = self.refused?;
+                self.sync_records(refused, &[])
             }
         }
-        synced
     }
 
-    /// The process or the power ends: of what was not synced, the first `kept` writes are there all the same.
-    pub fn interrupt(&mut self, kept: usize) {
-        self.sync(kept);
-        self.writes.clear();
+    fn sync_records(&mut self, sequence: u64, records: &[Record]) -> Option<Synced> {
+        let is_written = self.storage.write(records).is_ok();
+        self.refused = if is_written { None } else { Some(sequence) };
+        is_written.then_some(Synced::Records(sequence))
+    }
+
+    /// Power fails while the first `begun` of the writes that wait are on their way: what they leave is read again.
+    pub fn lose_power(&mut self, begun: usize, random: &mut fastrand::Rng) {
+        self.storage.medium().refuses = false;
+        let records: Vec<Record> = self
+            .writes
+            .drain(..)
+            .take(begun)
+            .filter_map(|write| match write {
+                Write::Record(_, record) => Some(record),
+                Write::Registrations(..) => None,
+            })
+            .collect();
+        if !records.is_empty() {
+            self.storage.medium().cuts_power = true;
+            self.storage.write(&records).ok();
+        }
+        self.refused = None;
+        (self.stalls_until, self.refuses_until) = (0, 0);
+        let mut platter = std::mem::take(self.storage.medium());
+        platter.lose_power(random);
+        self.storage = Storage::read(platter).expect("what was synced can be read");
     }
 }
--- a/crates/control-simulation/src/lib.rs
+++ b/crates/control-simulation/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod history;
 pub mod network;
 pub mod oracle;
+pub mod platter;
 pub mod scenario;
--- a/crates/control-simulation/src/scenario.rs
+++ b/crates/control-simulation/src/scenario.rs
@@ -47,6 +47,8 @@
     Freeze { place: usize, time: u64 },
     /// A disk stands still.
     StallDisk { place: usize, time: u64 },
+    /// A disk refuses all writes.
+    RefuseWrites { place: usize, time: u64 },
     /// A machine is cut off from all others, or in one direction.
     CutOff { place: usize, to_it: bool, from_it: bool },
     /// The machines are cut into two halves.
@@ -106,6 +108,9 @@
             17 if kinds.processes => events.push(Event::Terminate { place }),
             18..=19 => events.push(Event::StartAll),
             20 if kinds.processes => events.push(Event::Freeze { place, time: random.u64(200..20_000) }),
+            21 if kinds.stalls && random.bool() => {
+                events.push(Event::RefuseWrites { place, time: random.u64(200..8_000) });
+            }
             21 if kinds.stalls => events.push(Event::StallDisk { place, time: random.u64(200..8_000) }),
             22 if kinds.cuts => {
                 let way = random.u8(..3);
@@ -306,6 +311,7 @@
             (0..cluster.len()).for_each(|other| cluster.start(other));
         }
         Event::Freeze { place, time } => cluster.freeze(place, time),
+        Event::RefuseWrites { place, time } => cluster.refuse_writes(place, time),
         Event::StallDisk { place, time } => cluster.stall_disk(place, time),
         Event::CutOff { place, to_it, from_it } => {
             for other in (0..cluster.len()).filter(|other| *other != place) {
--- a/crates/control/tests/configuration.rs
+++ b/crates/control/tests/configuration.rs
@@ -197,3 +197,24 @@
     let bytes = state.encode();
     assert!(ControlState::decode(&bytes[..bytes.len() / 2]).is_err());
 }
+
+#[test]
+fn an_older_state_or_an_older_command_never_replaces_a_newer_one() {
+    let put = |base: u64, generation: u64| Command::Put {
+        base,
+        body: format!("{{\"generation\":{generation},\"services\":[],\"routes\":[]}}").into_bytes(),
+    };
+    let mut older = ControlState::default();
+    older.apply(3, &put(0, 5));
+    let mut newer = older.clone();
+    newer.apply(7, &put(5, 8));
+    let mut state = newer.clone();
+    state.replace_if_newer(older.clone());
+    assert_eq!((state.index, state.generation()), (7, 8));
+    state.apply_if_newer(6, &put(8, 9));
+    assert_eq!((state.index, state.generation()), (7, 8));
+    state.apply_if_newer(8, &put(8, 9));
+    assert_eq!((state.index, state.generation()), (8, 9));
+    older.replace_if_newer(newer);
+    assert_eq!((older.index, older.generation()), (7, 8));
+}
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -11,10 +11,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod medium;
 mod segment;
 
+pub use medium::{Folder, Medium};
+
 use segment::{Header, Item, Reader, Segment, VERSION};
-use std::fs::{self, File};
 use std::io;
 use std::path::{Path, PathBuf};
 use thiserror::Error;
@@ -22,10 +24,10 @@
 
 /// Files in the ring. A checkpoint is written to one while the last complete one is in another; the third lets a write
 /// that failed be repeated elsewhere.
-const SEGMENTS: usize = 3;
+pub const SEGMENTS: usize = 3;
 /// Bytes of a file. The largest checkpoint holds a configuration of 6 MB and what is remembered of orders, 4 MB of entries that
 /// are about to be compacted, 4 MB that wait to be committed, and one order of 6 MB more.
-const SEGMENT_BYTES: u64 = 24 << 20;
+pub const SEGMENT_BYTES: u64 = 24 << 20;
 
 /// Why the state could not be read or written.
 #[derive(Debug, Error)]
@@ -60,7 +62,7 @@
 }
 
 impl StorageError {
-    fn at(path: &Path) -> impl FnOnce(io::Error) -> Self {
+    pub(crate) fn at(path: &Path) -> impl FnOnce(io::Error) -> Self + use<> {
         let path = path.to_owned();
         move |source| Self::Io { path, source }
     }
@@ -68,32 +70,34 @@
 
 /// The open ring.
 #[derive(Debug)]
-pub struct Storage {
-    files: Vec<(PathBuf, File)>,
+pub struct Storage<M = Folder> {
+    medium: M,
     state: Option<DurableState>,
     current: Option<Segment>,
     last_sequence: u64,
 }
 
-impl Storage {
+impl Storage<Folder> {
     /// Opens or creates the files in a folder and reads what is there.
     pub fn open(folder: &Path) -> Result<Self, StorageError> {
-        fs::create_dir_all(folder).map_err(StorageError::at(folder))?;
-        let files = (0..SEGMENTS)
-            .map(|number| open_file(&folder.join(format!("segment-{number}"))))
-            .collect::<Result<Vec<_>, _>>()?;
-        File::open(folder).and_then(|folder| folder.sync_all()).map_err(StorageError::at(folder))?;
+        Self::read(Folder::open(folder)?)
+    }
+}
+
+impl<M: Medium> Storage<M> {
+    /// Reads what a medium holds.
+    pub fn read(medium: M) -> Result<Self, StorageError> {
         let mut newest = None;
-        for (path, file) in &files {
-            let sequence = match Reader::header(file).map_err(StorageError::at(path))? {
+        for file in 0..SEGMENTS {
+            let at = || StorageError::at(&medium.name(file));
+            let sequence = match Reader::header(&medium, file).map_err(at())? {
                 Header::Unsound => continue,
                 Header::Version(version) => {
-                    return Err(StorageError::Version { path: path.clone(), version });
+                    return Err(StorageError::Version { path: medium.name(file), version });
                 }
                 Header::Segment(sequence) => sequence,
             };
-            let reader = Reader::new(file, sequence).map_err(StorageError::at(path))?;
-            let Some(state) = reader.replay().map_err(StorageError::at(path))? else { continue };
+            let Some(state) = Reader::new(&medium, file, sequence).replay().map_err(at())? else { continue };
             if newest.as_ref().is_none_or(|(best, _)| sequence > *best) {
                 newest = Some((sequence, state));
             }
@@ -102,7 +106,7 @@
         // could in the end reach the file of the only complete checkpoint.
         let last_sequence = newest.as_ref().map_or(0, |(sequence, _)| *sequence);
         let state = newest.map(|(_, state)| state);
-        Ok(Self { files, state, current: None, last_sequence })
+        Ok(Self { medium, state, current: None, last_sequence })
     }
 
     /// The state as of the last write; `None` where the disk is empty.
@@ -110,6 +114,11 @@
         self.state.as_ref()
     }
 
+    /// The medium.
+    pub fn medium(&mut self) -> &mut M {
+        &mut self.medium
+    }
+
     /// Begins with a new state, durably.
     pub fn initialize(&mut self, state: DurableState) -> Result<(), StorageError> {
         self.state = Some(state);
@@ -129,8 +138,8 @@
         if !segment.has_room(bytes.len(), SEGMENT_BYTES) {
             return self.checkpoint();
         }
-        let (path, file) = &self.files[segment.file];
-        segment.write(file, &bytes).map_err(StorageError::at(path))?;
+        let at = StorageError::at(&self.medium.name(segment.file));
+        segment.write(&mut self.medium, &bytes).map_err(at)?;
         self.current = Some(segment);
         Ok(())
     }
@@ -144,20 +153,10 @@
         if bytes.len() as u64 > SEGMENT_BYTES {
             return Err(StorageError::TooLarge { bytes: bytes.len() });
         }
-        let (path, opened) = &self.files[file];
-        segment.write(opened, &bytes).map_err(StorageError::at(path))?;
+        let at = StorageError::at(&self.medium.name(file));
+        segment.write(&mut self.medium, &bytes).map_err(at)?;
         self.last_sequence = sequence;
         self.current = Some(segment);
         Ok(())
     }
 }
-
-fn open_file(path: &Path) -> Result<(PathBuf, File), StorageError> {
-    let opened = File::options().read(true).write(true).create(true).truncate(false).open(path);
-    let file = opened.map_err(StorageError::at(path))?;
-    let length = file.metadata().map_err(StorageError::at(path))?.len();
-    if length != SEGMENT_BYTES {
-        file.set_len(SEGMENT_BYTES).and_then(|()| file.sync_all()).map_err(StorageError::at(path))?;
-    }
-    Ok((path.to_owned(), file))
-}
--- a/crates/storage/src/segment.rs
+++ b/crates/storage/src/segment.rs
@@ -1,8 +1,8 @@
 //! One file of the ring.
 
+use crate::medium::Medium;
 use nanoserde::{DeBin, SerBin};
-use std::fs::File;
-use std::io::{self, Read, Seek, SeekFrom, Write};
+use std::io;
 use woadstall_consensus::{DurableState, Entry, Record, ReplicaId, Snapshot};
 
 /// Begins each segment that was ever used.
@@ -69,10 +69,9 @@
     }
 
     /// Writes bytes behind what is there, and waits until they are durable.
-    pub fn write(&mut self, mut file: &File, bytes: &[u8]) -> io::Result<()> {
-        file.seek(SeekFrom::Start(self.offset))?;
-        file.write_all(bytes)?;
-        file.sync_data()?;
+    pub fn write(&mut self, medium: &mut impl Medium, bytes: &[u8]) -> io::Result<()> {
+        medium.write(self.file, self.offset, bytes)?;
+        medium.sync(self.file)?;
         self.offset += bytes.len() as u64;
         Ok(())
     }
@@ -103,32 +102,26 @@
 }
 
 /// Reads a segment.
-pub struct Reader<'a> {
-    file: &'a File,
+pub struct Reader<'a, M> {
+    medium: &'a M,
+    file: usize,
     sequence: u64,
+    /// The position of the next item.
     offset: u64,
     buffer: Vec<u8>,
 }
 
-impl<'a> Reader<'a> {
+impl<'a, M: Medium> Reader<'a, M> {
     /// The header of a file.
-    pub fn header(mut file: &File) -> io::Result<Header> {
+    pub fn header(medium: &M, file: usize) -> io::Result<Header> {
         let mut bytes = [0; HEADER_BYTES];
-        file.seek(SeekFrom::Start(0))?;
-        if let Err(error) = file.read_exact(&mut bytes) {
-            return if error.kind() == io::ErrorKind::UnexpectedEof {
-                Ok(Header::Unsound)
-            } else {
-                Err(error)
-            };
-        }
-        Ok(Header::read(&bytes))
+        let got = medium.read(file, 0, &mut bytes)?;
+        Ok(if got < HEADER_BYTES { Header::Unsound } else { Header::read(&bytes) })
     }
 
     /// A reader behind the header of a segment.
-    pub fn new(mut file: &'a File, sequence: u64) -> io::Result<Self> {
-        file.seek(SeekFrom::Start(HEADER_BYTES as u64))?;
-        Ok(Self { file, sequence, offset: HEADER_BYTES as u64, buffer: Vec::new() })
+    pub fn new(medium: &'a M, file: usize, sequence: u64) -> Self {
+        Self { medium, file, sequence, offset: HEADER_BYTES as u64, buffer: Vec::new() }
     }
 
     /// The state; `None` where the checkpoint is not complete.
@@ -169,11 +162,10 @@
 
     /// Reads until so many bytes are in the buffer; `false` where the file ends before.
     fn fill(&mut self, bytes: usize) -> io::Result<bool> {
-        let mut file = self.file;
         while self.buffer.len() < bytes {
             let have = self.buffer.len();
             self.buffer.resize(have + READ_BYTES, 0);
-            let got = file.read(&mut self.buffer[have..]);
+            let got = self.medium.read(self.file, self.offset + have as u64, &mut self.buffer[have..]);
             self.buffer.truncate(have + *got.as_ref().unwrap_or(&0));
             if got? == 0 {
                 return Ok(false);
