--- a/crates/control/tests/calls.rs
+++ b/crates/control/tests/calls.rs
@@ -451,3 +451,34 @@
     settled(&mut machine, 1_200);
     assert!(machine.state().evacuated.contains("z"), "the third is not the first one said again");
 }
+
+#[test]
+fn bytes_of_a_leader_that_were_held_up_are_no_sign_that_it_is_there() {
+    let mut machine = follower();
+    assert!(machine.in_quorum());
+    // Ten seconds of silence; then what the leader sent 0.2 s after the last message comes.
+    hear_leader(&mut machine, 11_000, LEADER_CLOCK + 200);
+    assert!(!machine.in_quorum());
+    hear_leader(&mut machine, 11_010, LEADER_CLOCK + 10_010);
+    assert!(machine.in_quorum());
+}
+
+#[test]
+fn a_leaving_counts_here_only_once_it_is_on_this_disk() {
+    let mut machine = follower();
+    machine.deregister(1_010, TOKEN, "i-1");
+    let actions = machine.take_actions();
+    let keep = actions.iter().find_map(|action| match action {
+        Action::KeepRegistrations { number } => Some(*number),
+        _ => None,
+    });
+    let packets = sent_to(&actions, 3);
+    let Some(Packet::Registrations { call, .. }) = packets.first() else { panic!("{packets:?}") };
+    machine.packet(1_100, &address(3), Packet::RegistrationsTaken { call: *call });
+    assert!(
+        answers(&machine.take_actions()).is_empty(),
+        "one other of three, and this disk has not written it"
+    );
+    machine.kept(1_200, keep.unwrap());
+    assert_eq!(answers(&machine.take_actions()), [&Answer::Done]);
+}
