Front: ten crossings forced on real sockets

Change: tests against upstreams whose connections are in the test's hands: a second answer, a late one in the next one's place, answers without id or stamp, an early answer with the rest of a long body owed, an end without a length by reset, closed kept connections, resets after the last byte, silence, clients that leave, time handed on. Ruled out by the first drafts: a request on a connection that closes in the same moment may have run and gets 502; a body that is whole in the kernel's hands is owed no more, and its connection may be kept.

--- /dev/null
+++ b/tests/crossings.rs
@@ -0,0 +1,323 @@
+//! The right answer to the right caller, at most once: a front against upstreams that break the protocol, on real sockets. Each
+//! crossing is forced, and nothing of one request may reach another one.
+
+use serde_json::{Value, json};
+use std::io::{BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+use woadstall_standin::http1::{Act, Message, PATIENCE, Upstream};
+use woadstall_standin::system::{System, answer, call, events};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_woadstall");
+/// How soon after a client has left its upstreams hear of it.
+const HEARD_OF: Duration = Duration::from_millis(500);
+
+fn system(timeout_ms: u64, attempts: u64) -> System {
+    let system = System::start(Path::new(PROGRAM), 1);
+    let route = |name: &str, route_type: &str| {
+        json!({
+            "name": name, "host": "shop.example", "path_prefix": format!("/{name}/"), "route_type": route_type,
+            "timeout_ms": timeout_ms, "service": "s", "max_attempts": attempts, "resumable": false,
+        })
+    };
+    let routes: Vec<Value> =
+        vec![route("safe", "safe"), route("once", "non_idempotent"), route("stream", "streaming")];
+    let services = json!([{ "name": "s", "max_connections": 100 }]);
+    system.configure(0, 0, &json!({ "generation": 1, "routes": routes, "services": services }));
+    system
+}
+
+fn ask(front: SocketAddr, path: &str, id: &str, body: &[u8]) -> Option<Message> {
+    call(front, "POST", path, &format!("Request-Id: {id}\r\nDeadline: 8000\r\n"), body)
+}
+
+/// An upstream whose connections are in the test's hands.
+struct Raw {
+    address: SocketAddr,
+    connections: Receiver<TcpStream>,
+}
+
+impl Raw {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (sender, connections): (Sender<TcpStream>, _) = channel();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                stream.set_read_timeout(Some(PATIENCE)).unwrap();
+                if sender.send(stream).is_err() {
+                    return;
+                }
+            }
+        });
+        Self { address, connections }
+    }
+
+    fn next(&self) -> TcpStream {
+        self.connections.recv_timeout(PATIENCE).expect("a connection comes")
+    }
+}
+
+/// Makes the kernel reset the connection instead of ending it in order.
+fn reset(stream: &TcpStream) {
+    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)).unwrap();
+}
+
+#[test]
+fn a_second_answer_to_one_request_is_no_answer_to_the_next() {
+    let system = system(5_000, 1);
+    let front = system.front(0);
+    let upstream = Upstream::start(|request| {
+        let own = answer(request, "own");
+        Act::AnswerAndMore(own.clone(), own)
+    });
+    system.register(0, "i-1", "s", upstream.address, 0);
+    for number in 0..8 {
+        let id = format!("r-{number}");
+        let Some(reply) = ask(front, "/once/1", &id, b"{}") else { continue };
+        if reply.status() == 200 {
+            assert_eq!(reply.headers["request-id"], id);
+            assert_eq!(reply.headers["response-stamp"], format!("stamp-{id}"));
+        }
+    }
+    assert!(upstream.requests() <= 8, "each was sent once at most");
+}
+
+#[test]
+fn a_late_second_answer_in_the_place_of_the_next_one_is_told_by_its_id() {
+    let system = system(5_000, 1);
+    let front = system.front(0);
+    let raw = Raw::start();
+    system.register(0, "i-1", "s", raw.address, 0);
+    thread::scope(|scope| {
+        let first = scope.spawn(|| ask(front, "/once/1", "r-1", b"{}"));
+        let stream = raw.next();
+        let mut input = BufReader::new(stream.try_clone().unwrap());
+        let request = Message::read(&mut input).unwrap();
+        (&stream).write_all(answer(&request, "first").as_bytes()).unwrap();
+        assert_eq!(first.join().unwrap().unwrap().body, b"first");
+        // The next request goes out over the same connection, where it still is: what comes then is the old one's.
+        let second = scope.spawn(|| ask(front, "/once/1", "r-2", b"{}"));
+        let next = Message::read(&mut input);
+        assert_eq!(next.expect("the connection is kept").headers["request-id"], "r-2");
+        (&stream).write_all(answer(&request, "first").as_bytes()).unwrap();
+        assert_eq!(second.join().unwrap().expect("an answer").status(), 502, "it may have run");
+        // The connection is in doubt: nothing more is sent on it.
+        assert!(Message::read(&mut input).is_none());
+    });
+}
+
+#[test]
+fn an_answer_without_an_id_or_without_its_stamp_is_none() {
+    let system = system(5_000, 1);
+    let front = system.front(0);
+    let upstream = Upstream::start(|request| {
+        let whole = answer(request, "own");
+        let header = if request.headers["request-id"] == "r-1" {
+            "Request-Id: r-1\r\n"
+        } else {
+            "Response-Stamp: stamp-r-2\r\n"
+        };
+        Act::Answer(whole.replace(header, ""))
+    });
+    system.register(0, "i-1", "s", upstream.address, 0);
+    for id in ["r-1", "r-2"] {
+        let reply = ask(front, "/once/1", id, b"{}").expect("an answer");
+        assert_eq!((reply.status(), reply.headers.get("response-stamp")), (502, None), "{id}");
+    }
+}
+
+#[test]
+fn where_an_answer_comes_before_a_long_body_is_read_the_rest_of_it_or_nothing_follows() {
+    const BODY: usize = 3 << 20;
+    let system = system(5_000, 1);
+    let front = system.front(0);
+    let raw = Raw::start();
+    system.register(0, "i-1", "s", raw.address, 0);
+    let body: Vec<u8> = (0..BODY).map(|position| (position % 251) as u8).collect();
+    thread::scope(|scope| {
+        let asked = scope.spawn(|| ask(front, "/once/1", "r-1", &body));
+        let mut stream = raw.next();
+        let mut head = Vec::new();
+        let mut byte = [0];
+        while !head.ends_with(b"\r\n\r\n") {
+            stream.read_exact(&mut byte).unwrap();
+            head.push(byte[0]);
+        }
+        let early = "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n\r\n";
+        stream.write_all(early.as_bytes()).unwrap();
+        assert_eq!(asked.join().unwrap().expect("an answer").status(), 200);
+        // The rest of the body is owed in full, or nothing more comes on this connection.
+        let next = scope.spawn(|| ask(front, "/once/1", "r-2", b"{}"));
+        let mut rest = Vec::new();
+        stream.try_clone().unwrap().take(BODY as u64).read_to_end(&mut rest).ok();
+        assert!(rest[..] == body[..rest.len()], "other bytes where the body is due");
+        let mut carrier = if rest.len() == BODY { stream } else { raw.next() };
+        let request = match Message::read(&mut BufReader::new(carrier.try_clone().unwrap())) {
+            Some(request) => request,
+            None => {
+                carrier = raw.next();
+                Message::read(&mut BufReader::new(carrier.try_clone().unwrap())).unwrap()
+            }
+        };
+        assert_eq!(request.headers["request-id"], "r-2");
+        carrier.write_all(answer(&request, "second").as_bytes()).unwrap();
+        assert_eq!(next.join().unwrap().expect("an answer").body, b"second");
+    });
+}
+
+#[test]
+fn an_answer_without_a_length_that_ends_with_a_reset_is_not_complete() {
+    let system = system(5_000, 1);
+    let front = system.front(0);
+    let raw = Raw::start();
+    system.register(0, "i-1", "s", raw.address, 0);
+    for (id, resets) in [("r-1", false), ("r-2", true)] {
+        thread::scope(|scope| {
+            let asked = scope.spawn(|| ask(front, "/once/1", id, b"{}"));
+            let mut stream = raw.next();
+            Message::read(&mut BufReader::new(stream.try_clone().unwrap())).unwrap();
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\nConnection: close\r\n\r\nhalf"
+            );
+            stream.write_all(head.as_bytes()).unwrap();
+            if resets {
+                reset(&stream);
+            }
+            drop(stream);
+            let reply = asked.join().unwrap().expect("an answer");
+            assert_eq!(reply.status(), if resets { 502 } else { 200 }, "{id}");
+        });
+    }
+}
+
+#[test]
+fn a_kept_connection_that_its_upstream_has_closed_or_forgotten_swallows_nothing() {
+    let system = system(5_000, 2);
+    let front = system.front(0);
+    let upstream = Upstream::start(|request| Act::AnswerAndClose(answer(request, "own")));
+    system.register(0, "i-1", "s", upstream.address, 0);
+    for number in 0..10 {
+        let reply = ask(front, "/once/1", &format!("r-{number}"), b"{}").expect("an answer");
+        assert_eq!(reply.status(), 200, "request {number}");
+        assert_eq!(upstream.request().headers["request-id"], format!("r-{number}"));
+        upstream.closed();
+    }
+    assert_eq!(upstream.requests(), 0, "each was sent once");
+}
+
+#[test]
+fn a_request_that_was_written_and_reset_is_not_sent_again_unless_it_may_be() {
+    let system = system(5_000, 2);
+    let front = system.front(0);
+    let (one, other) = (Raw::start(), Raw::start());
+    system.register(0, "i-1", "s", one.address, 0);
+    system.register(0, "i-2", "s", other.address, 0);
+    let sent = |path: &str| {
+        thread::scope(|scope| {
+            let (count, counted) = channel();
+            for raw in [&one, &other] {
+                let streams: Vec<TcpStream> = raw.connections.try_iter().collect();
+                drop(streams);
+            }
+            let asked = scope.spawn(|| ask(front, path, "r-1", b"{}"));
+            while !asked.is_finished() {
+                for raw in [&one, &other] {
+                    let Ok(stream) = raw.connections.recv_timeout(Duration::from_millis(5)) else { continue };
+                    if Message::read(&mut BufReader::new(stream.try_clone().unwrap())).is_some() {
+                        count.send(()).unwrap();
+                    }
+                    reset(&stream);
+                }
+            }
+            drop(count);
+            (counted.iter().count(), asked.join().unwrap().expect("an answer").status())
+        })
+    };
+    assert_eq!(sent("/once/1"), (1, 502));
+    assert_eq!(sent("/safe/1"), (2, 502));
+}
+
+#[test]
+fn silence_ends_with_the_routes_time_and_frees_the_upstream() {
+    let system = system(700, 2);
+    let front = system.front(0);
+    let upstream = Upstream::start(|_| Act::Silence);
+    system.register(0, "i-1", "s", upstream.address, 0);
+    let begin = Instant::now();
+    let reply = ask(front, "/once/1", "r-1", b"{}").expect("an answer");
+    let took = begin.elapsed();
+    assert_eq!(reply.status(), 504);
+    assert!(took >= Duration::from_millis(650) && took < Duration::from_millis(700) + HEARD_OF, "{took:?}");
+    upstream.request();
+    upstream.closed();
+    assert_eq!(upstream.requests(), 0, "it was sent once");
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_request_and_its_stream_at_the_upstream() {
+    let system = system(20_000, 2);
+    let front = system.front(0);
+    let raw = Raw::start();
+    system.register(0, "i-1", "s", raw.address, 0);
+    for (path, begins) in [("/safe/1", false), ("/stream/1", true)] {
+        let mut client = TcpStream::connect(front).unwrap();
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r-1\r\nDeadline: 20000\r\nContent-Length: 0\r\n\r\n"
+        );
+        client.write_all(head.as_bytes()).unwrap();
+        let mut stream = raw.next();
+        let request = Message::read(&mut BufReader::new(stream.try_clone().unwrap())).unwrap();
+        if begins {
+            stream.write_all(events(&request, &["id: 1\ndata: a\n\n"], false).as_bytes()).unwrap();
+            let mut first = [0; 12];
+            client.read_exact(&mut first).unwrap();
+        }
+        client.shutdown(Shutdown::Both).unwrap();
+        drop(client);
+        let left = Instant::now();
+        let mut rest = Vec::new();
+        stream.read_to_end(&mut rest).ok();
+        assert!(left.elapsed() < HEARD_OF, "{path}: the upstream hears of it after {:?}", left.elapsed());
+        assert!(rest.is_empty(), "{path}: more is sent");
+        let quiet = raw.connections.recv_timeout(HEARD_OF);
+        assert!(quiet.is_err(), "{path}: it is sent elsewhere after its client has left");
+    }
+}
+
+#[test]
+fn what_is_left_of_the_time_is_handed_on_and_less_the_second_time() {
+    let system = system(20_000, 2);
+    let front = system.front(0);
+    let (one, other) = (Raw::start(), Raw::start());
+    system.register(0, "i-1", "s", one.address, 0);
+    system.register(0, "i-2", "s", other.address, 0);
+    const WORKED: Duration = Duration::from_millis(400);
+    let mut told: Vec<u64> = Vec::new();
+    thread::scope(|scope| {
+        let asked = scope.spawn(|| ask(front, "/safe/1", "r-1", b"{}"));
+        while told.len() < 2 {
+            for raw in [&one, &other] {
+                let Ok(mut stream) = raw.connections.recv_timeout(Duration::from_millis(5)) else { continue };
+                let Some(request) = Message::read(&mut BufReader::new(stream.try_clone().unwrap())) else {
+                    continue;
+                };
+                told.push(request.headers["deadline"].parse().unwrap());
+                if told.len() == 1 {
+                    let elsewhere = if raw.address == one.address { &other } else { &one };
+                    let sent_elsewhere = elsewhere.connections.recv_timeout(WORKED);
+                    assert!(sent_elsewhere.is_err(), "nobody else gets it while this one works");
+                    reset(&stream);
+                } else {
+                    stream.write_all(answer(&request, "own").as_bytes()).unwrap();
+                }
+            }
+        }
+        assert_eq!(asked.join().unwrap().expect("an answer").status(), 200);
+    });
+    assert!(told[0] <= 8_000 && told[0] > 7_000, "{told:?}");
+    assert!(told[1] + u64::try_from(WORKED.as_millis()).unwrap() <= told[0], "{told:?}");
+}
