Front: a request's course is a module of its own; the simulator's disk tells what is synced

Change: \`front/course.rs\`; a stream that is taken up counts attempts whose connection does not come up like any other. The simulated disk keeps the state that is synced apart from the one that is being written.

--- a/crates/control-simulation/src/cluster.rs
+++ b/crates/control-simulation/src/cluster.rs
@@ -565,9 +565,7 @@
         let members = newest.replica().members().clone();
         let holds = |member: &Member| {
             let of_member = self.hosts.iter().find(|host| host.disk.durable().id == member.id);
-            of_member.is_some_and(|host| {
-                !host.disk.has_refused() && holds_generation(host.disk.durable(), generation)
-            })
+            of_member.is_some_and(|host| holds_generation(host.disk.durable(), generation))
         };
         if !members.is_quorum(holds) {
             self.oracle.fail(format!("version {generation} was acknowledged and is on too few disks"));
--- a/crates/control-simulation/src/disk.rs
+++ b/crates/control-simulation/src/disk.rs
@@ -26,11 +26,15 @@
 #[derive(Debug)]
 pub struct Disk {
     storage: Storage<Platter>,
+    /// The state that is synced; the storage's own is ahead of it while the disk refuses writes.
+    synced: DurableState,
+    /// Records that were refused, and are written with the next ones.
+    refused: Vec<Record>,
     /// The registrations that were kept last.
     pub registrations: Vec<Registration>,
     writes: VecDeque<Write>,
-    /// The newest record that was refused, and is to be written with the next ones.
-    refused: Option<u64>,
+    /// The number of the newest record that was refused.
+    newest_refused: Option<u64>,
     /// Until when nothing is synced.
     pub stalls_until: u64,
     /// Until when writes are refused.
@@ -41,20 +45,22 @@
     /// A disk that holds a replica's first state.
     pub fn new(first: DurableState) -> Self {
         let mut storage = Storage::read(Platter::empty()).expect("an empty disk can be read");
-        storage.initialize(first).expect("a first state fits");
+        storage.initialize(first.clone()).expect("a first state fits");
         Self {
             storage,
+            synced: first,
+            refused: Vec::new(),
             registrations: Vec::new(),
             writes: VecDeque::new(),
-            refused: None,
+            newest_refused: None,
             stalls_until: 0,
             refuses_until: 0,
         }
     }
 
-    /// The state that is durable, as long as the disk refuses nothing.
+    /// The state that is durable.
     pub fn durable(&self) -> &DurableState {
-        self.storage.state().expect("the disk was initialized")
+        &self.synced
     }
 
     /// Begins to write a record.
@@ -74,7 +80,7 @@
 
     /// Whether something was refused and is to be tried again.
     pub fn has_refused(&self) -> bool {
-        self.refused.is_some()
+        self.newest_refused.is_some()
     }
 
     /// Writes and syncs what waits longest.
@@ -91,7 +97,7 @@
                 Some(Synced::Registrations(number))
             }
             None => {
-                let refused = self.refused?;
+                let refused = self.newest_refused?;
                 self.sync_records(refused, &[])
             }
         }
@@ -99,8 +105,14 @@
 
     fn sync_records(&mut self, sequence: u64, records: &[Record]) -> Option<Synced> {
         let is_written = self.storage.write(records).is_ok();
-        self.refused = if is_written { None } else { Some(sequence) };
-        is_written.then_some(Synced::Records(sequence))
+        self.refused.extend_from_slice(records);
+        if !is_written {
+            self.newest_refused = Some(sequence);
+            return None;
+        }
+        self.refused.drain(..).for_each(|record| self.synced.fold(&record));
+        self.newest_refused = None;
+        Some(Synced::Records(sequence))
     }
 
     /// Power fails while the first `begun` of the writes that wait are on their way: what they leave is read again.
@@ -119,10 +131,12 @@
             self.storage.medium().cuts_power = true;
             self.storage.write(&records).ok();
         }
-        self.refused = None;
+        self.refused.clear();
+        self.newest_refused = None;
         (self.stalls_until, self.refuses_until) = (0, 0);
         let mut platter = std::mem::take(self.storage.medium());
         platter.lose_power(random);
         self.storage = Storage::read(platter).expect("what was synced can be read");
+        self.synced = self.storage.state().cloned().expect("the disk was initialized");
     }
 }
--- a/crates/node/src/front/forward.rs
+++ b/crates/node/src/front/forward.rs
@@ -2,6 +2,7 @@
 
 use super::Front;
 use super::attempt::{Attempted, DEADLINE, Outbound, REQUEST_ID, attempt};
+use super::course::Course;
 use super::reply::{Reply, ReplyBody, refusal, text};
 use super::stream;
 use bytes::{Bytes, BytesMut};
@@ -12,10 +13,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
-use woadstall_control::configuration::{Configuration, Route, RouteType, Service};
+use woadstall_control::configuration::{Configuration, Route, RouteType};
 use woadstall_control::shards::hash;
 use woadstall_inbound::{BodyRoom, lock};
-use woadstall_routing::{Decision, Prompt, Query, Refusal, Target, UpstreamId};
+use woadstall_routing::Prompt;
 use woadstall_transport::end_to_end;
 
 /// When a client may come back to a balancer that knows no configuration yet: about the time that an election and a snapshot
@@ -25,80 +26,9 @@
 const NO_ROOM: Duration = Duration::from_millis(500);
 /// The part of the memory that bodies of open requests may fill.
 const BODIES: usize = 3;
-/// Attempts whose connection does not come up, at most.
-const MOST_UNSENT: u32 = 4;
-/// Upstreams that may turn one request away: it has run on none of them.
-const MOST_REJECTIONS: u32 = 2;
 /// Tokens of a shared beginning from which on it pays to go where it was read: reading them takes some ten milliseconds.
 const LONG_PROMPT: u64 = 1_024;
 
-/// How far a request has got with its attempts.
-pub(super) struct Course {
-    pub route: Arc<Route>,
-    pub service: Arc<Service>,
-    prompt: Prompt,
-    tried: Vec<UpstreamId>,
-    sends: u32,
-    unsent: u32,
-    rejections: u32,
-    may_have_run: bool,
-    retry_after: Duration,
-}
-
-/// No further attempt is made.
-pub(super) struct GivenUp;
-
-impl Course {
-    /// The upstream for the next attempt.
-    pub fn next(&mut self, front: &Front) -> Result<Target, GivenUp> {
-        let spent = self.sends >= self.route.max_attempts.max(1)
-            || self.unsent >= MOST_UNSENT
-            || self.rejections >= MOST_REJECTIONS;
-        if spent {
-            return Err(GivenUp);
-        }
-        let now = front.now();
-        let mut router = lock(&front.router);
-        if self.sends + self.rejections > 0 && !router.take_repeat(now, &self.service.name) {
-            return Err(GivenUp);
-        }
-        let query =
-            Query { route: &self.route, service: &self.service, prompt: self.prompt, tried: &self.tried };
-        match router.choose(now, &query) {
-            Decision::Send(target) => {
-                self.tried.push(target.id.clone());
-                Ok(target)
-            }
-            Decision::Refuse(Refusal { retry_after, none_usable }) => {
-                self.retry_after = retry_after;
-                if none_usable && self.tried.is_empty() {
-                    log::debug!("no upstream for service={}", self.service.name);
-                }
-                Err(GivenUp)
-            }
-        }
-    }
-
-    /// The request went to an upstream, which may have run it.
-    pub fn sent(&mut self) {
-        self.sends += 1;
-        self.may_have_run = true;
-    }
-
-    /// The upstream has turned it away.
-    pub fn rejected(&mut self) {
-        self.rejections += 1;
-    }
-
-    /// The answer to a request that is given up: at once, and a promise only where it has not run.
-    fn give_up(&self) -> Reply {
-        if self.may_have_run {
-            return text(StatusCode::BAD_GATEWAY, "no answer came\n");
-        }
-        refusal(self.retry_after)
-    }
-}
-
 /// Answers a request.
 pub(super) async fn reply(front: &Arc<Front>, request: Request<Incoming>) -> Reply {
     let arrived = Instant::now();
@@ -133,17 +63,7 @@
         deadline: arrived + patience,
         is_stream: route.route_type == RouteType::Streaming,
     };
-    let course = Course {
-        route,
-        service,
-        prompt,
-        tried: Vec::new(),
-        sends: 0,
-        unsent: 0,
-        rejections: 0,
-        may_have_run: false,
-        retry_after: NO_CONFIGURATION,
-    };
+    let course = Course::new(route, service, prompt, NO_CONFIGURATION);
     carry(front, course, outbound).await
 }
 
@@ -154,7 +74,7 @@
             break;
         }
         match attempt(front, &outbound, target).await {
-            Attempted::NotSent => course.unsent += 1,
+            Attempted::NotSent => course.not_sent(),
             Attempted::Rejected => course.rejected(),
             Attempted::Broken => {
                 course.sent();
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod clients;
+mod course;
 mod events;
 mod feeds;
 mod forward;
--- a/crates/node/src/front/stream.rs
+++ b/crates/node/src/front/stream.rs
@@ -2,8 +2,8 @@
 
 use super::Front;
 use super::attempt::{Attempted, Begun, Keep, Outbound, attempt, give_back};
+use super::course::Course;
 use super::events::EventBuffer;
-use super::forward::Course;
 use super::reply::ReplyBody;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -129,7 +129,7 @@
                 course.sent();
                 return Some(*begun);
             }
-            Attempted::NotSent => {}
+            Attempted::NotSent => course.not_sent(),
             Attempted::Rejected => course.rejected(),
             Attempted::Broken | Attempted::Whole(..) => course.sent(),
             Attempted::TimedOut => return None,
