--- a/crates/consensus/tests/exhaustive.rs
+++ b/crates/consensus/tests/exhaustive.rs
@@ -90,10 +90,19 @@
     ids.iter().copied().map(member).collect()
 }
 
+/// What tells two states apart.
+#[derive(PartialEq, Hash)]
+struct Key<'a> {
+    nodes: Vec<String>,
+    network: &'a BTreeSet<Vec<u8>>,
+    left: Events,
+    floors: &'a BTreeMap<u64, u64>,
+}
+
 impl State {
-    fn key(&self) -> (Vec<String>, &BTreeSet<Vec<u8>>, Events, &BTreeMap<u64, u64>) {
+    fn key(&self) -> Key<'_> {
         let nodes = self.nodes.iter().map(|node| node.replica.description()).collect();
-        (nodes, &self.network, self.left, &self.floors)
+        Key { nodes, network: &self.network, left: self.left, floors: &self.floors }
     }
 
     fn fail(&mut self, what: String) {
