Directory: bound clients go to a balancer that is being stopped before they leave their routes' regions

Change: a balancer that was ready within 2.5 s and is being stopped still takes clients for 3 s; bound clients of its region, or of their routes', are named it before any other region. Other hosts keep their answers.

--- a/crates/control/src/balancers.rs
+++ b/crates/control/src/balancers.rs
@@ -47,6 +47,8 @@
 struct Seen {
     heartbeat: Heartbeat,
     heard: u64,
+    /// When this incarnation was last heard of as ready, if it ever was.
+    ready_at: Option<u64>,
 }
 
 /// The balancers as one control machine knows them, with times in milliseconds of its clock.
@@ -79,7 +81,10 @@
                 heard = Heard::Renewed;
             }
         }
-        self.seen.insert(heartbeat.name.clone(), Seen { heartbeat, heard: now });
+        let former = self.seen.get(&heartbeat.name);
+        let former = former.filter(|former| former.heartbeat.incarnation == heartbeat.incarnation);
+        let ready_at = if heartbeat.ready { Some(now) } else { former.and_then(|former| former.ready_at) };
+        self.seen.insert(heartbeat.name.clone(), Seen { heartbeat, heard: now, ready_at });
         heard
     }
 
@@ -90,6 +95,9 @@
             let Some(news) = newest.get(&short_hash(&seen.heartbeat.name)) else { continue };
             if news.incarnation == seen.heartbeat.incarnation && news.sequence > seen.heartbeat.sequence {
                 (seen.heartbeat.sequence, seen.heard) = (news.sequence, now);
+                if seen.heartbeat.ready {
+                    seen.ready_at = Some(now);
+                }
             }
         }
     }
@@ -100,6 +108,21 @@
         self.seen.values().filter(lately).map(|seen| &seen.heartbeat)
     }
 
+    /// The balancers that are there and no longer ready, but were so within this time: they are being stopped, and still take
+    /// clients for a while.
+    pub fn stopping(
+        &self,
+        now: u64,
+        alive_within: u64,
+        ready_within: u64,
+    ) -> impl Iterator<Item = &Heartbeat> {
+        let is_stopping = move |seen: &&Seen| {
+            let was_ready = seen.ready_at.is_some_and(|at| now <= at + ready_within);
+            !seen.heartbeat.ready && was_ready && now <= seen.heard + alive_within
+        };
+        self.seen.values().filter(is_stopping).map(|seen| &seen.heartbeat)
+    }
+
     /// Forgets who was not heard of for long.
     pub fn forget(&mut self, now: u64) {
         self.seen.retain(|_, seen| now <= seen.heard + FORGET);
--- a/crates/control/src/machine/directory.rs
+++ b/crates/control/src/machine/directory.rs
@@ -9,6 +9,8 @@
 /// How long a balancer is named to clients after it was last heard of, in milliseconds: three heartbeats, and the way between
 /// machines.
 const BALANCER_ALIVE: u64 = 1_100;
+/// How long a balancer that is being stopped may still be named, in milliseconds since it was ready: it takes clients for 3 s.
+const STOPPING_TAKES: u64 = 2_500;
 /// Balancers that are named to a client at most: enough that some are left where others fail, few enough for short answers.
 /// Each client is named the same ones each time, as it closes its connections to those that are named no more.
 const MOST_NAMED: usize = 16;
@@ -53,7 +55,8 @@
     }
 
     /// The balancers that a client goes to: those of its zone, else of its region, else of the regions to which the routes of
-    /// its host are bound, else all. A request that is bound to regions may be read there and in the client's region only.
+    /// its host are bound, else all. A request that is bound to regions may be read there and in the client's region only:
+    /// before its client is sent elsewhere, it goes to a balancer there that is being stopped.
     pub fn resolve(&self, question: &Question) -> Resolved {
         let ready: Vec<&Heartbeat> =
             self.balancers.alive(self.now, BALANCER_ALIVE).filter(|heartbeat| heartbeat.ready).collect();
@@ -64,17 +67,26 @@
         Resolved { addresses, ttl_s }
     }
 
-    fn nearest<'a>(&self, ready: &[&'a Heartbeat], question: &Question) -> Vec<&'a str> {
+    fn nearest<'a>(&'a self, ready: &[&'a Heartbeat], question: &Question) -> Vec<&'a str> {
         let region = self.region_of(&question.zone).unwrap_or(&question.region);
-        let in_region = |heartbeat: &Heartbeat| self.region_of(&heartbeat.zone) == Some(region);
         let allowed = self.allowed_regions(&question.host);
+        let in_zone = |heartbeat: &Heartbeat| heartbeat.zone == question.zone;
+        let in_region = |heartbeat: &Heartbeat| self.region_of(&heartbeat.zone) == Some(region);
         let is_allowed = |heartbeat: &Heartbeat| {
             self.region_of(&heartbeat.zone).is_some_and(|region| allowed.contains(region))
         };
-        let steps: [&dyn Fn(&Heartbeat) -> bool; 4] =
-            [&|heartbeat| heartbeat.zone == question.zone, &in_region, &is_allowed, &|_| true];
-        let chosen = steps.iter().map(|step| addresses(ready, step)).find(|chosen| !chosen.is_empty());
-        chosen.unwrap_or_default()
+        let stopping = || -> Vec<&Heartbeat> {
+            let all = self.balancers.stopping(self.now, BALANCER_ALIVE, STOPPING_TAKES);
+            let binds = !allowed.is_empty();
+            all.filter(|heartbeat| binds && (in_region(heartbeat) || is_allowed(heartbeat))).collect()
+        };
+        first_of([
+            addresses(ready, &in_zone),
+            addresses(ready, &in_region),
+            addresses(ready, &is_allowed),
+            addresses(&stopping(), &|_| true),
+            addresses(ready, &|_| true),
+        ])
     }
 
     /// The regions in which all routes of a host that are bound to regions may be served; where there is none, those of any.
@@ -97,3 +109,8 @@
 fn addresses<'a>(ready: &[&'a Heartbeat], step: &dyn Fn(&Heartbeat) -> bool) -> Vec<&'a str> {
     ready.iter().filter(|heartbeat| step(heartbeat)).map(|heartbeat| &*heartbeat.address).collect()
 }
+
+/// The first choice that names anybody.
+fn first_of<const CHOICES: usize>(choices: [Vec<&str>; CHOICES]) -> Vec<&str> {
+    choices.into_iter().find(|choice| !choice.is_empty()).unwrap_or_default()
+}
--- a/crates/control/tests/directory.rs
+++ b/crates/control/tests/directory.rs
@@ -153,3 +153,33 @@
     assert_eq!(named(&machine, "bound", "south"), ["south"]);
     assert_eq!(named(&machine, "bound", "east"), ["north", "south"]);
 }
+
+#[test]
+fn a_bound_client_goes_to_a_balancer_that_is_being_stopped_before_it_leaves_its_routes_regions() {
+    let mut machine = machine();
+    configure(&mut machine, &["north"]);
+    for region in ["north", "east", "south"] {
+        hear(&mut machine, 2_100, region, true);
+    }
+    // Machines of both regions are stopped one after the other, each while the one before it is still ending.
+    hear(&mut machine, 2_500, "north", false);
+    hear(&mut machine, 3_000, "east", false);
+    hear(&mut machine, 3_000, "south", true);
+    hear(&mut machine, 3_100, "north", false);
+    assert_eq!(named(&machine, "bound", "east"), ["east", "north"]);
+    assert_eq!(named(&machine, "free", "east"), ["south"], "others go where it is ready");
+    // They take nobody any more, and one that starts has nothing to go by yet.
+    hear(&mut machine, 5_500, "north", false);
+    hear(&mut machine, 5_500, "east", false);
+    hear(&mut machine, 5_500, "south", true);
+    assert_eq!(named(&machine, "bound", "east"), ["south"]);
+}
+
+#[test]
+fn a_balancer_that_has_only_started_is_not_taken_for_one_that_is_being_stopped() {
+    let mut machine = machine();
+    configure(&mut machine, &["north"]);
+    hear(&mut machine, 2_100, "south", true);
+    hear(&mut machine, 2_100, "north", false);
+    assert_eq!(named(&machine, "bound", "east"), ["south"]);
+}
