--- a/crates/control/src/machine/feeds.rs
+++ b/crates/control/src/machine/feeds.rs
@@ -18,20 +18,51 @@
     pub balancer: String,
 }
 
+/// A balancer that waits for a snapshot.
+#[derive(Clone, Debug)]
+pub(super) struct Newcomer {
+    subscriber: u64,
+    balancer: String,
+    /// The position up to which it has applied the configuration's log.
+    index: u64,
+}
+
 impl Machine {
-    /// A balancer asks for the feed on a connection.
+    /// A balancer asks for the feed on a connection. One that needs a snapshot gets it with the next tick, together with others:
+    /// when many come back at once, it is made and encoded once.
     pub fn subscribe(&mut self, now: u64, subscriber: u64, packet: &Packet) {
         self.now = self.now.max(now);
         let Packet::Subscribe { balancer, epoch, offset, index } = packet else { return };
         self.tell_events();
-        self.subscribers.insert(subscriber, Subscriber { balancer: balancer.clone() });
-        let packet = match self.journal.tail(*epoch, *offset) {
-            Some(events) => Packet::Events { offset: self.journal.end(), events },
-            None => self.snapshot(*index),
-        };
+        let balancer = balancer.clone();
+        match self.journal.tail(*epoch, *offset) {
+            Some(events) => {
+                let packet = Packet::Events { offset: self.journal.end(), events };
+                self.subscribers.insert(subscriber, Subscriber { balancer });
+                self.begin_feed(vec![subscriber], packet);
+            }
+            None => self.newcomers.push(Newcomer { subscriber, balancer, index: *index }),
+        }
+    }
+
+    /// Balancers that wait for a snapshot get one.
+    pub(super) fn admit_newcomers(&mut self) {
+        let newcomers = std::mem::take(&mut self.newcomers);
+        let Some(index) = newcomers.iter().map(|newcomer| newcomer.index).min() else { return };
+        self.tell_events();
+        let packet = self.snapshot(index);
+        let admitted: Vec<u64> = newcomers.iter().map(|newcomer| newcomer.subscriber).collect();
+        for Newcomer { subscriber, balancer, .. } in newcomers {
+            self.subscribers.insert(subscriber, Subscriber { balancer });
+        }
+        self.begin_feed(admitted, packet);
+    }
+
+    /// Tells readers what they begin with, and how this machine stands.
+    fn begin_feed(&mut self, subscribers: Vec<u64>, beginning: Packet) {
         let (status, balancing) = (self.status(), Packet::Balancing(self.balancing()));
-        for packet in [packet, status, balancing] {
-            self.actions.push(Action::Deliver { subscribers: vec![subscriber], packet });
+        for packet in [beginning, status, balancing] {
+            self.actions.push(Action::Deliver { subscribers: subscribers.clone(), packet });
         }
     }
 
@@ -45,6 +76,7 @@
     /// A balancer's connection has ended.
     pub fn unsubscribe(&mut self, subscriber: u64) {
         self.subscribers.remove(&subscriber);
+        self.newcomers.retain(|newcomer| newcomer.subscriber != subscriber);
     }
 
     /// The names of the balancers that read the feed here.
--- a/crates/control/src/machine/mod.rs
+++ b/crates/control/src/machine/mod.rs
@@ -18,7 +18,7 @@
 use crate::shards::short_hash;
 use crate::state::ControlState;
 use crate::wire::{CallId, ControlMachine, Packet, Renewal, ZoneBalancers};
-use feeds::Subscriber;
+use feeds::{Newcomer, Subscriber};
 use leader_clock::LeaderClock;
 use orders::{Order, Proposed};
 use peers::{HELLO_EVERY, Peer};
@@ -150,6 +150,7 @@
     kept: u64,
     leader_clock: LeaderClock,
     subscribers: BTreeMap<u64, Subscriber>,
+    newcomers: Vec<Newcomer>,
     renewals: Vec<Renewal>,
     heartbeats: BTreeMap<String, Heartbeat>,
     still_there: BTreeMap<String, StillThere>,
@@ -207,6 +208,7 @@
             kept: 0,
             leader_clock: LeaderClock::default(),
             subscribers: BTreeMap::new(),
+            newcomers: Vec::new(),
             renewals: Vec::new(),
             heartbeats: BTreeMap::new(),
             still_there: BTreeMap::new(),
@@ -268,6 +270,7 @@
         self.settle();
         self.note_quorum();
         self.tell_events();
+        self.admit_newcomers();
         if self.now >= self.hello_due {
             self.hello_due = self.now + HELLO_EVERY;
             self.introduce();
--- a/crates/control/tests/calls.rs
+++ b/crates/control/tests/calls.rs
@@ -306,11 +306,16 @@
     let subscribe =
         |epoch, offset| Packet::Subscribe { balancer: "front".to_owned(), epoch, offset, index: 0 };
     machine.subscribe(1_000, 1, &subscribe(0, 0));
-    let Some(Action::Deliver { packet: Packet::Snapshot { epoch, offset, .. }, .. }) =
-        machine.take_actions().into_iter().next()
-    else {
-        panic!("a new reader gets a snapshot");
-    };
+    machine.subscribe(1_000, 2, &subscribe(0, 0));
+    machine.tick(1_050);
+    let begun = machine.take_actions().into_iter().find_map(|action| match action {
+        Action::Deliver { subscribers, packet: Packet::Snapshot { epoch, offset, .. } } => {
+            Some((subscribers, epoch, offset))
+        }
+        _ => None,
+    });
+    let (readers, epoch, offset) = begun.expect("new readers get a snapshot");
+    assert_eq!(readers, [1, 2], "one for both");
     machine.unsubscribe(1);
     // Meanwhile this machine itself was far behind and got a snapshot.
     let mut state = woadstall_control::state::ControlState::default();
@@ -328,7 +333,8 @@
     let message = Message { from: 2, to: 1, term: TERM, body: Body::Install { piece, round: 1 } };
     machine.packet(1_100, &address(2), Packet::Consensus { message, clock: 0 });
     machine.take_actions();
-    machine.subscribe(1_200, 2, &subscribe(epoch, offset));
+    machine.subscribe(1_200, 3, &subscribe(epoch, offset));
+    machine.tick(1_250);
     let delivered = machine.take_actions().into_iter().find_map(|action| match action {
         Action::Deliver { packet, .. } => Some(packet),
         _ => None,
