Read once more: one piece of code where two stood, work taken off the directory

Found in the change as it landed, behaviour as it was: (1) each question to the directory looked at the routes of its host and made five choices, also where a balancer of the zone was ready: choices are made one after the other, routes are looked at last. (2) An order was copied whole to be proposed, again each 50 ms while a transfer held it up: it is moved. (3) The digest of a change was made twice a command: once. (5) The simulator's hosts, empty disks and cuts both ways were written out; a comment promised what the network does not do.

Not taken: the scheduling loops of the two simulators, the two sockets' AsyncWrite, the bodies of front, daemon and transport (each would need a trait of its own); the second copy of registrations on their way to disk, which its retry needs.

--- a/crates/consensus/src/reconfiguration.rs
+++ b/crates/consensus/src/reconfiguration.rs
@@ -50,13 +50,20 @@
 
     fn may_change_members(&self) -> Result<(), ProposeError> {
         let Role::Leader(leadership) = &self.role else { return Err(ProposeError::NotLeader(self.leader())) };
-        let is_settled = self.log.newest_change().is_none_or(|index| index <= self.commit);
-        if !is_settled || self.commit < leadership.first_index || self.log.members().is_changing() {
+        if !self.is_change_committed()
+            || self.commit < leadership.first_index
+            || self.log.members().is_changing()
+        {
             return Err(ProposeError::Busy);
         }
         Ok(())
     }
 
+    /// Whether the newest change of members is committed, if there is one.
+    fn is_change_committed(&self) -> bool {
+        self.log.newest_change().is_none_or(|index| index <= self.commit)
+    }
+
     fn propose_members(&mut self, members: Membership) {
         let former: Vec<Member> = self.log.members().members().cloned().collect();
         let entry = self.next_entry(Payload::Members(members));
@@ -115,9 +122,8 @@
     }
 
     fn complete_change(&mut self) {
-        let is_committed = self.log.newest_change().is_none_or(|index| index <= self.commit);
         let Role::Leader(leadership) = &self.role else { return };
-        if is_committed && self.commit >= leadership.first_index {
+        if self.is_change_committed() && self.commit >= leadership.first_index {
             let completed = self.log.members().completed();
             self.propose_members(completed);
         }
@@ -125,8 +131,7 @@
 
     /// A leader that has no vote any more hands leadership over, once the others have the change.
     pub(crate) fn retire_without_vote(&mut self) {
-        let is_committed = self.log.newest_change().is_none_or(|index| index <= self.commit);
-        if self.is_leader() && is_committed && !self.log.members().is_voter(self.id) {
+        if self.is_leader() && self.is_change_committed() && !self.log.members().is_voter(self.id) {
             self.transfer();
             self.step_down(None);
         }
--- a/crates/consensus/src/snapshots.rs
+++ b/crates/consensus/src/snapshots.rs
@@ -26,6 +26,18 @@
     pub checksum: u32,
 }
 
+impl SnapshotHead {
+    /// The name of a snapshot with this encoding.
+    pub fn of(snapshot: &Snapshot, encoded: &[u8]) -> Self {
+        Self {
+            index: snapshot.index,
+            term: snapshot.term,
+            size: encoded.len() as u64,
+            checksum: crc32fast::hash(encoded),
+        }
+    }
+}
+
 /// A piece of a snapshot's encoding.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub struct SnapshotPiece {
@@ -51,12 +63,7 @@
     /// Begins to send a snapshot, at a time.
     pub fn new(snapshot: &Snapshot, now: u64) -> Self {
         let encoded = snapshot.serialize_bin();
-        let head = SnapshotHead {
-            index: snapshot.index,
-            term: snapshot.term,
-            size: encoded.len() as u64,
-            checksum: crc32fast::hash(&encoded),
-        };
+        let head = SnapshotHead::of(snapshot, &encoded);
         Self { head, encoded, acknowledged: 0, sent: 0, progressed: now }
     }
 
--- a/crates/consensus/tests/messages.rs
+++ b/crates/consensus/tests/messages.rs
@@ -1,15 +1,15 @@
 //! Single messages to a single replica: one thing is changed at a time.
 
+mod single;
+
 use nanoserde::SerBin;
 use rstest::rstest;
+use single::SETTINGS;
 use woadstall_consensus::{
     Body, DurableState, Entry, Member, Membership, Message, Output, Payload, ProposeError, Record, Replica,
-    ReplicaId, Settings, Snapshot, SnapshotHead, SnapshotPiece, Timing,
+    ReplicaId, Snapshot, SnapshotHead, SnapshotPiece,
 };
 
-const SETTINGS: Settings =
-    Settings { timing: Timing { heartbeat: 150, election_min: 900, election_max: 1_500 }, least_voters: 3 };
-
 fn entry(index: u64, term: u64) -> Entry {
     Entry { index, term, payload: Payload::Command(vec![index as u8]) }
 }
@@ -34,8 +34,7 @@
 /// A snapshot as one piece.
 fn install(snapshot: &Snapshot, round: u64) -> Body {
     let bytes = snapshot.serialize_bin();
-    let (size, checksum) = (bytes.len() as u64, crc32fast::hash(&bytes));
-    let head = SnapshotHead { index: snapshot.index, term: snapshot.term, size, checksum };
+    let head = SnapshotHead::of(snapshot, &bytes);
     Body::Install { piece: SnapshotPiece { head, offset: 0, bytes }, round }
 }
 
@@ -45,20 +44,8 @@
 
 /// Makes all records durable, and gives the bodies of all messages sent so far, with their terms.
 fn settled(replica: &mut Replica) -> Vec<(ReplicaId, u64, Body)> {
-    let mut sent = Vec::new();
-    loop {
-        let outputs = replica.take_outputs();
-        if outputs.is_empty() {
-            return sent;
-        }
-        for output in outputs {
-            match output {
-                Output::Persist { sequence, .. } => replica.persisted(sequence),
-                Output::Send(message) => sent.push((message.to, message.term, message.body)),
-                _ => {}
-            }
-        }
-    }
+    let sent = single::settled(replica).into_iter();
+    sent.map(|message| (message.to, message.term, message.body)).collect()
 }
 
 /// What is sent before anything is durable.
--- a/crates/consensus/tests/snapshots.rs
+++ b/crates/consensus/tests/snapshots.rs
@@ -1,14 +1,15 @@
 //! Snapshots in pieces: lost, repeated, of another snapshot, damaged, and resumed.
 
+mod single;
+
 use nanoserde::DeBin;
 use rstest::rstest;
+use single::{SETTINGS, settled};
 use woadstall_consensus::{
-    Body, DurableState, Entry, Member, Membership, Message, Output, Payload, Record, Replica, ReplicaId,
-    Settings, Snapshot, SnapshotPiece, Timing,
+    Body, DurableState, Entry, Member, Membership, Message, Payload, Record, Replica, ReplicaId, Snapshot,
+    SnapshotPiece,
 };
 
-const SETTINGS: Settings =
-    Settings { timing: Timing { heartbeat: 150, election_min: 900, election_max: 1_500 }, least_voters: 3 };
 const STATE_BYTES: usize = 500_000;
 const FAR: u64 = 1_000;
 
@@ -45,24 +46,6 @@
     replica
 }
 
-/// Makes all records durable and gives the messages.
-fn settled(replica: &mut Replica) -> Vec<Message> {
-    let mut sent = Vec::new();
-    loop {
-        let outputs = replica.take_outputs();
-        if outputs.is_empty() {
-            return sent;
-        }
-        for output in outputs {
-            match output {
-                Output::Persist { sequence, .. } => replica.persisted(sequence),
-                Output::Send(message) => sent.push(message),
-                _ => {}
-            }
-        }
-    }
-}
-
 /// Passes messages between the leader and the follower as long as there are any, at most so many of the leader's.
 fn exchange(
     now: u64,
--- a/crates/control-simulation/src/cluster.rs
+++ b/crates/control-simulation/src/cluster.rs
@@ -52,6 +52,20 @@
     is_there: bool,
 }
 
+impl Host {
+    /// A machine whose process does not run yet.
+    fn new(durable: DurableState) -> Self {
+        Self {
+            machine: None,
+            disk: Disk::new(durable),
+            incarnation: 0,
+            frozen_until: 0,
+            fronts: BTreeMap::new(),
+            is_there: true,
+        }
+    }
+}
+
 /// The machines.
 pub struct Cluster {
     /// The time in milliseconds.
@@ -99,14 +113,7 @@
         let host = |place: usize| {
             let snapshot =
                 if place < layout.founders { founding_snapshot(&founders) } else { Snapshot::default() };
-            Host {
-                machine: None,
-                disk: Disk::new(DurableState::new(place as u64 + 1, snapshot)),
-                incarnation: 0,
-                frozen_until: 0,
-                fronts: BTreeMap::new(),
-                is_there: true,
-            }
+            Host::new(DurableState::new(place as u64 + 1, snapshot))
         };
         let mut cluster = Self {
             now: 0,
@@ -181,8 +188,13 @@
     /// Ends a process and empties its disk: it comes back under a new identity.
     pub fn wipe(&mut self, place: usize) {
         self.stop(place);
+        self.hosts[place].disk = Disk::new(self.first_state_of_an_empty_disk());
+    }
+
+    /// What a machine with an empty disk begins with: a new identity.
+    fn first_state_of_an_empty_disk(&mut self) -> DurableState {
         self.next_id += 1;
-        self.hosts[place].disk = Disk::new(DurableState::new(self.next_id, Snapshot::default()));
+        DurableState::new(self.next_id, Snapshot::default())
     }
 
     /// Takes a machine away for good.
@@ -193,16 +205,8 @@
 
     /// Adds a machine with an empty disk; gives its place.
     pub fn add(&mut self) -> usize {
-        self.next_id += 1;
-        let durable = DurableState::new(self.next_id, Snapshot::default());
-        self.hosts.push(Host {
-            machine: None,
-            disk: Disk::new(durable),
-            incarnation: 0,
-            frozen_until: 0,
-            fronts: BTreeMap::new(),
-            is_there: true,
-        });
+        let durable = self.first_state_of_an_empty_disk();
+        self.hosts.push(Host::new(durable));
         let place = self.len() - 1;
         self.start(place);
         place
@@ -383,8 +387,7 @@
     /// Nothing passes from and to a machine any more.
     pub fn cut_off(&mut self, place: usize) {
         for other in (0..self.len()).filter(|other| *other != place) {
-            self.network.cut(place, other);
-            self.network.cut(other, place);
+            self.network.cut_both(place, other);
         }
     }
 
--- a/crates/control-simulation/src/network.rs
+++ b/crates/control-simulation/src/network.rs
@@ -1,6 +1,6 @@
 //! The network between machines: one ordered connection in each direction of each pair.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Milliseconds after which a sender gives a connection up on which nothing is acknowledged.
 pub const UNACKNOWLEDGED: u64 = 2_000;
@@ -54,18 +54,24 @@
     pub weather: Weather,
     connections: BTreeMap<(usize, usize), Connection>,
     /// Directions in which nothing passes.
-    cuts: BTreeMap<(usize, usize), ()>,
+    cuts: BTreeSet<(usize, usize)>,
 }
 
 impl Network {
     /// A network without connections.
     pub fn new(weather: Weather) -> Self {
-        Self { weather, connections: BTreeMap::new(), cuts: BTreeMap::new() }
+        Self { weather, connections: BTreeMap::new(), cuts: BTreeSet::new() }
     }
 
     /// Nothing passes from one machine to another any more.
     pub fn cut(&mut self, from: usize, to: usize) {
-        self.cuts.insert((from, to), ());
+        self.cuts.insert((from, to));
+    }
+
+    /// Nothing passes between two machines any more.
+    pub fn cut_both(&mut self, one: usize, other: usize) {
+        self.cut(one, other);
+        self.cut(other, one);
     }
 
     /// All passes again.
@@ -75,7 +81,7 @@
 
     /// Whether bytes pass in this direction.
     pub fn passes(&self, from: usize, to: usize) -> bool {
-        !self.cuts.contains_key(&(from, to))
+        !self.cuts.contains(&(from, to))
     }
 
     /// Whether a connection is up.
@@ -121,8 +127,7 @@
         held
     }
 
-    /// The connections whose sender gives them up by now: nothing that they hold was acknowledged for long, or no
-    /// acknowledgement can come back.
+    /// The connections whose sender gives them up by now: what they hold was not acknowledged for long.
     pub fn overdue(&self, now: u64) -> Vec<(usize, usize)> {
         let is_overdue = |connection: &Connection| {
             connection.held_since.is_some_and(|since| now >= since + UNACKNOWLEDGED)
@@ -138,7 +143,7 @@
         let free = self
             .connections
             .iter_mut()
-            .filter(|(pair, connection)| !cuts.contains_key(pair) && !connection.held.is_empty());
+            .filter(|(pair, connection)| !cuts.contains(pair) && !connection.held.is_empty());
         free.map(|((from, to), connection)| {
             connection.held_since = None;
             (*from, *to, std::mem::take(&mut connection.held))
--- a/crates/control-simulation/src/scenario.rs
+++ b/crates/control-simulation/src/scenario.rs
@@ -153,6 +153,11 @@
     serde_json::to_vec(&document).unwrap_or_default()
 }
 
+/// An order that puts the configuration of a version on top of another one.
+pub fn put(base: u64, generation: u64) -> Command {
+    Command::Put { base, body: configuration(generation, 0) }
+}
+
 /// An upstream's registration.
 pub fn registration(id: &str, sequence: u64, status: Status) -> Registration {
     Registration {
@@ -326,14 +331,12 @@
         Event::Halves { first } => {
             for one in 0..first {
                 for other in first..cluster.len() {
-                    cluster.network.cut(one, other);
-                    cluster.network.cut(other, one);
+                    cluster.network.cut_both(one, other);
                 }
             }
         }
         Event::Bridge { one, other } => {
-            cluster.network.cut(one, other);
-            cluster.network.cut(other, one);
+            cluster.network.cut_both(one, other);
         }
         Event::Heal => cluster.heal(),
         Event::Calm => cluster.calm(),
--- a/crates/control-simulation/tests/cluster.rs
+++ b/crates/control-simulation/tests/cluster.rs
@@ -1,39 +1,13 @@
 //! Control machines together, in virtual time: orders, reads, registrations and feeds under faults.
 
 use rstest::rstest;
-use serde_json::json;
-use woadstall_control::command::Command;
 use woadstall_control::machine::Answer;
-use woadstall_control::registry::{Registration, Status};
+use woadstall_control::registry::Status;
 use woadstall_control_simulation::cluster::Cluster;
+use woadstall_control_simulation::scenario::{put, registration};
 
 const SEEDS: u64 = 20;
 
-fn put(base: u64, generation: u64) -> Command {
-    let document = json!({
-        "generation": generation, "services": [{ "name": "s" }],
-        "routes": [{
-            "name": "r", "host": "h", "path_prefix": "/", "route_type": "safe", "timeout_ms": generation, "service": "s",
-        }],
-    });
-    Command::Put { base, body: serde_json::to_vec(&document).unwrap() }
-}
-
-fn registration(id: &str, sequence: u64, status: Status) -> Registration {
-    Registration {
-        id: id.to_owned(),
-        service: "s".to_owned(),
-        address: "10.1.0.1:80".to_owned(),
-        zone: "zone-0".to_owned(),
-        capacity: 4,
-        sequence,
-        status,
-        cold_remaining_ms: 0,
-        remaining_ms: 0,
-        age_ms: 0,
-    }
-}
-
 /// The version that a machine reads back, as an operator would.
 fn read_back(cluster: &mut Cluster, place: usize) -> Option<u64> {
     let token = cluster.call(place, |machine, now, token| machine.read(now, token));
--- a/crates/control-simulation/tests/incidents.rs
+++ b/crates/control-simulation/tests/incidents.rs
@@ -7,7 +7,7 @@
 use woadstall_control::registry::Status;
 use woadstall_control_simulation::cluster::{Cluster, Layout};
 use woadstall_control_simulation::network::{CALM, ROUGH, Weather};
-use woadstall_control_simulation::scenario::{configuration, registration};
+use woadstall_control_simulation::scenario::{configuration, put, registration};
 
 const THREE: Layout = Layout { machines: 3, founders: 3, regions: 3, tolerated: 1 };
 const SIX: Layout = Layout { machines: 6, founders: 3, regions: 3, tolerated: 2 };
@@ -17,10 +17,6 @@
 /// Milliseconds after which a machine that is back no longer counts as lost.
 const CATCH_UP: u64 = 4_000;
 
-fn put(base: u64, generation: u64) -> Command {
-    Command::Put { base, body: configuration(generation, 0) }
-}
-
 fn evacuate() -> Command {
     Command::Evacuate { zone: "zone-0".to_owned() }
 }
--- a/crates/control/src/machine/directory.rs
+++ b/crates/control/src/machine/directory.rs
@@ -69,24 +69,39 @@
 
     fn nearest<'a>(&'a self, ready: &[&'a Heartbeat], question: &Question) -> Vec<&'a str> {
         let region = self.region_of(&question.zone).unwrap_or(&question.region);
-        let allowed = self.allowed_regions(&question.host);
-        let in_zone = |heartbeat: &Heartbeat| heartbeat.zone == question.zone;
-        let in_region = |heartbeat: &Heartbeat| self.region_of(&heartbeat.zone) == Some(region);
-        let is_allowed = |heartbeat: &Heartbeat| {
-            self.region_of(&heartbeat.zone).is_some_and(|region| allowed.contains(region))
-        };
-        let stopping = || -> Vec<&Heartbeat> {
-            let all = self.balancers.stopping(self.now, BALANCER_ALIVE, STOPPING_TAKES);
-            let binds = !allowed.is_empty();
-            all.filter(|heartbeat| binds && (in_region(heartbeat) || is_allowed(heartbeat))).collect()
-        };
-        first_of([
-            addresses(ready, &in_zone),
-            addresses(ready, &in_region),
-            addresses(ready, &is_allowed),
-            addresses(&stopping(), &|_| true),
-            addresses(ready, &|_| true),
-        ])
+        let in_zone = addresses(ready, |heartbeat| heartbeat.zone == question.zone);
+        if !in_zone.is_empty() {
+            return in_zone;
+        }
+        let in_region = addresses(ready, |heartbeat| self.region_of(&heartbeat.zone) == Some(region));
+        if !in_region.is_empty() {
+            return in_region;
+        }
+        let bound = self.within_bounds(ready, region, &self.allowed_regions(&question.host));
+        if bound.is_empty() { addresses(ready, |_| true) } else { bound }
+    }
+
+    /// The balancers for a client without a ready one in its region, whose requests are bound to these regions, if to any.
+    fn within_bounds<'a>(
+        &'a self,
+        ready: &[&'a Heartbeat],
+        region: &str,
+        allowed: &BTreeSet<String>,
+    ) -> Vec<&'a str> {
+        if allowed.is_empty() {
+            return Vec::new();
+        }
+        let is_allowed = |region: &String| allowed.contains(region);
+        let may_serve = |heartbeat: &Heartbeat| self.region_of(&heartbeat.zone).is_some_and(is_allowed);
+        let in_service = addresses(ready, may_serve);
+        if !in_service.is_empty() {
+            return in_service;
+        }
+        let stopping: Vec<&Heartbeat> =
+            self.balancers.stopping(self.now, BALANCER_ALIVE, STOPPING_TAKES).collect();
+        let is_near =
+            |heartbeat: &Heartbeat| self.region_of(&heartbeat.zone).is_some_and(|own| own == region);
+        addresses(&stopping, |heartbeat| is_near(heartbeat) || may_serve(heartbeat))
     }
 
     /// The regions in which all routes of a host that are bound to regions may be served; where there is none, those of any.
@@ -106,11 +121,6 @@
     }
 }
 
-fn addresses<'a>(ready: &[&'a Heartbeat], step: &dyn Fn(&Heartbeat) -> bool) -> Vec<&'a str> {
-    ready.iter().filter(|heartbeat| step(heartbeat)).map(|heartbeat| &*heartbeat.address).collect()
-}
-
-/// The first choice that names anybody.
-fn first_of<const CHOICES: usize>(choices: [Vec<&str>; CHOICES]) -> Vec<&str> {
-    choices.into_iter().find(|choice| !choice.is_empty()).unwrap_or_default()
+fn addresses<'a>(balancers: &[&'a Heartbeat], is_named: impl Fn(&Heartbeat) -> bool) -> Vec<&'a str> {
+    balancers.iter().filter(|heartbeat| is_named(heartbeat)).map(|heartbeat| &*heartbeat.address).collect()
 }
--- a/crates/control/src/machine/feeds.rs
+++ b/crates/control/src/machine/feeds.rs
@@ -11,6 +11,7 @@
 pub(super) const STATUS_EVERY: u64 = 500;
 /// How long a balancer counts among those that share budgets.
 const BALANCER_COUNTS: u64 = 10_000;
+
 /// A balancer that reads the feed.
 #[derive(Clone, Debug)]
 pub(super) struct Subscriber {
--- a/crates/control/src/machine/mod.rs
+++ b/crates/control/src/machine/mod.rs
@@ -123,6 +123,7 @@
 const CALL_PATIENCE: u64 = 900;
 /// How often heartbeats that came are told to the other machines.
 const GOSSIP_EVERY: u64 = 200;
+
 /// A control machine.
 #[derive(Debug)]
 pub struct Machine {
--- a/crates/control/src/machine/orders.rs
+++ b/crates/control/src/machine/orders.rs
@@ -66,7 +66,7 @@
         self.settle();
     }
 
-    /// The leader of the current term, if it is known and is not this machine.
+    /// The leader of the current term, if it is known; it may be this machine.
     pub(super) fn leader(&self) -> Option<Leader> {
         let address = self.replica.leader().and_then(|leader| self.address_of(leader))?;
         Some(Leader { address, term: self.replica.term() })
@@ -96,9 +96,10 @@
     }
 
     fn propose(&mut self, number: u64) {
-        let Some(Order { token, command, deadline, .. }) = self.orders.get(&number).cloned() else { return };
-        if self.propose_for(Waiting { origin: Origin::Call(token), deadline }, &command) {
-            self.orders.remove(&number);
+        let Some(order) = self.orders.remove(&number) else { return };
+        let waiting = Waiting { origin: Origin::Call(order.token), deadline: order.deadline };
+        if !self.propose_for(waiting, &order.command) {
+            self.orders.insert(number, order);
         }
     }
 
--- a/crates/control/src/machine/reads.rs
+++ b/crates/control/src/machine/reads.rs
@@ -69,7 +69,9 @@
         match &read.origin {
             Origin::Call(_) => {
                 read.index = index;
-                read.asked = read.asked.take().filter(|_| confirmed);
+                if !confirmed {
+                    read.asked = None;
+                }
                 self.answer_reads();
             }
             Origin::Peer { address, call } => {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -74,7 +74,8 @@
     /// Applies a command at a position of the log.
     pub fn apply(&mut self, index: u64, command: &Command) -> Outcome {
         self.index = index;
-        match self.prepare(command) {
+        let digest = command.is_change().then(|| command.digest());
+        match self.prepare(command, digest) {
             Ok(Change::Nothing) => return Outcome::Accepted,
             Ok(Change::Document(document, configuration)) => {
                 self.document = Arc::new(document);
@@ -84,8 +85,8 @@
             Ok(Change::Return(zone)) => drop(self.evacuated.remove(&zone)),
             Err(outcome) => return outcome,
         }
-        if command.is_change() {
-            self.remember(command.digest());
+        if let Some(digest) = digest {
+            self.remember(digest);
         }
         Outcome::Accepted
     }
@@ -150,12 +151,13 @@
         }
     }
 
-    fn prepare(&self, command: &Command) -> Result<Change, Outcome> {
+    /// What a command changes; a change of the configuration comes with its digest.
+    fn prepare(&self, command: &Command, digest: Option<u128>) -> Result<Change, Outcome> {
         match command {
             Command::Evacuate { zone } => Ok(Change::Evacuate(zone.clone())),
             Command::Return { zone } => Ok(Change::Return(zone.clone())),
             Command::Put { base, body } | Command::Patch { base, body } => {
-                if self.accepted_set.contains(&command.digest()) {
+                if digest.is_some_and(|digest| self.accepted_set.contains(&digest)) {
                     return Ok(Change::Nothing);
                 }
                 let current = self.generation();
--- a/crates/control/tests/calls.rs
+++ b/crates/control/tests/calls.rs
@@ -1,10 +1,13 @@
 //! Calls between control machines: one answer or one order at a time reaches a machine, changed in one thing.
 
+mod upstreams;
+
 use rstest::rstest;
+use upstreams::registration;
 use woadstall_consensus::{Body, DurableState, Member, Message, Snapshot};
 use woadstall_control::command::{Command, Outcome};
 use woadstall_control::machine::{Action, Answer, Machine, MachineSettings, founding_snapshot};
-use woadstall_control::registry::{Registration, Status};
+use woadstall_control::registry::Status;
 use woadstall_control::wire::{CallId, ControlMachine, LeaderTime, Packet};
 
 const INCARNATION: u64 = 77;
@@ -257,26 +260,11 @@
     assert_eq!(order_of(&sent_to(&settled(&mut machine, 1_100), 2)), first);
 }
 
-fn registration(status: Status) -> Registration {
-    Registration {
-        id: "i-1".to_owned(),
-        service: "s".to_owned(),
-        address: "10.1.0.1:80".to_owned(),
-        zone: "zone-1".to_owned(),
-        capacity: 4,
-        sequence: 3,
-        status,
-        cold_remaining_ms: 0,
-        remaining_ms: 0,
-        age_ms: 0,
-    }
-}
-
 /// Whether another machine's registrations are confirmed before this machine's disk has them, and after.
 fn confirmed(status: Status) -> (bool, bool) {
     let mut machine = follower();
     let call = CallId { incarnation: 5, number: 1 };
-    let packet = Packet::Registrations { call, registrations: vec![registration(status)] };
+    let packet = Packet::Registrations { call, registrations: vec![registration(3, status)] };
     machine.packet(1_100, &address(3), packet);
     let actions = machine.take_actions();
     let taken = Packet::RegistrationsTaken { call };
@@ -323,12 +311,7 @@
     let members = machine.replica().members().clone();
     let snapshot = Snapshot { index: 500, term: 3, members, state: state.encode() };
     let bytes = nanoserde::SerBin::serialize_bin(&snapshot);
-    let head = woadstall_consensus::SnapshotHead {
-        index: 500,
-        term: 3,
-        size: bytes.len() as u64,
-        checksum: crc32fast::hash(&bytes),
-    };
+    let head = woadstall_consensus::SnapshotHead::of(&snapshot, &bytes);
     let piece = woadstall_consensus::SnapshotPiece { head, offset: 0, bytes };
     let message = Message { from: 2, to: 1, term: TERM, body: Body::Install { piece, round: 1 } };
     machine.packet(1_100, &address(2), Packet::Consensus { message, clock: 0 });
--- a/crates/control/tests/registry.rs
+++ b/crates/control/tests/registry.rs
@@ -1,29 +1,17 @@
 //! Registrations, shards, balancers and the feed.
 
+mod upstreams;
+
 use proptest::prelude::*;
 use rstest::rstest;
 use std::collections::BTreeMap;
+use upstreams::registration;
 use woadstall_control::balancers::{Balancers, Heard, Heartbeat, StillThere};
 use woadstall_control::command::Command;
 use woadstall_control::feed::{Event, Journal};
 use woadstall_control::registry::{Merge, Registration, Registry, Status};
 use woadstall_control::shards::{SHARDS, monitors, replica_group, shard_of, short_hash};
 
-fn registration(sequence: u64, status: Status) -> Registration {
-    Registration {
-        id: "i-1".to_owned(),
-        service: "s".to_owned(),
-        address: "10.0.0.1:80".to_owned(),
-        zone: "z".to_owned(),
-        capacity: 4,
-        sequence,
-        status,
-        cold_remaining_ms: 0,
-        remaining_ms: 0,
-        age_ms: 0,
-    }
-}
-
 fn status_after(steps: &[(u64, Status)]) -> Status {
     let mut registry = Registry::default();
     for (sequence, status) in steps {
