Reports: a line for each request that went badly, and woadstall why to fold them

A route's gap_aim_ms is read. Ruled out: debug lines spread over the front: they could not be folded.

--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -31,6 +31,8 @@
     pub timeout: Duration,
     /// The time within which an answer, or a stream's first event, earns its full worth.
     pub target_latency: Duration,
+    /// The longest pause between events of a stream that keeps it in time, where the operator names one.
+    pub gap_aim: Option<Duration>,
     /// Its rank; 0 is the highest.
     pub priority: u8,
     /// The services that it may go to, with their weights.
@@ -214,6 +216,7 @@
         findings.add(timeout.place(), "must be above 0");
     }
     let regions = item.field("allowed_regions").items(findings);
+    let gap_aim = item.field("gap_aim_ms");
     Route {
         name: item.field("name").text(findings),
         host: item.field("host").text(findings).to_ascii_lowercase(),
@@ -221,6 +224,7 @@
         route_type,
         timeout: Duration::from_millis(timeout_ms),
         target_latency: millis(&item.field("target_latency_ms"), timeout_ms, findings),
+        gap_aim: gap_aim.value().map(|_| millis(&gap_aim, 0, findings)),
         priority: u8::try_from(item.field("priority").whole_or(0, findings)).unwrap_or(u8::MAX),
         targets: read_targets(item, services, findings),
         max_attempts: u32::try_from(item.field("max_attempts").whole_or(1, findings)).unwrap_or(u32::MAX),
--- /dev/null
+++ b/crates/explain/tests/reports.rs
@@ -0,0 +1,111 @@
+//! Reports go into a line and out of it again, and fold into tables.
+
+use rstest::rstest;
+use std::collections::BTreeMap;
+use woadstall_explain::{
+    AttemptOutcome, AttemptReport, Cause, MARK, ReportError, RequestReport, Summary, plot,
+};
+
+fn attempt(outcome: AttemptOutcome) -> AttemptReport {
+    AttemptReport {
+        upstream: "i-7f3a".to_owned(),
+        zone: "a-1".to_owned(),
+        outcome,
+        began: 3,
+        took: 612,
+        in_flight: 2,
+        reading: 17_020,
+        candidates: 28,
+        passed_over: BTreeMap::from([("silent".to_owned(), 2), ("tripped".to_owned(), 1)]),
+    }
+}
+
+fn report(cause: Cause) -> RequestReport {
+    RequestReport {
+        cause,
+        route: "r-a".to_owned(),
+        service: "llm".to_owned(),
+        zone: "a-2".to_owned(),
+        priority: 1,
+        total: 900,
+        first: Some(640),
+        pause: 12,
+        target: 600,
+        prompt: 17_020,
+        shared: 13_300,
+        attempts: vec![attempt(AttemptOutcome::Broken), attempt(AttemptOutcome::Answered)],
+    }
+}
+
+#[rstest]
+#[case::late(Cause::Late)]
+#[case::repeated(Cause::Repeated)]
+#[case::refused(Cause::Refused)]
+#[case::failed(Cause::Failed)]
+#[case::timed_out(Cause::TimedOut)]
+#[case::error_answer(Cause::ErrorAnswer)]
+#[case::client_left(Cause::ClientLeft)]
+fn a_report_is_read_as_it_was_written(#[case] cause: Cause) {
+    let whole = report(cause);
+    let line = format!("10:20:30.123 INFO {whole}");
+    assert_eq!(line.parse(), Ok(whole));
+    let bare = RequestReport { first: None, attempts: Vec::new(), ..report(cause) };
+    assert_eq!(bare.to_string().parse(), Ok(bare));
+}
+
+#[test]
+fn names_with_separators_do_not_break_the_line() {
+    let odd = RequestReport { route: "a b=c;d,e+f*g".to_owned(), ..report(Cause::Late) };
+    let read: RequestReport = odd.to_string().parse().unwrap();
+    assert_eq!(read.route, "a_b_c_d_e_f_g");
+}
+
+/// Each field in turn is taken away or spoilt: the error names it.
+#[rstest]
+fn what_is_wrong_is_named(
+    #[values(
+        "cause", "route", "service", "zone", "priority", "total", "first", "pause", "target", "prompt",
+        "shared", "attempts"
+    )]
+    field: &'static str,
+) {
+    let line = report(Cause::Late).to_string();
+    let parts = line.strip_prefix(MARK).unwrap().split(' ');
+    let without: Vec<&str> = parts.filter(|part| !part.starts_with(&format!("{field}="))).collect();
+    let cut = format!("{MARK}{}", without.join(" "));
+    assert_eq!(cut.parse::<RequestReport>(), Err(ReportError::Missing(field)));
+    if ["route", "service", "zone"].contains(&field) {
+        return; // any name will do
+    }
+    let spoilt = format!("{cut} {field}=what");
+    let value = "what".to_owned();
+    assert_eq!(spoilt.parse::<RequestReport>(), Err(ReportError::Invalid { field, value }));
+}
+
+#[test]
+fn reports_fold_into_tables_and_a_plot() {
+    let mut summary = Summary::default();
+    summary.add(10, &report(Cause::Late));
+    summary.add(10, &report(Cause::Late));
+    summary.add(12, &report(Cause::Failed));
+    assert_eq!(summary.reports(), 3);
+    let text = summary.to_string();
+    let row = |key: &str| {
+        let line = text.lines().find(|line| line.starts_with(key)).unwrap();
+        line.split_whitespace().skip(1).map(str::to_owned).collect::<Vec<_>>()
+    };
+    assert_eq!(row("10 "), ["2", "0"]);
+    assert_eq!(row("12 "), ["0", "1"]);
+    assert_eq!(row("r-a "), ["2", "1"]);
+    assert_eq!(row("silent "), ["8", "4"]);
+    assert_eq!(row("a-1 "), ["i-7f3a", "answered=3", "broken=3"]);
+    let picture = plot(&summary).unwrap();
+    assert!(picture.starts_with("<svg") && picture.contains("late") && picture.contains("failed"));
+}
+
+#[test]
+fn nothing_folds_into_empty_tables() {
+    let summary = Summary::default();
+    assert!(summary.to_string().starts_with("0 reports"));
+    assert!(plot(&summary).is_ok());
+}
--- a/crates/node/src/command_line.rs
+++ b/crates/node/src/command_line.rs
@@ -1,9 +1,9 @@
 //! The command line of the system's roles.
 
-use crate::flags::{CheckSystem, Status, System, SystemCmd};
+use crate::flags::{CheckSystem, Front, Status, System, SystemCmd, Why};
 use crate::settings::NodeSettings;
 use crate::watch::SettingsWatch;
-use crate::{core, front};
+use crate::{core, front, why};
 use flexi_logger::{DeferredNow, Logger};
 use log::Record;
 use std::io::Write;
@@ -13,7 +13,7 @@
 use woadstall_control::configuration::Configuration;
 
 /// The names of the commands that are of the system.
-pub const COMMANDS: [&str; 4] = ["front", "core", "status", "check-system"];
+pub const COMMANDS: [&str; 5] = ["front", "core", "why", "status", "check-system"];
 /// How long a control machine may take to answer.
 const PATIENCE: Duration = Duration::from_secs(3);
 
@@ -24,8 +24,11 @@
         return None;
     }
     let outcome = match System::from_env_or_exit().subcommand {
-        SystemCmd::Front(_) => {
-            with_settings(|settings, watch| front::run(settings, watch).map_err(|error| error.to_string()))
+        SystemCmd::Front(Front { reports }) => with_settings(|settings, watch| {
+            front::run(settings, watch, reports.unwrap_or(0)).map_err(|error| error.to_string())
+        }),
+        SystemCmd::Why(Why { plot, files }) => {
+            why::run(&files, plot.as_deref()).map_err(|error| error.to_string())
         }
         SystemCmd::Core(_) => {
             with_settings(|settings, watch| core::run(&settings, watch).map_err(|error| error.to_string()))
--- a/crates/node/src/flags.rs
+++ b/crates/node/src/flags.rs
@@ -7,7 +7,17 @@
     /// The processes of woadstall's serving system, and what operators ask of them.
     cmd system {
         /// Carries clients' requests to upstreams. `WOADSTALL_BOOT` names the settings file.
-        cmd front {}
+        cmd front {
+            /// Requests a second at most that are reported in the log: late, refused, failed or sent again; 0, none, by default.
+            optional --reports rate: u64
+        }
+        /// Folds the reports in logs of balancers into tables.
+        cmd why {
+            /// Also draws the reports by second, as SVG, into this file.
+            optional --plot file: PathBuf
+            /// The logs.
+            repeated files: PathBuf
+        }
         /// Keeps the configuration, the registrations and the membership. `WOADSTALL_BOOT` names the settings file.
         cmd core {}
         /// Shows how a control machine stands.
--- a/crates/node/src/front/course.rs
+++ b/crates/node/src/front/course.rs
@@ -1,11 +1,14 @@
 //! How far a request has got with its attempts, and whether there may be another one.
 
 use super::Front;
+use super::attempt::Attempted;
 use super::reply::{Reply, refusal, text};
+use super::reports::Trace;
 use hyper::StatusCode;
 use std::sync::Arc;
 use std::time::Duration;
 use woadstall_control::configuration::{Route, Service};
+use woadstall_explain::{AttemptOutcome, Cause};
 use woadstall_inbound::lock;
 use woadstall_routing::{Decision, Prompt, Query, Refusal, Target, UpstreamId};
 
@@ -25,6 +28,8 @@
     rejections: u32,
     may_have_run: bool,
     retry_after: Duration,
+    /// What is reported of it, where that is wanted.
+    trace: Option<Trace>,
 }
 
 /// No further attempt is made.
@@ -32,7 +37,13 @@
 
 impl Course {
     /// A request that was sent to nobody yet. Where nothing can be said of when to come back, its client is told this time.
-    pub fn new(route: Arc<Route>, service: Arc<Service>, prompt: Prompt, retry_after: Duration) -> Self {
+    pub fn new(
+        route: Arc<Route>,
+        service: Arc<Service>,
+        prompt: Prompt,
+        retry_after: Duration,
+        trace: Option<Trace>,
+    ) -> Self {
         Self {
             route,
             service,
@@ -43,6 +54,7 @@
             rejections: 0,
             may_have_run: false,
             retry_after,
+            trace,
         }
     }
 
@@ -61,8 +73,12 @@
         }
         let query =
             Query { route: &self.route, service: &self.service, prompt: self.prompt, tried: &self.tried };
+        let standing = self.trace.is_some().then(|| router.standing(now, &query));
         match router.choose(now, &query) {
             Decision::Send(target) => {
+                if let (Some(trace), Some(standing)) = (&mut self.trace, standing) {
+                    trace.begin_attempt(&target, &standing);
+                }
                 self.tried.push(target.id.clone());
                 Ok(target)
             }
@@ -76,24 +92,59 @@
         }
     }
 
-    /// The request went to an upstream, which may have run it.
-    pub fn sent(&mut self) {
-        self.sends += 1;
-        self.may_have_run = true;
+    /// An attempt has come to its end, or to the beginning of an answer.
+    pub fn attempted(&mut self, attempted: &Attempted) {
+        match attempted {
+            Attempted::NotSent => self.unsent += 1,
+            Attempted::Rejected => self.rejections += 1,
+            Attempted::Broken | Attempted::TimedOut | Attempted::Whole(..) | Attempted::Begun(_) => {
+                self.sends += 1;
+                self.may_have_run = true;
+            }
+        }
+        let outcome = match attempted {
+            Attempted::NotSent => AttemptOutcome::NotSent,
+            Attempted::Rejected => AttemptOutcome::Rejected,
+            Attempted::Broken => AttemptOutcome::Broken,
+            Attempted::TimedOut => AttemptOutcome::TimedOut,
+            Attempted::Whole(parts, _) if parts.status.is_server_error() => AttemptOutcome::ErrorAnswer,
+            Attempted::Whole(..) => AttemptOutcome::Answered,
+            Attempted::Begun(_) => return, // its end is still to come
+        };
+        self.end_attempt(outcome);
     }
 
-    /// Nothing was sent.
-    pub fn not_sent(&mut self) {
-        self.unsent += 1;
+    /// The answer of the present attempt has ended.
+    pub fn end_attempt(&mut self, outcome: AttemptOutcome) {
+        if let Some(trace) = &mut self.trace {
+            trace.end_attempt(outcome);
+        }
     }
 
-    /// The upstream has turned it away.
-    pub fn rejected(&mut self) {
-        self.rejections += 1;
+    /// A part of an answer has come.
+    pub fn heard(&mut self) {
+        if let Some(trace) = &mut self.trace {
+            trace.heard();
+        }
+    }
+
+    /// The request was answered to its end.
+    pub fn answered(&mut self) {
+        if let Some(trace) = self.trace.take() {
+            trace.answered();
+        }
+    }
+
+    /// The request has ended otherwise.
+    pub fn failed(&mut self, cause: Cause) {
+        if let Some(trace) = self.trace.take() {
+            trace.failed(cause);
+        }
     }
 
     /// The answer to a request that is given up: at once, and a promise only where it has not run.
-    pub fn give_up(&self) -> Reply {
+    pub fn give_up(&mut self) -> Reply {
+        self.failed(if self.may_have_run { Cause::Failed } else { Cause::Refused });
         if self.may_have_run {
             return text(StatusCode::BAD_GATEWAY, "no answer came\n");
         }
--- a/crates/node/src/front/forward.rs
+++ b/crates/node/src/front/forward.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 use woadstall_control::configuration::{Configuration, Route, RouteType};
 use woadstall_control::shards::hash;
+use woadstall_explain::Cause;
 use woadstall_inbound::{BodyRoom, lock};
 use woadstall_routing::Prompt;
 use woadstall_transport::end_to_end;
@@ -63,7 +64,8 @@
         deadline: arrived + patience,
         is_stream: route.route_type == RouteType::Streaming,
     };
-    let course = Course::new(route, service, prompt, NO_CONFIGURATION);
+    let trace = front.reports.follow(&route, &service.name, prompt);
+    let course = Course::new(route, service, prompt, NO_CONFIGURATION, trace);
     carry(front, course, outbound).await
 }
 
@@ -73,21 +75,25 @@
         if Instant::now() >= outbound.deadline {
             break;
         }
-        match attempt(front, &outbound, target).await {
-            Attempted::NotSent => course.not_sent(),
-            Attempted::Rejected => course.rejected(),
-            Attempted::Broken => {
-                course.sent();
-                if !course.route.is_idempotent() {
-                    break;
-                }
-            }
+        let attempted = attempt(front, &outbound, target).await;
+        course.attempted(&attempted);
+        match attempted {
+            Attempted::NotSent | Attempted::Rejected => {}
+            Attempted::Broken if course.route.is_idempotent() => {}
+            Attempted::Broken => break,
             Attempted::TimedOut => {
+                course.failed(Cause::TimedOut);
                 return text(StatusCode::GATEWAY_TIMEOUT, "no answer came in time\n");
             }
-            Attempted::Whole(parts, body) => return Response::from_parts(parts, ReplyBody::Whole(body)),
+            Attempted::Whole(parts, body) => {
+                if parts.status.is_server_error() {
+                    course.failed(Cause::ErrorAnswer);
+                } else {
+                    course.answered();
+                }
+                return Response::from_parts(parts, ReplyBody::Whole(body));
+            }
             Attempted::Begun(begun) => {
-                course.sent();
                 let parts = begun.parts.clone();
                 return Response::from_parts(parts, stream::pass_on(front, course, outbound, *begun));
             }
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -10,6 +10,7 @@
 mod pool;
 mod readiness;
 mod reply;
+mod reports;
 mod sources;
 mod stream;
 
@@ -72,10 +73,12 @@
     pub leaving: AtomicBool,
     /// Bytes of the bodies of open requests.
     pub bodies: AtomicUsize,
+    /// What is written of requests that do not go well.
+    pub reports: Arc<reports::Reports>,
 }
 
 impl Front {
-    fn new(settings: NodeSettings) -> Self {
+    fn new(settings: NodeSettings, reports_per_second: u64) -> Self {
         let place = Place { region: settings.region.clone(), zones: settings.zones.clone() };
         let router = Router::new(place, settings.bounds, fastrand::u64(..));
         Self {
@@ -89,6 +92,7 @@
             announce: Notify::new(),
             leaving: AtomicBool::new(false),
             bodies: AtomicUsize::new(0),
+            reports: Arc::new(reports::Reports::new(settings.zone.clone(), reports_per_second)),
             settings,
         }
     }
@@ -168,11 +172,12 @@
     }
 }
 
-/// Runs until SIGTERM, and then until what was taken is answered.
-pub fn run(settings: NodeSettings, watch: SettingsWatch) -> Result<(), FrontError> {
+/// Runs until SIGTERM, and then until what was taken is answered. So many requests a second at most are reported in the log
+/// that were late, refused, failed or sent again.
+pub fn run(settings: NodeSettings, watch: SettingsWatch, reports_per_second: u64) -> Result<(), FrontError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(io("the runtime"))?;
-    let ended = runtime.block_on(serve(settings, watch));
+    let ended = runtime.block_on(serve(settings, watch, reports_per_second));
     runtime.shutdown_background();
     ended
 }
@@ -182,9 +187,13 @@
     move |source| FrontError::Io { what, source }
 }
 
-async fn serve(settings: NodeSettings, mut watch: SettingsWatch) -> Result<(), FrontError> {
+async fn serve(
+    settings: NodeSettings,
+    mut watch: SettingsWatch,
+    reports_per_second: u64,
+) -> Result<(), FrontError> {
     let address = settings.listens("front").ok_or(FrontError::Missing("listen.front"))?;
-    let front = Arc::new(Front::new(settings));
+    let front = Arc::new(Front::new(settings, reports_per_second));
     let mut terminate = signal(SignalKind::terminate()).map_err(io("SIGTERM"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(io("SIGHUP"))?;
     let listener = listen(address).map_err(io("the address for clients"))?;
--- a/crates/node/src/front/stream.rs
+++ b/crates/node/src/front/stream.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
+use woadstall_explain::{AttemptOutcome, Cause};
 use woadstall_routing::Outcome;
 
 /// The header with the id of the last event that a client has.
@@ -45,7 +46,7 @@
     let mut buffer = course.route.resumable.then(EventBuffer::default);
     loop {
         let keep = begun.parts.extensions.get::<Keep>().copied().unwrap_or(Keep::Closes);
-        let end = copy(&mut begun, outbound.deadline, &mut buffer, client).await;
+        let end = copy(&mut begun, &mut course, outbound.deadline, &mut buffer, client).await;
         match end {
             End::Complete => {
                 if let Some(rest) = buffer.as_mut().map(EventBuffer::rest).filter(|rest| !rest.is_empty()) {
@@ -53,19 +54,25 @@
                 }
                 give_back(front, begun.connection, &begun.held, keep);
                 begun.held.end(Outcome::Answered);
+                course.end_attempt(AttemptOutcome::Answered);
+                course.answered();
                 return;
             }
             End::ClientLeft => return,
             End::TimedOut => {
+                course.end_attempt(AttemptOutcome::TimedOut);
+                course.failed(Cause::TimedOut);
                 client.send(Err(io::ErrorKind::TimedOut.into())).await.ok();
                 return;
             }
             End::Broken => {
                 log::info!("stream broken upstream={}", begun.held.target.id);
                 begun.held.end(Outcome::Broken);
+                course.end_attempt(AttemptOutcome::BrokenOff);
             }
         }
         let Some(next) = resume(front, &mut course, &mut outbound, buffer.as_mut()).await else {
+            course.failed(Cause::Failed);
             client.send(Err(io::ErrorKind::ConnectionReset.into())).await.ok();
             return;
         };
@@ -76,6 +83,7 @@
 /// Copies a body to the client until it ends.
 async fn copy(
     begun: &mut Begun,
+    course: &mut Course,
     deadline: Instant,
     buffer: &mut Option<EventBuffer>,
     client: &mpsc::Sender<io::Result<Bytes>>,
@@ -96,6 +104,7 @@
             },
         };
         begun.held.heard();
+        course.heard();
         let data = match buffer {
             Some(buffer) => buffer.push(&data),
             None => data,
@@ -124,15 +133,12 @@
         outbound.head.headers.insert(LAST_EVENT_ID, HeaderValue::from_bytes(id).ok()?);
     }
     while let Ok(target) = course.next(front) {
-        match attempt(front, outbound, target).await {
-            Attempted::Begun(begun) => {
-                course.sent();
-                return Some(*begun);
-            }
-            Attempted::NotSent => course.not_sent(),
-            Attempted::Rejected => course.rejected(),
-            Attempted::Broken | Attempted::Whole(..) => course.sent(),
+        let attempted = attempt(front, outbound, target).await;
+        course.attempted(&attempted);
+        match attempted {
+            Attempted::Begun(begun) => return Some(*begun),
             Attempted::TimedOut => return None,
+            Attempted::NotSent | Attempted::Rejected | Attempted::Broken | Attempted::Whole(..) => {}
         }
     }
     None
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod link;
 pub mod settings;
 pub mod watch;
+pub mod why;
