Breakers: an upstream's own errors and time-outs count as failures

Cause: Router::answered took a 500 for a success and closed the breaker; a time-out ended as withdrawn. The design says that both count. Change: outcomes Error and TimedOut, noted where an attempt ends; an error is a sign of life (silence) and no success.

--- a/crates/node/src/front/attempt.rs
+++ b/crates/node/src/front/attempt.rs
@@ -143,7 +143,10 @@
             held.end(if connection.is_reused && !was_written { Outcome::Withdrawn } else { Outcome::Broken });
             return if was_written { Attempted::Broken } else { Attempted::NotSent };
         }
-        Err(_) if was_written() => return Attempted::TimedOut,
+        Err(_) if was_written() => {
+            held.end(Outcome::TimedOut);
+            return Attempted::TimedOut;
+        }
         Err(_) => return Attempted::NotSent,
     };
     let (mut parts, body) = response.into_parts();
@@ -161,7 +164,12 @@
         held.end(Outcome::Broken);
         return Attempted::Broken;
     }
-    lock(&front.router).answered(front.now(), &held.target.id);
+    let is_error = parts.status.is_server_error();
+    if is_error {
+        lock(&front.router).heard(front.now(), &held.target.id, 0);
+    } else {
+        lock(&front.router).answered(front.now(), &held.target.id);
+    }
     let keep = keep_alive(&parts);
     end_to_end(&mut parts.headers);
     if outbound.is_stream && parts.status.is_success() {
@@ -171,14 +179,17 @@
     match timeout_at(outbound.deadline, whole(body)).await {
         Ok(Some(bytes)) => {
             give_back(front, connection, &held, keep);
-            held.end(Outcome::Answered);
+            held.end(if is_error { Outcome::Error } else { Outcome::Answered });
             Attempted::Whole(parts, bytes)
         }
         Ok(None) => {
             held.end(Outcome::Broken);
             Attempted::Broken
         }
-        Err(_) => Attempted::TimedOut,
+        Err(_) => {
+            held.end(Outcome::TimedOut);
+            Attempted::TimedOut
+        }
     }
 }
 
--- a/crates/node/src/front/stream.rs
+++ b/crates/node/src/front/stream.rs
@@ -60,6 +60,7 @@
             }
             End::ClientLeft => return,
             End::TimedOut => {
+                begun.held.end(Outcome::TimedOut);
                 course.end_attempt(AttemptOutcome::TimedOut);
                 course.failed(Cause::TimedOut);
                 client.send(Err(io::ErrorKind::TimedOut.into())).await.ok();
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -206,12 +206,12 @@
             Outcome::Answered => {}
             Outcome::Rejected => upstream.full_until = now + FULL_PAUSE,
             Outcome::Unreachable => upstream.breaker.failed(now, UNREACHABLE_WEIGHT),
-            Outcome::Broken => upstream.breaker.failed(now, 1),
+            Outcome::Broken | Outcome::Error | Outcome::TimedOut => upstream.breaker.failed(now, 1),
             Outcome::Withdrawn => {}
         }
     }
 
-    /// An upstream has begun to answer soundly.
+    /// An upstream has begun to answer soundly: with a success, or with what it finds at fault with the request.
     pub fn answered(&mut self, now: u64, id: &str) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.breaker.succeeded();
--- a/crates/routing/src/upstream.rs
+++ b/crates/routing/src/upstream.rs
@@ -20,7 +20,11 @@
     Unreachable,
     /// The connection broke, or what came was no answer to it.
     Broken,
-    /// It was given up here: its client left, or its time was over before an answer was due.
+    /// It was answered with an error of the upstream's own.
+    Error,
+    /// Its deadline passed at the upstream.
+    TimedOut,
+    /// It was given up here, as its client left.
     Withdrawn,
 }
 
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -251,3 +251,30 @@
     assert!(!router.is_usable("n1"));
     assert!(router.is_usable("n0"));
 }
+
+#[rstest]
+#[case::no_answer(Outcome::Broken)]
+#[case::own_error(Outcome::Error)]
+#[case::time_out(Outcome::TimedOut)]
+fn consecutive_failures_of_any_kind_open_the_breaker(#[case] outcome: Outcome) {
+    let mut router = router_with(&[("n", 2)]);
+    for _ in 0..3 {
+        // An error is a sign of life, but no success.
+        router.heard(0, "n0", 0);
+        router.finish(0, "n0", outcome, 0);
+    }
+    let request = request();
+    assert!((0..6).all(|_| &*request.target(&mut router, 100).id == "n1"));
+}
+
+#[rstest]
+#[case::client_left(Outcome::Withdrawn)]
+#[case::full(Outcome::Rejected)]
+fn what_says_nothing_of_health_opens_no_breaker(#[case] outcome: Outcome) {
+    let mut router = router_with(&[("n", 2)]);
+    for _ in 0..6 {
+        router.finish(0, "n0", outcome, 0);
+    }
+    let request = request();
+    assert!((0..6).any(|_| &*request.target(&mut router, 200).id == "n0"));
+}
