Breakers: a request given up on a silent upstream opens its breaker

Change: what ends without an answer while the upstream is silent trips the breaker at once. Ruled out: a shorter TCP user timeout, which would cut requests over short troubles of links.

--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -198,14 +198,20 @@
 
     /// A request at an upstream has ended.
     pub fn finish(&mut self, now: u64, id: &str, outcome: Outcome, unread: u64) {
+        let was_silent = self.upstreams.get(id).is_some_and(|upstream| self.is_silent(now, upstream));
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
         upstream.reading = upstream.reading.saturating_sub(unread);
         upstream.in_flight = upstream.in_flight.saturating_sub(1);
         const UNREACHABLE_WEIGHT: u32 = 2;
+        // Whoever gives up on a silent upstream has waited for long: the next request would wait for as long again.
+        const SILENT_WEIGHT: u32 = 3;
         match outcome {
             Outcome::Answered => {}
             Outcome::Rejected => upstream.full_until = now + FULL_PAUSE,
             Outcome::Unreachable => upstream.breaker.failed(now, UNREACHABLE_WEIGHT),
+            Outcome::Broken | Outcome::TimedOut | Outcome::Withdrawn if was_silent => {
+                upstream.breaker.failed(now, SILENT_WEIGHT);
+            }
             Outcome::Broken | Outcome::Error | Outcome::TimedOut => upstream.breaker.failed(now, 1),
             Outcome::Withdrawn => {}
         }
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -278,3 +278,18 @@
     let request = request();
     assert!((0..6).any(|_| &*request.target(&mut router, 200).id == "n0"));
 }
+
+#[rstest]
+#[case::client_left(Outcome::Withdrawn)]
+#[case::connection_broke(Outcome::Broken)]
+#[case::time_out(Outcome::TimedOut)]
+fn a_request_given_up_on_a_silent_upstream_opens_its_breaker(#[case] outcome: Outcome) {
+    let mut router = router_with(&[("n", 2)]);
+    let request = request();
+    let waiting =
+        std::iter::repeat_with(|| request.target(&mut router, 0)).find(|target| &*target.id == "n0");
+    let waiting = waiting.unwrap();
+    router.heard(1_400, "n1", 0);
+    router.finish(1_500, "n0", outcome, waiting.reading);
+    assert!((0..6).all(|_| &*request.target(&mut router, 1_600).id == "n1"));
+}
