Front: an idempotent request tries another upstream after an upstream's error

Change: the error is kept and given only if no other upstream does better; what may run once is passed on at once.

--- a/crates/node/src/front/forward.rs
+++ b/crates/node/src/front/forward.rs
@@ -69,8 +69,10 @@
     carry(front, course, outbound).await
 }
 
-/// Sends a request to upstreams until one answers or no further attempt may be made.
+/// Sends a request to upstreams until one answers or no further attempt may be made. An upstream's error is an answer too; where
+/// the request may run again, it is given only if no other upstream does better.
 async fn carry(front: &Arc<Front>, mut course: Course, outbound: Outbound) -> Reply {
+    let mut error_answer = None;
     while let Ok(target) = course.next(front) {
         if Instant::now() >= outbound.deadline {
             break;
@@ -86,12 +88,16 @@
                 return text(StatusCode::GATEWAY_TIMEOUT, "no answer came in time\n");
             }
             Attempted::Whole(parts, body) => {
-                if parts.status.is_server_error() {
-                    course.failed(Cause::ErrorAnswer);
-                } else {
+                let is_error = parts.status.is_server_error();
+                let answer = Response::from_parts(parts, ReplyBody::Whole(body));
+                if !is_error {
                     course.answered();
+                    return answer;
+                }
+                error_answer = Some(answer);
+                if !course.route.is_idempotent() {
+                    break;
                 }
-                return Response::from_parts(parts, ReplyBody::Whole(body));
             }
             Attempted::Begun(begun) => {
                 let parts = begun.parts.clone();
@@ -99,7 +105,13 @@
             }
         }
     }
-    course.give_up()
+    match error_answer {
+        Some(answer) => {
+            course.failed(Cause::ErrorAnswer);
+            answer
+        }
+        None => course.give_up(),
+    }
 }
 
 fn route_of<'a>(configuration: &'a Configuration, request: &Request<Incoming>) -> Option<&'a Route> {
--- a/tests/system.rs
+++ b/tests/system.rs
@@ -144,6 +144,35 @@
     }
 }
 
+#[test]
+fn an_upstreams_error_is_passed_on_unless_another_one_may_do_better() {
+    let system = system();
+    system.configure(0, 0, &configuration(1, &all_routes()));
+    let error = |request: &Message| Act::Answer(answer(request, "broken").replace("200 OK", "500 Broken"));
+    let failing = Upstream::start(error);
+    system.register(0, "i-1", "s", failing.address, 0);
+    let passed_on = ask(&system, "/safe/1").expect("an answer");
+    assert_eq!((passed_on.status(), passed_on.body.as_slice()), (500, &b"broken"[..]));
+    let sound = Upstream::start(|request| Act::Answer(answer(request, "hello")));
+    system.register(0, "i-2", "s", sound.address, 0);
+    assert_eq!(status(&system, "/safe/1"), 200);
+    assert_eq!(status(&system, "/safe/1"), 200);
+}
+
+#[test]
+fn an_upstreams_error_of_a_request_that_may_run_once_is_passed_on() {
+    let system = system();
+    system.configure(0, 0, &configuration(1, &all_routes()));
+    let error = |request: &Message| Act::Answer(answer(request, "broken").replace("200 OK", "500 Broken"));
+    let (one, other) = (Upstream::start(error), Upstream::start(error));
+    system.register(0, "i-1", "s", one.address, 0);
+    system.register(0, "i-2", "s", other.address, 0);
+    assert_eq!(status(&system, "/once/1"), 500);
+    assert_eq!(one.requests() + other.requests(), 1);
+    assert_eq!(status(&system, "/safe/1"), 500);
+    assert_eq!(one.requests() + other.requests(), 2, "a safe one is tried at both");
+}
+
 #[test]
 fn an_answer_that_belongs_to_another_request_is_no_answer() {
     let system = system();
