Loads: balancers of a region tell each other of prompts that wait to be read and of failing upstreams

Change: a balancer sends what waits to be read (4,096 tokens and more) and what is silent or tripped to the core machines of its region, at most every 50 ms and only when it changes; they tell each zone the region's sums and the zone's witnesses, every 100 ms at most. Two witnesses of the own zone make an upstream one to be passed over, unless something came from it here since; reading decides the order of preference as the own counts did. All of it ages in 0.7 s. Wire version 3. Ruled out: gossip among balancers (bytes between zones); heartbeats as carrier (300 ms); the region as the scope of witnesses (behind a cut between zones others see what is not so here).

--- a/crates/control/src/balancers.rs
+++ b/crates/control/src/balancers.rs
@@ -123,6 +123,11 @@
         self.seen.values().filter(is_stopping).map(|seen| &seen.heartbeat)
     }
 
+    /// The zone of a balancer.
+    pub fn zone_of(&self, name: &str) -> Option<&str> {
+        self.seen.get(name).map(|seen| &*seen.heartbeat.zone)
+    }
+
     /// Forgets who was not heard of for long.
     pub fn forget(&mut self, now: u64) {
         self.seen.retain(|_, seen| now <= seen.heard + FORGET);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod command;
 pub mod configuration;
 pub mod feed;
+pub mod loads;
 pub mod machine;
 pub mod reader;
 pub mod registry;
--- /dev/null
+++ b/crates/control/src/loads.rs
@@ -0,0 +1,85 @@
+//! What balancers tell each other of upstreams, through the control machines: prompt tokens that wait to be read, and
+//! upstreams that fail. Each balancer sees a small share of an upstream's requests; together they see all.
+//!
+//! Everything here may be lost, late or wrong without harm: it ages within a second, and decides an order of preference only.
+
+use nanoserde::{DeBin, SerBin};
+use std::collections::BTreeMap;
+
+/// What a balancer tells of the upstreams that others should know of, whole each time.
+#[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+pub struct LoadReport {
+    /// The hash of the balancer's name.
+    pub balancer: u32,
+    /// Rises with each report, also over restarts as long as the time of day does.
+    pub sequence: u64,
+    /// The balancer's zone.
+    pub zone: String,
+    /// The upstreams.
+    pub upstreams: Vec<UpstreamLoad>,
+}
+
+/// How an upstream stands with one balancer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct UpstreamLoad {
+    /// The hash of its id.
+    pub upstream: u32,
+    /// Prompt tokens that it has been sent and has not begun to answer.
+    pub unread: u32,
+    /// Whether it fails or tells nothing though requests wait there.
+    pub is_failing: bool,
+}
+
+/// How an upstream stands with the balancers near the one that is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct FleetLoad {
+    /// The hash of its id.
+    pub upstream: u32,
+    /// Prompt tokens that wait to be read, from all balancers of the region.
+    pub unread: u32,
+    /// Balancers of the zone with which it fails. Those of other zones may not reach it for a reason of their own.
+    pub failing: u16,
+}
+
+/// How long a report holds, in milliseconds: two of the periods in which balancers repeat theirs, and the way.
+const REPORT_HOLDS: u64 = 800;
+
+/// The newest report of each balancer.
+#[derive(Clone, Debug, Default)]
+pub struct Loads {
+    reports: BTreeMap<u32, (u64, LoadReport)>,
+}
+
+impl Loads {
+    /// Takes a report, unless it is older than the one that is known and still holds.
+    pub fn take(&mut self, now: u64, report: LoadReport) {
+        let is_late = self
+            .reports
+            .get(&report.balancer)
+            .is_some_and(|(at, known)| now <= at + REPORT_HOLDS && known.sequence >= report.sequence);
+        if !is_late {
+            self.reports.insert(report.balancer, (now, report));
+        }
+    }
+
+    /// Forgets reports that no longer hold.
+    pub fn forget(&mut self, now: u64) {
+        self.reports.retain(|_, (at, _)| now <= *at + REPORT_HOLDS);
+    }
+
+    /// What balancers of a zone are told, given which zones are of its region.
+    pub fn of_zone(&self, zone: &str, is_of_region: impl Fn(&str) -> bool) -> Vec<FleetLoad> {
+        let mut told: BTreeMap<u32, FleetLoad> = BTreeMap::new();
+        let reports = self.reports.values().map(|(_, report)| report);
+        for report in reports.filter(|report| is_of_region(&report.zone)) {
+            for load in &report.upstreams {
+                let entry = FleetLoad { upstream: load.upstream, unread: 0, failing: 0 };
+                let entry = told.entry(load.upstream).or_insert(entry);
+                entry.unread = entry.unread.saturating_add(load.unread);
+                let counts = load.is_failing && report.zone == zone;
+                entry.failing = entry.failing.saturating_add(u16::from(counts));
+            }
+        }
+        told.into_values().filter(|load| load.unread > 0 || load.failing > 0).collect()
+    }
+}
--- a/crates/control/src/machine/mod.rs
+++ b/crates/control/src/machine/mod.rs
@@ -4,6 +4,7 @@
 mod directory;
 mod feeds;
 mod leader_clock;
+mod loads;
 mod orders;
 mod peers;
 mod reads;
@@ -14,12 +15,14 @@
 
 use crate::balancers::{Balancers, Heard, Heartbeat, StillThere};
 use crate::feed::Journal;
+use crate::loads::Loads;
 use crate::registry::{Registration, Registry};
 use crate::shards::short_hash;
 use crate::state::ControlState;
 use crate::wire::{CallId, ControlMachine, Packet, Renewal, ZoneBalancers};
 use feeds::{Newcomer, Subscriber};
 use leader_clock::LeaderClock;
+use loads::ToldLoads;
 use orders::{Order, Proposed};
 use peers::{HELLO_EVERY, Peer};
 use reads::PendingRead;
@@ -168,6 +171,9 @@
     registry_version: u64,
     /// The balancers that were last told to readers.
     balancing: Vec<ZoneBalancers>,
+    /// What balancers tell of upstreams.
+    loads: Loads,
+    told_loads: ToldLoads,
 }
 
 /// The snapshot that founders begin with: the seeds are its voters. All founders make the same one, so there is one group
@@ -223,6 +229,8 @@
             was_leader: false,
             registry_version: 0,
             balancing: Vec::new(),
+            loads: Loads::default(),
+            told_loads: ToldLoads::default(),
             settings,
         };
         let own = machine.settings.machine.clone();
@@ -272,6 +280,7 @@
         self.note_quorum();
         self.tell_events();
         self.admit_newcomers();
+        self.tell_loads();
         if self.now >= self.hello_due {
             self.hello_due = self.now + HELLO_EVERY;
             self.introduce();
@@ -333,11 +342,13 @@
             Packet::Read { call } => self.on_forwarded_read(from, call),
             Packet::ReadDone { call, index } => self.on_read_done(call, index),
             Packet::Heartbeat(heartbeat) => self.heartbeat(now, heartbeat),
+            Packet::Load(report) => self.on_load(report),
             Packet::Subscribe { .. }
             | Packet::Snapshot { .. }
             | Packet::Events { .. }
             | Packet::Status { .. }
-            | Packet::Balancing(_) => {}
+            | Packet::Balancing(_)
+            | Packet::Loads(_) => {}
         }
     }
 
--- a/crates/control/src/wire.rs
+++ b/crates/control/src/wire.rs
@@ -4,13 +4,14 @@
 use crate::balancers::{Heartbeat, StillThere};
 use crate::command::{Command, Outcome};
 use crate::feed::Event;
+use crate::loads::{FleetLoad, LoadReport};
 use crate::registry::Registration;
 use nanoserde::{DeBin, SerBin};
 use thiserror::Error;
 use woadstall_consensus::{Member, Message, ReplicaId};
 
 /// The version of the protocol. Another one is refused.
-pub const VERSION: u16 = 2;
+pub const VERSION: u16 = 3;
 /// Bytes of a frame's head: version, encoding, length, checksum.
 pub const HEAD_BYTES: usize = 12;
 /// Bytes of a frame at most: a snapshot of the configuration and its history.
@@ -158,6 +159,10 @@
     Balancing(Vec<ZoneBalancers>),
     /// A balancer's heartbeat to a monitor.
     Heartbeat(Heartbeat),
+    /// What a balancer tells of upstreams, to control machines near it.
+    Load(LoadReport),
+    /// What balancers tell of upstreams together, whole each time.
+    Loads(Vec<FleetLoad>),
 }
 
 /// An upstream that was heard from.
--- /dev/null
+++ b/crates/control/tests/loads.rs
@@ -0,0 +1,59 @@
+//! What balancers tell each other of upstreams.
+
+use rstest::rstest;
+use woadstall_control::loads::{FleetLoad, LoadReport, Loads, UpstreamLoad};
+
+const UPSTREAM: u32 = 7;
+
+fn report(balancer: u32, zone: &str, unread: u32, is_failing: bool) -> LoadReport {
+    let upstreams = vec![UpstreamLoad { upstream: UPSTREAM, unread, is_failing }];
+    LoadReport { balancer, sequence: 10, zone: zone.to_owned(), upstreams }
+}
+
+fn told(loads: &Loads, zone: &str) -> Vec<FleetLoad> {
+    loads.of_zone(zone, |other| other.starts_with('n'))
+}
+
+#[test]
+fn reading_is_summed_over_the_region_and_failures_over_the_zone() {
+    let mut loads = Loads::default();
+    loads.take(0, report(1, "n1", 4_000, true));
+    loads.take(0, report(2, "n1", 5_000, true));
+    loads.take(0, report(3, "n2", 6_000, true));
+    loads.take(0, report(4, "s1", 9_000, true));
+    assert_eq!(told(&loads, "n1"), [FleetLoad { upstream: UPSTREAM, unread: 15_000, failing: 2 }]);
+    assert_eq!(told(&loads, "n2"), [FleetLoad { upstream: UPSTREAM, unread: 15_000, failing: 1 }]);
+}
+
+#[test]
+fn a_report_replaces_the_former_one_of_its_balancer() {
+    let mut loads = Loads::default();
+    loads.take(0, report(1, "n1", 4_000, true));
+    loads.take(10, LoadReport { sequence: 11, upstreams: Vec::new(), ..report(1, "n1", 0, false) });
+    assert!(told(&loads, "n1").is_empty());
+    // One that comes late changes nothing.
+    loads.take(20, report(1, "n1", 4_000, true));
+    assert!(told(&loads, "n1").is_empty());
+}
+
+/// A balancer that falls silent, or whose time of day has stepped back at a restart, is not believed for long nor shut out.
+#[rstest]
+#[case::still_holds(800, 1)]
+#[case::has_aged(801, 0)]
+fn reports_age(#[case] now: u64, #[case] expected: usize) {
+    let mut loads = Loads::default();
+    loads.take(0, report(1, "n1", 4_000, true));
+    loads.forget(now);
+    assert_eq!(told(&loads, "n1").len(), expected);
+    loads.take(now, LoadReport { sequence: 1, ..report(1, "n1", 5_000, false) });
+    let unread = told(&loads, "n1")[0].unread;
+    assert_eq!(unread, if expected == 1 { 4_000 } else { 5_000 });
+}
+
+#[test]
+fn claims_without_measure_do_not_overflow() {
+    let mut loads = Loads::default();
+    loads.take(0, report(1, "n1", u32::MAX, true));
+    loads.take(0, report(2, "n1", u32::MAX, true));
+    assert_eq!(told(&loads, "n1")[0].unread, u32::MAX);
+}
--- a/crates/node/src/core/peers.rs
+++ b/crates/node/src/core/peers.rs
@@ -164,12 +164,12 @@
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, from)) => match Packet::decode_datagram(&buffer[..length]) {
-                Ok(packet @ Packet::Heartbeat(_)) => {
+                Ok(packet @ (Packet::Heartbeat(_) | Packet::Load(_))) => {
                     if events.send(Event::Packet { from: from.to_string(), packet }).is_err() {
                         return;
                     }
                 }
-                Ok(_) => log::warn!("datagram refused from={from}: not a heartbeat"),
+                Ok(_) => log::warn!("datagram refused from={from}: neither a heartbeat nor a load"),
                 Err(error) => log::warn!("datagram refused from={from}: {error}"),
             },
             Err(error) => {
--- a/crates/node/src/front/feeds.rs
+++ b/crates/node/src/front/feeds.rs
@@ -110,6 +110,7 @@
                 events.into_iter().for_each(|event| take_event(front, event));
             }
             Packet::Balancing(zones) => front.count_balancers(&zones),
+            Packet::Loads(loads) => lock(&front.router).set_fleet_loads(front.now(), &loads),
             Packet::Status { in_quorum, machines } => {
                 without_quorum = if in_quorum { 0 } else { without_quorum + 1 };
                 if in_quorum || front.machines().is_empty() {
--- /dev/null
+++ b/crates/node/src/front/loads.rs
@@ -0,0 +1,64 @@
+//! Tells the control machines near this balancer how upstreams stand with it, for the balancers beside it.
+
+use super::Front;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+use woadstall_control::loads::{LoadReport, UpstreamLoad};
+use woadstall_control::shards::short_hash;
+use woadstall_control::wire::Packet;
+use woadstall_inbound::lock;
+
+/// How often this balancer looks whether there is something new to tell.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// How often it tells again what it told, as that ages.
+const REPEAT_EVERY: Duration = Duration::from_millis(300);
+
+/// Starts.
+pub(super) fn start(front: &Arc<Front>) {
+    tokio::spawn(tell(front.clone()));
+}
+
+async fn tell(front: Arc<Front>) {
+    let socket = match UdpSocket::bind(SocketAddr::new(front.settings.ip, 0)).await {
+        Ok(socket) => socket,
+        Err(error) => {
+            log::error!("no socket for loads: {error}");
+            return;
+        }
+    };
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let first = since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(0));
+    let mut told: Vec<UpstreamLoad> = Vec::new();
+    let mut told_at = Instant::now();
+    let mut looks = interval(LOOK_EVERY);
+    looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    for sequence in first.. {
+        looks.tick().await;
+        let upstreams = lock(&front.router).load(front.now());
+        let is_due = !told.is_empty() && told_at.elapsed() >= REPEAT_EVERY;
+        if upstreams == told && !is_due {
+            continue;
+        }
+        let report = LoadReport {
+            balancer: short_hash(&front.settings.node),
+            sequence,
+            zone: front.settings.zone.clone(),
+            upstreams: upstreams.clone(),
+        };
+        (told, told_at) = (upstreams, Instant::now());
+        let frame = Packet::Load(report).frame();
+        for machine in machines_near(&front) {
+            socket.send_to(&frame, machine).await.ok();
+        }
+    }
+}
+
+/// The control machines of this region: the balancers that share its upstreams read their feeds there.
+fn machines_near(front: &Front) -> Vec<SocketAddr> {
+    let machines = front.machines();
+    let near = machines.iter().filter(|machine| machine.region == front.settings.region);
+    near.filter_map(|machine| machine.member.address.parse().ok()).collect()
+}
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -7,6 +7,7 @@
 mod feeds;
 mod forward;
 mod heartbeat;
+mod loads;
 mod pool;
 mod readiness;
 mod reply;
@@ -203,6 +204,7 @@
     log::info!("front starts address={address}");
     feeds::start(&front);
     heartbeat::start(&front);
+    loads::start(&front);
     let (stop, stopping) = watch::channel(false);
     let clients = tokio::spawn(clients::serve(front.clone(), listener, stopping));
     let mut sweeps = interval(SWEEP_EVERY);
--- a/crates/routing/src/breaker.rs
+++ b/crates/routing/src/breaker.rs
@@ -23,6 +23,11 @@
         now >= self.open_until
     }
 
+    /// Whether it is open now.
+    pub fn is_open(&self, now: u64) -> bool {
+        self.trips > 0 && !self.allows(now)
+    }
+
     /// Whether it has tripped and no request has succeeded since.
     pub fn is_tripped(&self) -> bool {
         self.trips > 0
--- a/crates/routing/src/eligibility.rs
+++ b/crates/routing/src/eligibility.rs
@@ -22,6 +22,8 @@
     Tripped,
     /// It tells nothing, though requests wait there.
     Silent,
+    /// Other balancers of the zone tell that it fails.
+    ToldFailing,
     /// Its zone seems to be lost.
     LostZone,
     /// It has just turned a request away as full.
@@ -37,6 +39,7 @@
         formatter.write_str(match self {
             Self::Tripped => "tripped",
             Self::Silent => "silent",
+            Self::ToldFailing => "told-failing",
             Self::LostZone => "lost-zone",
             Self::Full => "full",
             Self::OverLimit => "over-limit",
@@ -69,8 +72,17 @@
 
     /// Whether an upstream has told nothing for too long, though requests of this balancer wait there.
     pub(crate) fn is_silent(&self, now: u64, upstream: &Upstream) -> bool {
-        let patience = if upstream.region == self.place.region { SILENT_NEAR } else { SILENT_FAR };
-        upstream.is_silent(now, patience)
+        upstream.is_silent(now, self.patience(upstream))
+    }
+
+    fn patience(&self, upstream: &Upstream) -> u64 {
+        if upstream.region == self.place.region { SILENT_NEAR } else { SILENT_FAR }
+    }
+
+    /// Whether the balancers of this zone tell that an upstream fails. One whose breaker has tripped here tries it at its own
+    /// times all the same, else nobody would find that it is back.
+    fn is_told_failing(&self, now: u64, upstream: &Upstream) -> bool {
+        !upstream.breaker.is_tripped() && upstream.is_told_failing(now, self.patience(upstream))
     }
 
     /// What speaks against the health of an upstream, as far as this balancer can tell.
@@ -81,6 +93,9 @@
         if self.is_silent(now, upstream) {
             return Some(Obstacle::Silent);
         }
+        if self.is_told_failing(now, upstream) {
+            return Some(Obstacle::ToldFailing);
+        }
         let is_allowed = self.outages.allows(now, &upstream.zone, query.route.is_idempotent());
         (!is_allowed).then_some(Obstacle::LostZone)
     }
@@ -107,7 +122,9 @@
     /// more: whoever waited there for a connection would be refused late.
     pub(crate) fn may_fall_back(&self, now: u64, query: &Query<'_>, id: &str) -> bool {
         let Some(upstream) = self.upstreams.get(id) else { return false };
-        let is_suspect = !upstream.breaker.allows(now) || self.is_silent(now, upstream);
+        let is_suspect = !upstream.breaker.allows(now)
+            || self.is_silent(now, upstream)
+            || self.is_told_failing(now, upstream);
         is_suspect
             && self.outages.allows(now, &upstream.zone, query.route.is_idempotent())
             && self.is_within_limit(upstream)
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,6 +13,7 @@
 mod budget;
 mod eligibility;
 mod fleet;
+mod fleet_loads;
 mod locality;
 mod outage;
 mod query;
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -221,7 +221,7 @@
     pub fn answered(&mut self, now: u64, id: &str) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.breaker.succeeded();
-            upstream.silent_since = now;
+            upstream.note_heard(now);
             self.outages.heard(now, &upstream.zone);
         }
     }
@@ -229,7 +229,7 @@
     /// Something has come from an upstream; the first event of a stream tells that it has read so many tokens.
     pub fn heard(&mut self, now: u64, id: &str, read: u64) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.silent_since = now;
+            upstream.note_heard(now);
             self.outages.heard(now, &upstream.zone);
             upstream.reading = upstream.reading.saturating_sub(read);
         }
--- a/crates/routing/src/selection.rs
+++ b/crates/routing/src/selection.rs
@@ -44,9 +44,10 @@
         let mut ranked: Vec<&UpstreamId> = candidates.iter().collect();
         ranked.sort_by_cached_key(|id| std::cmp::Reverse(hash(&(shared, &***id))));
         let has_room = |id: &&&UpstreamId| self.has_room(now, query, id);
-        let keeps =
-            |id: &&&UpstreamId| has_room(id) && self.keeps(id, shared) && self.reads_less(id, READING_KEPT);
-        let is_free = |id: &&&UpstreamId| has_room(id) && self.reads_less(id, READING_NEW);
+        let keeps = |id: &&&UpstreamId| {
+            has_room(id) && self.keeps(id, shared) && self.reads_less(now, id, READING_KEPT)
+        };
+        let is_free = |id: &&&UpstreamId| has_room(id) && self.reads_less(now, id, READING_NEW);
         let holders = ranked.iter().take(HOLDERS);
         let chosen = holders.clone().find(keeps).or_else(|| holders.clone().find(is_free));
         chosen.or_else(|| ranked.iter().find(has_room)).map(|id| (*id).clone())
@@ -59,7 +60,7 @@
             || (0..candidates.len()).map(|step| &candidates[begin.wrapping_add(step) % candidates.len()]);
         let proposals = || order().take(PROPOSALS.max(candidates.len()));
         let has_room = |id: &&UpstreamId| self.has_room(now, query, id);
-        let is_free = |id: &&UpstreamId| has_room(id) && self.reads_less(id, READING);
+        let is_free = |id: &&UpstreamId| has_room(id) && self.reads_less(now, id, READING);
         let chosen = proposals().find(is_free).or_else(|| proposals().find(has_room));
         // The fallback: the next in order that is not known to be full; a breaker may be wrong, a cold budget may not.
         chosen.or_else(|| order().find(|id| self.may_fall_back(now, query, id))).cloned()
@@ -77,7 +78,7 @@
         self.upstreams.get(id).is_some_and(|upstream| upstream.kept.contains(&shared))
     }
 
-    fn reads_less(&self, id: &str, tokens: u64) -> bool {
-        self.upstreams.get(id).is_some_and(|upstream| upstream.reading < tokens)
+    fn reads_less(&self, now: u64, id: &str, tokens: u64) -> bool {
+        self.upstreams.get(id).is_some_and(|upstream| upstream.fleet_reading(now) < tokens)
     }
 }
--- a/crates/routing/src/upstream.rs
+++ b/crates/routing/src/upstream.rs
@@ -4,7 +4,9 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use woadstall_control::loads::FleetLoad;
 use woadstall_control::registry::{Registration, Status};
+use woadstall_control::shards::short_hash;
 
 /// The id of an upstream's incarnation.
 pub type UpstreamId = Arc<str>;
@@ -43,6 +45,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Upstream {
     pub id: UpstreamId,
+    /// The hash of its id, by which balancers speak of it.
+    pub key: u32,
     pub address: SocketAddr,
     pub service: String,
     pub zone: Arc<str>,
@@ -61,8 +65,12 @@
     pub full_until: u64,
     /// Since when nothing has come from it, while requests of this balancer wait there.
     pub silent_since: u64,
+    /// When something came from it last.
+    pub heard: Option<u64>,
     /// Prompt tokens of this balancer's requests that it has not begun to answer.
     pub reading: u64,
+    /// What the balancers near this one tell of it, and when they did.
+    pub told: Option<(u64, FleetLoad)>,
     /// Beginnings of prompts that this balancer has sent there, the newest last.
     pub kept: VecDeque<u64>,
     /// Not in the newest snapshot: it is forgotten then, unless it is told of again.
@@ -78,6 +86,7 @@
     pub fn new(now: u64, registration: &Registration, region: String, address: SocketAddr) -> Self {
         Self {
             id: registration.id.as_str().into(),
+            key: short_hash(&registration.id),
             address,
             service: registration.service.clone(),
             zone: registration.zone.as_str().into(),
@@ -91,7 +100,9 @@
             in_flight: 0,
             full_until: 0,
             silent_since: 0,
+            heard: None,
             reading: 0,
+            told: None,
             kept: VecDeque::new(),
             unconfirmed_since: None,
         }
@@ -120,6 +131,12 @@
         self.in_flight > 0 && now > self.silent_since + patience
     }
 
+    /// Something has come from it.
+    pub fn note_heard(&mut self, now: u64) {
+        self.silent_since = now;
+        self.heard = Some(now);
+    }
+
     /// The tokens of a prompt that it has to read, as far as this balancer knows.
     pub fn unread(&self, prompt: &Prompt) -> u64 {
         let is_kept = prompt.shared.is_some_and(|shared| self.kept.contains(&shared));
--- /dev/null
+++ b/crates/routing/tests/fleet_loads.rs
@@ -0,0 +1,93 @@
+//! What balancers near each other tell of upstreams, and how much of it is believed.
+
+mod support;
+
+use rstest::rstest;
+use support::{request, router_with};
+use woadstall_control::loads::{FleetLoad, UpstreamLoad};
+use woadstall_control::shards::short_hash;
+use woadstall_routing::{Outcome, Prompt, Router};
+
+fn told(id: &str, unread: u32, failing: u16) -> FleetLoad {
+    FleetLoad { upstream: short_hash(id), unread, failing }
+}
+
+fn sends_to(router: &mut Router, now: u64, id: &str) -> bool {
+    let request = request();
+    (0..6).any(|_| {
+        let target = request.target(router, now);
+        router.finish(now, &target.id, Outcome::Withdrawn, target.reading);
+        &*target.id == id
+    })
+}
+
+#[rstest]
+#[case::nobody(0, true)]
+#[case::one_balancer(1, true)]
+#[case::two_balancers(2, false)]
+fn an_upstream_that_fails_with_others_is_passed_over(#[case] failing: u16, #[case] is_used: bool) {
+    let mut router = router_with(&[("n", 3)]);
+    router.set_fleet_loads(1_000, &[told("n0", 0, failing)]);
+    assert_eq!(sends_to(&mut router, 1_000, "n0"), is_used);
+}
+
+#[rstest]
+#[case::heard_just_before(500, true)]
+#[case::heard_long_before(300, false)]
+fn what_was_seen_here_is_stronger_than_what_is_told(#[case] heard: u64, #[case] is_used: bool) {
+    let mut router = router_with(&[("n", 3)]);
+    router.heard(heard, "n0", 0);
+    router.set_fleet_loads(1_000, &[told("n0", 0, 9)]);
+    assert_eq!(sends_to(&mut router, 1_000, "n0"), is_used);
+    // What comes afterwards, too.
+    router.answered(1_010, "n0");
+    assert!(sends_to(&mut router, 1_010, "n0"));
+}
+
+#[test]
+fn what_was_told_ages_and_is_replaced() {
+    let mut router = router_with(&[("n", 3)]);
+    router.set_fleet_loads(1_000, &[told("n0", 0, 5)]);
+    assert!(!sends_to(&mut router, 1_700, "n0"));
+    assert!(sends_to(&mut router, 1_701, "n0"), "told for the last time 0.7 s ago");
+    router.set_fleet_loads(2_000, &[told("n0", 0, 5)]);
+    router.set_fleet_loads(2_100, &[]);
+    assert!(sends_to(&mut router, 2_100, "n0"));
+}
+
+#[test]
+fn where_all_are_said_to_fail_they_are_tried_all_the_same() {
+    let mut router = router_with(&[("n", 2)]);
+    router.set_fleet_loads(1_000, &[told("n0", 0, 5), told("n1", 0, 5)]);
+    assert!(sends_to(&mut router, 1_000, "n0"));
+}
+
+#[test]
+fn short_requests_avoid_who_reads_for_other_balancers() {
+    let mut router = router_with(&[("n", 3)]);
+    router.set_fleet_loads(0, &[told("n0", 20_000, 0)]);
+    assert!(!sends_to(&mut router, 0, "n0"));
+    router.set_fleet_loads(0, &[told("n0", 20_000, 0), told("n1", 20_000, 0), told("n2", 20_000, 0)]);
+    assert!(sends_to(&mut router, 0, "n0"), "a preference, and no bar");
+}
+
+#[test]
+fn a_balancer_tells_of_long_reading_and_of_failures() {
+    let mut router = router_with(&[("n", 2)]);
+    assert_eq!(router.load(0), []);
+    let mut long = request();
+    long.prompt = Prompt { shared: None, shared_tokens: 0, tokens: 20_000 };
+    let reader = long.target(&mut router, 0);
+    let load = UpstreamLoad { upstream: short_hash(&reader.id), unread: 20_000, is_failing: false };
+    assert_eq!(router.load(100), [load]);
+    assert_eq!(router.load(601), [UpstreamLoad { is_failing: true, ..load }], "silent for long");
+    router.heard(700, &reader.id, 20_000);
+    assert_eq!(router.load(700), []);
+    router.finish(700, &reader.id, Outcome::Answered, 0);
+    (0..3).for_each(|_| router.finish(700, &reader.id, Outcome::Broken, 0));
+    assert_eq!(
+        router.load(710),
+        [UpstreamLoad { unread: 0, is_failing: true, ..load }],
+        "its breaker is open"
+    );
+}
