Selection: a long prompt waits for the upstream ranked first in proportion to what it shares

Change: all upstreams by rank; whoever keeps the beginning, or the first by rank, is waited for while it has less than three times the shared tokens to read; else the one with the least. Constants of 40,000 and 16,000 tokens and the two holders are gone. Ruled out, as trials: thresholds of 16,000, 30,000 and 45,000 tokens; six times (no different from three).

--- a/crates/routing/src/selection.rs
+++ b/crates/routing/src/selection.rs
@@ -11,12 +11,10 @@
 /// Tokens that an upstream may have to read before it is passed over by requests that could go elsewhere: about one step
 /// of an engine, a tenth of a second.
 const READING: u64 = 4_096;
-/// The same for a request whose prompt it keeps: to read that elsewhere takes longer than to wait.
-const READING_KEPT: u64 = 40_000;
-/// The same for one whose prompt has to be read anyway: one long prompt of each balancer.
-const READING_NEW: u64 = 16_000;
-/// Upstreams that may come to hold a prompt, in the order of its hash.
-const HOLDERS: usize = 2;
+/// How much an upstream may have to read before a prompt goes past it to one of a lower rank, over what the prompt shares with
+/// others. Whoever is ranked first keeps that part or is to keep it: to read it again elsewhere takes as long as to wait
+/// for as many tokens, and then it is kept twice at the cost of others.
+const HOLDER_PATIENCE: u64 = 3;
 
 impl Router {
     /// Picks one of the candidates, if any may be used.
@@ -33,7 +31,8 @@
         holder.or_else(|| self.pick_in_turn(now, query, candidates))
     }
 
-    /// Whoever keeps the beginning of the prompt; else the first that does not read much already; else the first with room.
+    /// Whoever keeps the beginning of the prompt; else the first by rank that does not read much already; else the one that
+    /// has the least to read.
     fn pick_holder(
         &self,
         now: u64,
@@ -41,16 +40,15 @@
         candidates: &[UpstreamId],
         shared: u64,
     ) -> Option<UpstreamId> {
-        let mut ranked: Vec<&UpstreamId> = candidates.iter().collect();
+        let mut ranked: Vec<&UpstreamId> =
+            candidates.iter().filter(|id| self.has_room(now, query, id)).collect();
         ranked.sort_by_cached_key(|id| std::cmp::Reverse(hash(&(shared, &***id))));
-        let has_room = |id: &&&UpstreamId| self.has_room(now, query, id);
-        let keeps = |id: &&&UpstreamId| {
-            has_room(id) && self.keeps(id, shared) && self.reads_less(now, id, READING_KEPT)
-        };
-        let is_free = |id: &&&UpstreamId| has_room(id) && self.reads_less(now, id, READING_NEW);
-        let holders = ranked.iter().take(HOLDERS);
-        let chosen = holders.clone().find(keeps).or_else(|| holders.clone().find(is_free));
-        chosen.or_else(|| ranked.iter().find(has_room)).map(|id| (*id).clone())
+        let patience = HOLDER_PATIENCE * query.prompt.shared_tokens;
+        let is_free = |id: &&&UpstreamId| self.reads_less(now, id, patience);
+        let keeps = |id: &&&UpstreamId| self.keeps(id, shared) && is_free(id);
+        let ranks = || ranked.iter();
+        let chosen = ranks().find(keeps).or_else(|| ranks().find(is_free));
+        chosen.or_else(|| ranks().min_by_key(|id| self.reading(now, id))).map(|id| (*id).clone())
     }
 
     /// Round robin.
@@ -79,6 +77,10 @@
     }
 
     fn reads_less(&self, now: u64, id: &str, tokens: u64) -> bool {
-        self.upstreams.get(id).is_some_and(|upstream| upstream.fleet_reading(now) < tokens)
+        self.reading(now, id) < tokens
+    }
+
+    fn reading(&self, now: u64, id: &str) -> u64 {
+        self.upstreams.get(id).map_or(u64::MAX, |upstream| upstream.fleet_reading(now))
     }
 }
--- a/crates/routing/tests/fleet_loads.rs
+++ b/crates/routing/tests/fleet_loads.rs
@@ -91,3 +91,26 @@
         "its breaker is open"
     );
 }
+
+/// The upstream that is ranked first for a prompt keeps its beginning or is to keep it: it is waited for in proportion.
+#[rstest]
+#[case::a_short_queue(20_000, true)]
+#[case::a_long_queue(31_000, false)]
+fn a_prompt_waits_for_its_holder_as_long_as_reading_it_elsewhere_would_cost(
+    #[case] unread: u32,
+    #[case] waits: bool,
+) {
+    let mut router = router_with(&[("n", 4)]);
+    let mut quote = request();
+    quote.prompt = Prompt { shared: Some(5), shared_tokens: 10_000, tokens: 12_000 };
+    let first = quote.target(&mut router, 0);
+    router.finish(0, &first.id, Outcome::Withdrawn, first.reading);
+    router.set_fleet_loads(10, &[told(&first.id, unread, 0)]);
+    let again = quote.target(&mut router, 10);
+    assert_eq!(again.id == first.id, waits);
+    // Where all have much to read, the one with the least takes it.
+    let all: Vec<FleetLoad> =
+        (0..4).map(|number| told(&format!("n{number}"), 90_000 - 1_000 * number, 0)).collect();
+    router.set_fleet_loads(20, &all);
+    assert_eq!(&*quote.target(&mut router, 20).id, "n3");
+}
