Loads: balancers of a region tell each other where beginnings of prompts were placed

Cause: half of the long prompts are read whole, as nobody in the region has sent their beginning before; each balancer had to presume that the upstream ranked first keeps it, and waited there behind others' reading. Change: reports carry placements of the last 0.4 s; a beginning goes to the keeper with the least to read, one that nobody keeps to the upstream with the least to read, once this balancer was told without a pause for 10 s; until then by rank as before. Ruled out: telling all that is kept (bytes); rank among the two first by own counts (beginnings are read twice).

--- a/crates/control/src/loads.rs
+++ b/crates/control/src/loads.rs
@@ -1,10 +1,10 @@
-//! What balancers tell each other of upstreams, through the control machines: prompt tokens that wait to be read, and
-//! upstreams that fail. Each balancer sees a small share of an upstream's requests; together they see all.
+//! What balancers tell each other of upstreams, through the control machines: prompt tokens that wait to be read, upstreams that
+//! fail, and where beginnings of prompts were sent to be read and kept. Each balancer sees a small share of an upstream's requests; together they see all.
 //!
 //! Everything here may be lost, late or wrong without harm: it ages within a second, and decides an order of preference only.
 
 use nanoserde::{DeBin, SerBin};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What a balancer tells of the upstreams that others should know of, whole each time.
 #[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
@@ -17,6 +17,17 @@
     pub zone: String,
     /// The upstreams.
     pub upstreams: Vec<UpstreamLoad>,
+    /// Beginnings of prompts that were sent to an upstream anew a moment ago.
+    pub placements: Vec<Placement>,
+}
+
+/// A beginning of prompts, and an upstream that was sent one and keeps it from then on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, SerBin, DeBin)]
+pub struct Placement {
+    /// The hash of the beginning.
+    pub beginning: u32,
+    /// The hash of the upstream's id.
+    pub upstream: u32,
 }
 
 /// How an upstream stands with one balancer.
@@ -41,6 +52,22 @@
     pub failing: u16,
 }
 
+/// What the balancers of a zone are told.
+#[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+pub struct FleetLoads {
+    /// The upstreams that there is something to tell of; all others are well and have nothing to read.
+    pub upstreams: Vec<FleetLoad>,
+    /// Placements of the last moments, from all balancers of the region.
+    pub placements: Vec<Placement>,
+}
+
+impl FleetLoads {
+    /// Whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.upstreams.is_empty() && self.placements.is_empty()
+    }
+}
+
 /// How long a report holds, in milliseconds: two of the periods in which balancers repeat theirs, and the way.
 const REPORT_HOLDS: u64 = 800;
 
@@ -68,10 +95,12 @@
     }
 
     /// What balancers of a zone are told, given which zones are of its region.
-    pub fn of_zone(&self, zone: &str, is_of_region: impl Fn(&str) -> bool) -> Vec<FleetLoad> {
+    pub fn of_zone(&self, zone: &str, is_of_region: impl Fn(&str) -> bool) -> FleetLoads {
+        let mut placements: BTreeSet<Placement> = BTreeSet::new();
         let mut told: BTreeMap<u32, FleetLoad> = BTreeMap::new();
         let reports = self.reports.values().map(|(_, report)| report);
         for report in reports.filter(|report| is_of_region(&report.zone)) {
+            placements.extend(&report.placements);
             for load in &report.upstreams {
                 let entry = FleetLoad { upstream: load.upstream, unread: 0, failing: 0 };
                 let entry = told.entry(load.upstream).or_insert(entry);
@@ -80,6 +109,7 @@
                 entry.failing = entry.failing.saturating_add(u16::from(counts));
             }
         }
-        told.into_values().filter(|load| load.unread > 0 || load.failing > 0).collect()
+        let upstreams = told.into_values().filter(|load| load.unread > 0 || load.failing > 0).collect();
+        FleetLoads { upstreams, placements: placements.into_iter().collect() }
     }
 }
--- a/crates/control/src/machine/loads.rs
+++ b/crates/control/src/machine/loads.rs
@@ -1,7 +1,7 @@
 //! Passes on what balancers tell of upstreams.
 
 use super::{Action, Machine};
-use crate::loads::{FleetLoad, LoadReport};
+use crate::loads::{FleetLoads, LoadReport};
 use crate::wire::Packet;
 use std::collections::BTreeMap;
 
@@ -14,7 +14,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct ToldLoads {
     due: u64,
-    zones: BTreeMap<String, (u64, Vec<FleetLoad>)>,
+    zones: BTreeMap<String, (u64, FleetLoads)>,
 }
 
 impl Machine {
@@ -41,7 +41,7 @@
         }
     }
 
-    fn is_news(&self, zone: &str, loads: &[FleetLoad]) -> bool {
+    fn is_news(&self, zone: &str, loads: &FleetLoads) -> bool {
         match self.told_loads.zones.get(zone) {
             None => !loads.is_empty(),
             Some((_, told)) if told != loads => true,
--- a/crates/control/src/wire.rs
+++ b/crates/control/src/wire.rs
@@ -4,7 +4,7 @@
 use crate::balancers::{Heartbeat, StillThere};
 use crate::command::{Command, Outcome};
 use crate::feed::Event;
-use crate::loads::{FleetLoad, LoadReport};
+use crate::loads::{FleetLoads, LoadReport};
 use crate::registry::Registration;
 use nanoserde::{DeBin, SerBin};
 use thiserror::Error;
@@ -162,7 +162,7 @@
     /// What a balancer tells of upstreams, to control machines near it.
     Load(LoadReport),
     /// What balancers tell of upstreams together, whole each time.
-    Loads(Vec<FleetLoad>),
+    Loads(FleetLoads),
 }
 
 /// An upstream that was heard from.
--- a/crates/control/tests/loads.rs
+++ b/crates/control/tests/loads.rs
@@ -1,17 +1,17 @@
 //! What balancers tell each other of upstreams.
 
 use rstest::rstest;
-use woadstall_control::loads::{FleetLoad, LoadReport, Loads, UpstreamLoad};
+use woadstall_control::loads::{FleetLoad, LoadReport, Loads, Placement, UpstreamLoad};
 
 const UPSTREAM: u32 = 7;
 
 fn report(balancer: u32, zone: &str, unread: u32, is_failing: bool) -> LoadReport {
     let upstreams = vec![UpstreamLoad { upstream: UPSTREAM, unread, is_failing }];
-    LoadReport { balancer, sequence: 10, zone: zone.to_owned(), upstreams }
+    LoadReport { balancer, sequence: 10, zone: zone.to_owned(), upstreams, placements: Vec::new() }
 }
 
 fn told(loads: &Loads, zone: &str) -> Vec<FleetLoad> {
-    loads.of_zone(zone, |other| other.starts_with('n'))
+    loads.of_zone(zone, |other| other.starts_with('n')).upstreams
 }
 
 #[test]
@@ -57,3 +57,17 @@
     loads.take(0, report(2, "n1", u32::MAX, true));
     assert_eq!(told(&loads, "n1")[0].unread, u32::MAX);
 }
+
+#[test]
+fn placements_of_a_region_are_told_once_each() {
+    let mut loads = Loads::default();
+    let one = Placement { beginning: 1, upstream: UPSTREAM };
+    let other = Placement { beginning: 2, upstream: UPSTREAM };
+    loads.take(0, LoadReport { placements: vec![one, other], ..report(1, "n1", 0, false) });
+    loads.take(0, LoadReport { placements: vec![other], ..report(2, "n2", 0, false) });
+    loads.take(0, LoadReport { placements: vec![one], ..report(3, "s1", 0, false) });
+    let told = loads.of_zone("n2", |zone| zone.starts_with('n'));
+    assert_eq!(told.placements, [one, other]);
+    loads.forget(801);
+    assert!(loads.of_zone("n2", |_| true).is_empty());
+}
--- a/crates/control/tests/wire.rs
+++ b/crates/control/tests/wire.rs
@@ -4,7 +4,7 @@
 use woadstall_control::balancers::{Heartbeat, StillThere};
 use woadstall_control::command::{Command, Outcome};
 use woadstall_control::feed::Event;
-use woadstall_control::loads::{FleetLoad, LoadReport, UpstreamLoad};
+use woadstall_control::loads::{FleetLoad, FleetLoads, LoadReport, Placement, UpstreamLoad};
 use woadstall_control::registry::{Registration, Status};
 use woadstall_control::wire::{
     CallId, ControlMachine, HEAD_BYTES, LeaderTime, MOST_BYTES, Packet, Renewal, VERSION, WireError,
@@ -84,6 +84,7 @@
         zone: "z".to_owned(),
         ready: true,
     };
+    let placements = vec![Placement { beginning: 5, upstream: 3 }];
     let load = UpstreamLoad { upstream: 3, unread: 4_000, is_failing: true };
     vec![
         Packet::Hello { machine: machine(), known: vec![machine()] },
@@ -112,8 +113,17 @@
         Packet::Status { in_quorum: true, machines: vec![machine()] },
         Packet::Balancing(vec![ZoneBalancers { zone: "z".to_owned(), balancers: vec![1, 2] }]),
         Packet::Heartbeat(heartbeat),
-        Packet::Load(LoadReport { balancer: 1, sequence: 2, zone: "z".to_owned(), upstreams: vec![load] }),
-        Packet::Loads(vec![FleetLoad { upstream: 3, unread: 4_000, failing: 2 }]),
+        Packet::Load(LoadReport {
+            balancer: 1,
+            sequence: 2,
+            zone: "z".to_owned(),
+            upstreams: vec![load],
+            placements,
+        }),
+        Packet::Loads(FleetLoads {
+            upstreams: vec![FleetLoad { upstream: 3, unread: 4_000, failing: 2 }],
+            placements: vec![Placement { beginning: 5, upstream: 3 }],
+        }),
     ]
 }
 
--- a/crates/node/src/front/forward.rs
+++ b/crates/node/src/front/forward.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 use woadstall_control::configuration::{Configuration, Route, RouteType};
-use woadstall_control::shards::hash;
+use woadstall_control::shards::short_hash;
 use woadstall_explain::Cause;
 use woadstall_inbound::{BodyRoom, lock};
 use woadstall_routing::Prompt;
@@ -149,7 +149,7 @@
         ids.push(*id);
         prompt.shared_tokens += tokens;
         if prompt.shared_tokens >= LONG_PROMPT {
-            prompt.shared = Some(hash(&ids));
+            prompt.shared = Some(short_hash(&ids.join(",")));
             return prompt;
         }
     }
--- a/crates/node/src/front/loads.rs
+++ b/crates/node/src/front/loads.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, MissedTickBehavior, interval};
-use woadstall_control::loads::{LoadReport, UpstreamLoad};
+use woadstall_control::loads::LoadReport;
 use woadstall_control::shards::short_hash;
 use woadstall_control::wire::Packet;
 use woadstall_inbound::lock;
@@ -31,25 +31,28 @@
     };
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     let first = since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(0));
-    let mut told: Vec<UpstreamLoad> = Vec::new();
+    let mut told = LoadReport {
+        balancer: short_hash(&front.settings.node),
+        zone: front.settings.zone.clone(),
+        ..LoadReport::default()
+    };
     let mut told_at = Instant::now();
     let mut looks = interval(LOOK_EVERY);
     looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     for sequence in first.. {
         looks.tick().await;
-        let upstreams = lock(&front.router).load(front.now());
-        let is_due = !told.is_empty() && told_at.elapsed() >= REPEAT_EVERY;
-        if upstreams == told && !is_due {
+        let (upstreams, placements) = {
+            let mut router = lock(&front.router);
+            (router.load(front.now()), router.placements(front.now()))
+        };
+        let has_something = !upstreams.is_empty() || !placements.is_empty();
+        let is_due = has_something && told_at.elapsed() >= REPEAT_EVERY;
+        if upstreams == told.upstreams && placements == told.placements && !is_due {
             continue;
         }
-        let report = LoadReport {
-            balancer: short_hash(&front.settings.node),
-            sequence,
-            zone: front.settings.zone.clone(),
-            upstreams: upstreams.clone(),
-        };
-        (told, told_at) = (upstreams, Instant::now());
-        let frame = Packet::Load(report).frame();
+        told = LoadReport { sequence, upstreams, placements, ..told };
+        told_at = Instant::now();
+        let frame = Packet::Load(told.clone()).frame();
         for machine in machines_near(&front) {
             socket.send_to(&frame, machine).await.ok();
         }
--- a/crates/routing/src/fleet_loads.rs
+++ b/crates/routing/src/fleet_loads.rs
@@ -5,8 +5,8 @@
 
 use crate::router::Router;
 use crate::upstream::Upstream;
-use std::collections::HashMap;
-use woadstall_control::loads::{FleetLoad, UpstreamLoad};
+use std::collections::{HashMap, VecDeque};
+use woadstall_control::loads::{FleetLoad, FleetLoads, Placement, UpstreamLoad};
 
 /// How long what was told holds, in milliseconds: it is repeated every 300 ms.
 const TOLD_HOLDS: u64 = 700;
@@ -14,8 +14,41 @@
 const WITNESSES: u16 = 2;
 /// Prompt tokens from which on others are told that an upstream has to read them: fewer are read within one step.
 const WORTH_TELLING: u64 = 4_096;
-/// Upstreams that are told of at most, so that a report fits into a datagram.
-const MOST_TOLD: usize = 128;
+/// Upstreams, and placements, that are told of at most, so that a report fits into a datagram.
+const MOST_TOLD: usize = 100;
+/// How long a placement is told, in milliseconds: several reports and the period in which they are passed on.
+const PLACEMENT_TOLD: u64 = 400;
+/// How long what is told may pause, in milliseconds, before balancers beside this one may have placed what it does not know of.
+const MOST_PAUSE: u64 = 3_000;
+/// How long a balancer must have been told without a pause before it counts as knowing the placements, in milliseconds: in that
+/// time most of what is asked for is asked for again.
+const WELL_INFORMED_AFTER: u64 = 10_000;
+
+/// What this balancer tells of placements and hears of them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Placements {
+    /// Those that this balancer has made, with their times.
+    made: VecDeque<(u64, Placement)>,
+    /// Since when others' are heard of without a pause, and when last.
+    heard: Option<(u64, u64)>,
+}
+
+impl Placements {
+    /// A beginning goes to an upstream that is not known to keep it.
+    pub fn note(&mut self, now: u64, placement: Placement) {
+        self.made.push_back((now, placement));
+    }
+
+    fn note_heard(&mut self, now: u64) {
+        let since = self.heard.filter(|(_, last)| now <= last + MOST_PAUSE).map_or(now, |(since, _)| since);
+        self.heard = Some((since, now));
+    }
+
+    /// Whether a beginning that is not known to be kept has most likely not been placed.
+    pub fn are_known(&self, now: u64) -> bool {
+        self.heard.is_some_and(|(since, last)| now <= last + MOST_PAUSE && now >= since + WELL_INFORMED_AFTER)
+    }
+}
 
 impl Router {
     /// What others should know of upstreams.
@@ -30,11 +63,29 @@
         self.upstreams.values().map(load).filter(is_worth_telling).take(MOST_TOLD).collect()
     }
 
-    /// The balancers near this one tell how upstreams stand with them, whole each time.
-    pub fn set_fleet_loads(&mut self, now: u64, loads: &[FleetLoad]) {
-        let by_key: HashMap<u32, FleetLoad> = loads.iter().map(|load| (load.upstream, *load)).collect();
+    /// The placements that this balancer made a moment ago.
+    pub fn placements(&mut self, now: u64) -> Vec<Placement> {
+        let made = &mut self.placements.made;
+        while made.front().is_some_and(|(at, _)| now > at + PLACEMENT_TOLD) {
+            made.pop_front();
+        }
+        made.iter().rev().take(MOST_TOLD).map(|(_, placement)| *placement).collect()
+    }
+
+    /// The balancers near this one tell how upstreams stand with them, whole each time, and what they have placed.
+    pub fn set_fleet_loads(&mut self, now: u64, loads: &FleetLoads) {
+        self.placements.note_heard(now);
+        let by_key: HashMap<u32, FleetLoad> =
+            loads.upstreams.iter().map(|load| (load.upstream, *load)).collect();
+        let mut placed: HashMap<u32, Vec<u32>> = HashMap::new();
+        for placement in &loads.placements {
+            placed.entry(placement.upstream).or_default().push(placement.beginning);
+        }
         for upstream in self.upstreams.values_mut() {
             upstream.told = by_key.get(&upstream.key).map(|load| (now, *load));
+            for beginning in placed.get(&upstream.key).into_iter().flatten() {
+                upstream.note_kept(*beginning);
+            }
         }
     }
 }
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -2,11 +2,13 @@
 
 use crate::budget::RetryBudget;
 use crate::fleet::Fleet;
+use crate::fleet_loads::Placements;
 use crate::outage::Outages;
 use crate::query::{Decision, Query, Refusal, Standing, Target};
 use crate::upstream::{Outcome, Upstream, UpstreamId};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
+use woadstall_control::loads::Placement;
 use woadstall_control::registry::{Registration, Status};
 
 /// How long an upstream that has turned a request away as full is passed over, in milliseconds.
@@ -55,6 +57,7 @@
     pub(crate) cursors: HashMap<String, usize>,
     budgets: HashMap<String, RetryBudget>,
     pub(crate) outages: Outages,
+    pub(crate) placements: Placements,
     pub(crate) random: fastrand::Rng,
 }
 
@@ -71,6 +74,7 @@
             cursors: HashMap::new(),
             budgets: HashMap::new(),
             outages: Outages::default(),
+            placements: Placements::default(),
             random: fastrand::Rng::with_seed(seed),
         }
     }
@@ -247,8 +251,11 @@
         upstream.in_flight += 1;
         let reading = upstream.unread(&query.prompt);
         upstream.reading += reading;
-        if let Some(shared) = query.prompt.shared {
-            upstream.note_kept(shared);
+        if let Some(beginning) = query.prompt.shared {
+            if !upstream.keeps(beginning) {
+                self.placements.note(now, Placement { beginning, upstream: upstream.key });
+            }
+            upstream.note_kept(beginning);
         }
         upstream.breaker.sent(now);
         self.outages.sent(now, &upstream.zone);
--- a/crates/routing/src/selection.rs
+++ b/crates/routing/src/selection.rs
@@ -31,14 +31,14 @@
         holder.or_else(|| self.pick_in_turn(now, query, candidates))
     }
 
-    /// Whoever keeps the beginning of the prompt; else the first by rank that does not read much already; else the one that
-    /// has the least to read.
+    /// Of those that keep the beginning of the prompt the one that has the least to read. Where it is not known who does, the first
+    /// by rank that does not read much already: another balancer would have sent it there. Else the one with the least to read.
     fn pick_holder(
         &self,
         now: u64,
         query: &Query<'_>,
         candidates: &[UpstreamId],
-        shared: u64,
+        shared: u32,
     ) -> Option<UpstreamId> {
         let mut ranked: Vec<&UpstreamId> =
             candidates.iter().filter(|id| self.has_room(now, query, id)).collect();
@@ -47,8 +47,10 @@
         let is_free = |id: &&&UpstreamId| self.reads_less(now, id, patience);
         let keeps = |id: &&&UpstreamId| self.keeps(id, shared) && is_free(id);
         let ranks = || ranked.iter();
-        let chosen = ranks().find(keeps).or_else(|| ranks().find(is_free));
-        chosen.or_else(|| ranks().min_by_key(|id| self.reading(now, id))).map(|id| (*id).clone())
+        let reading = |id: &&&UpstreamId| self.reading(now, id);
+        let keeper = ranks().filter(keeps).min_by_key(reading);
+        let presumed = || ranks().find(is_free).filter(|_| !self.placements.are_known(now));
+        keeper.or_else(presumed).or_else(|| ranks().min_by_key(reading)).map(|id| (*id).clone())
     }
 
     /// Round robin.
@@ -72,8 +74,8 @@
         turn
     }
 
-    fn keeps(&self, id: &str, shared: u64) -> bool {
-        self.upstreams.get(id).is_some_and(|upstream| upstream.kept.contains(&shared))
+    fn keeps(&self, id: &str, shared: u32) -> bool {
+        self.upstreams.get(id).is_some_and(|upstream| upstream.keeps(shared))
     }
 
     fn reads_less(&self, now: u64, id: &str, tokens: u64) -> bool {
--- a/crates/routing/src/upstream.rs
+++ b/crates/routing/src/upstream.rs
@@ -34,7 +34,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Prompt {
     /// The hash of the long beginning that it shares with others, if it has one.
-    pub shared: Option<u64>,
+    pub shared: Option<u32>,
     /// The tokens of that beginning.
     pub shared_tokens: u64,
     /// All its tokens.
@@ -71,8 +71,8 @@
     pub reading: u64,
     /// What the balancers near this one tell of it, and when they did.
     pub told: Option<(u64, FleetLoad)>,
-    /// Beginnings of prompts that this balancer has sent there, the newest last.
-    pub kept: VecDeque<u64>,
+    /// Beginnings of prompts that this balancer, or one near it, has sent there, the newest last.
+    pub kept: VecDeque<u32>,
     /// Not in the newest snapshot: it is forgotten then, unless it is told of again.
     pub unconfirmed_since: Option<u64>,
 }
@@ -139,12 +139,17 @@
 
     /// The tokens of a prompt that it has to read, as far as this balancer knows.
     pub fn unread(&self, prompt: &Prompt) -> u64 {
-        let is_kept = prompt.shared.is_some_and(|shared| self.kept.contains(&shared));
+        let is_kept = prompt.shared.is_some_and(|shared| self.keeps(shared));
         if is_kept { prompt.tokens.saturating_sub(prompt.shared_tokens) } else { prompt.tokens }
     }
 
+    /// Whether it was sent a beginning of prompts lately.
+    pub fn keeps(&self, shared: u32) -> bool {
+        self.kept.contains(&shared)
+    }
+
     /// A prompt goes there.
-    pub fn note_kept(&mut self, shared: u64) {
+    pub fn note_kept(&mut self, shared: u32) {
         self.kept.retain(|other| *other != shared);
         self.kept.push_back(shared);
         if self.kept.len() > KEPT {
--- a/crates/routing/tests/fleet_loads.rs
+++ b/crates/routing/tests/fleet_loads.rs
@@ -4,7 +4,7 @@
 
 use rstest::rstest;
 use support::{request, router_with};
-use woadstall_control::loads::{FleetLoad, UpstreamLoad};
+use woadstall_control::loads::{FleetLoad, FleetLoads, Placement, UpstreamLoad};
 use woadstall_control::shards::short_hash;
 use woadstall_routing::{Outcome, Prompt, Router};
 
@@ -12,6 +12,10 @@
     FleetLoad { upstream: short_hash(id), unread, failing }
 }
 
+fn tell(router: &mut Router, now: u64, upstreams: &[FleetLoad]) {
+    router.set_fleet_loads(now, &FleetLoads { upstreams: upstreams.to_vec(), placements: Vec::new() });
+}
+
 fn sends_to(router: &mut Router, now: u64, id: &str) -> bool {
     let request = request();
     (0..6).any(|_| {
@@ -27,7 +31,7 @@
 #[case::two_balancers(2, false)]
 fn an_upstream_that_fails_with_others_is_passed_over(#[case] failing: u16, #[case] is_used: bool) {
     let mut router = router_with(&[("n", 3)]);
-    router.set_fleet_loads(1_000, &[told("n0", 0, failing)]);
+    tell(&mut router, 1_000, &[told("n0", 0, failing)]);
     assert_eq!(sends_to(&mut router, 1_000, "n0"), is_used);
 }
 
@@ -37,7 +41,7 @@
 fn what_was_seen_here_is_stronger_than_what_is_told(#[case] heard: u64, #[case] is_used: bool) {
     let mut router = router_with(&[("n", 3)]);
     router.heard(heard, "n0", 0);
-    router.set_fleet_loads(1_000, &[told("n0", 0, 9)]);
+    tell(&mut router, 1_000, &[told("n0", 0, 9)]);
     assert_eq!(sends_to(&mut router, 1_000, "n0"), is_used);
     // What comes afterwards, too.
     router.answered(1_010, "n0");
@@ -47,27 +51,27 @@
 #[test]
 fn what_was_told_ages_and_is_replaced() {
     let mut router = router_with(&[("n", 3)]);
-    router.set_fleet_loads(1_000, &[told("n0", 0, 5)]);
+    tell(&mut router, 1_000, &[told("n0", 0, 5)]);
     assert!(!sends_to(&mut router, 1_700, "n0"));
     assert!(sends_to(&mut router, 1_701, "n0"), "told for the last time 0.7 s ago");
-    router.set_fleet_loads(2_000, &[told("n0", 0, 5)]);
-    router.set_fleet_loads(2_100, &[]);
+    tell(&mut router, 2_000, &[told("n0", 0, 5)]);
+    tell(&mut router, 2_100, &[]);
     assert!(sends_to(&mut router, 2_100, "n0"));
 }
 
 #[test]
 fn where_all_are_said_to_fail_they_are_tried_all_the_same() {
     let mut router = router_with(&[("n", 2)]);
-    router.set_fleet_loads(1_000, &[told("n0", 0, 5), told("n1", 0, 5)]);
+    tell(&mut router, 1_000, &[told("n0", 0, 5), told("n1", 0, 5)]);
     assert!(sends_to(&mut router, 1_000, "n0"));
 }
 
 #[test]
 fn short_requests_avoid_who_reads_for_other_balancers() {
     let mut router = router_with(&[("n", 3)]);
-    router.set_fleet_loads(0, &[told("n0", 20_000, 0)]);
+    tell(&mut router, 0, &[told("n0", 20_000, 0)]);
     assert!(!sends_to(&mut router, 0, "n0"));
-    router.set_fleet_loads(0, &[told("n0", 20_000, 0), told("n1", 20_000, 0), told("n2", 20_000, 0)]);
+    tell(&mut router, 0, &[told("n0", 20_000, 0), told("n1", 20_000, 0), told("n2", 20_000, 0)]);
     assert!(sends_to(&mut router, 0, "n0"), "a preference, and no bar");
 }
 
@@ -105,12 +109,62 @@
     quote.prompt = Prompt { shared: Some(5), shared_tokens: 10_000, tokens: 12_000 };
     let first = quote.target(&mut router, 0);
     router.finish(0, &first.id, Outcome::Withdrawn, first.reading);
-    router.set_fleet_loads(10, &[told(&first.id, unread, 0)]);
+    tell(&mut router, 10, &[told(&first.id, unread, 0)]);
     let again = quote.target(&mut router, 10);
     assert_eq!(again.id == first.id, waits);
     // Where all have much to read, the one with the least takes it.
     let all: Vec<FleetLoad> =
         (0..4).map(|number| told(&format!("n{number}"), 90_000 - 1_000 * number, 0)).collect();
-    router.set_fleet_loads(20, &all);
+    tell(&mut router, 20, &all);
     assert_eq!(&*quote.target(&mut router, 20).id, "n3");
 }
+
+fn quote(beginning: u32) -> support::Request {
+    let mut quote = request();
+    quote.prompt = Prompt { shared: Some(beginning), shared_tokens: 10_000, tokens: 12_000 };
+    quote
+}
+
+#[test]
+fn a_prompt_goes_where_another_balancer_has_placed_its_beginning() {
+    let mut router = router_with(&[("n", 4)]);
+    let quote = quote(5);
+    let first = quote.target(&mut router, 0).id;
+    let other = ["n0", "n1", "n2", "n3"].into_iter().find(|id| **id != *first).unwrap();
+    let mut informed = router_with(&[("n", 4)]);
+    let placements = vec![Placement { beginning: 5, upstream: short_hash(other) }];
+    informed.set_fleet_loads(0, &FleetLoads { upstreams: Vec::new(), placements });
+    assert_eq!(&*quote.target(&mut informed, 10).id, other);
+}
+
+#[test]
+fn a_placement_is_told_for_a_moment_and_once_each() {
+    let mut router = router_with(&[("n", 1)]);
+    let quote = quote(5);
+    quote.target(&mut router, 0);
+    let placement = Placement { beginning: 5, upstream: short_hash("n0") };
+    assert_eq!(router.placements(400), [placement]);
+    assert_eq!(router.placements(401), []);
+    quote.target(&mut router, 500);
+    assert_eq!(router.placements(500), [], "known to be kept there");
+}
+
+/// Whoever has been told of placements for long, without a pause, knows that a beginning has not been placed.
+#[rstest]
+#[case::told_for_long(12_000, 2_000, true)]
+#[case::told_for_a_short_time(8_000, 2_000, false)]
+#[case::told_with_pauses(15_000, 5_000, false)]
+fn a_beginning_that_nobody_keeps_goes_where_least_is_read(
+    #[case] until: u64,
+    #[case] period: usize,
+    #[case] is_known: bool,
+) {
+    let mut router = router_with(&[("n", 4)]);
+    let quote = quote(5);
+    let first = quote.target(&mut router_with(&[("n", 4)]), 0).id;
+    for now in (0..=until).step_by(period) {
+        tell(&mut router, now, &[told(&first, 5_000, 0)]);
+    }
+    let chosen = quote.target(&mut router, until).id;
+    assert_eq!(chosen != first, is_known);
+}
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -183,7 +183,7 @@
 fn a_shared_prompt_goes_where_it_was_and_few_move_when_one_leaves() {
     let mut router = router_with(&[("n", 6)]);
     let mut request = request();
-    let place = |router: &mut Router, request: &mut support::Request, shared: u64| {
+    let place = |router: &mut Router, request: &mut support::Request, shared: u32| {
         request.prompt = Prompt { shared: Some(shared), shared_tokens: 13_000, tokens: 14_000 };
         let target = request.target(router, 0);
         router.finish(0, &target.id, Outcome::Answered, target.reading);
@@ -195,7 +195,7 @@
     assert_eq!(before.iter().collect::<BTreeSet<_>>().len(), 6, "all are used");
     router.register(0, &Registration { status: Status::Draining, sequence: 2, ..registration("n3", "n") });
     for (shared, old) in before.iter().enumerate() {
-        let new = place(&mut router, &mut request, shared as u64);
+        let new = place(&mut router, &mut request, shared as u32);
         assert!(old == "n3" || new == *old, "a prompt moved though its upstream stayed");
     }
 }
