Kept prompts: what an upstream keeps is modelled by its memory and all prompts of the region

Cause: 64 beginnings were believed to be kept for each upstream, twice what its memory holds beside the prompts' own parts; what was believed to be kept and had given way was counted as read in no time, and went on attracting prompts. Change: an LRU of tokens for each upstream, with the service's kv_capacity_tokens; every long prompt is told with its tokens (by number, as it is told several times), short ones are extrapolated from the own ones.

--- a/crates/control/src/loads.rs
+++ b/crates/control/src/loads.rs
@@ -17,17 +17,23 @@
     pub zone: String,
     /// The upstreams.
     pub upstreams: Vec<UpstreamLoad>,
-    /// Beginnings of prompts that were sent to an upstream anew a moment ago.
+    /// Prompts with a long beginning that were sent to upstreams a moment ago.
     pub placements: Vec<Placement>,
 }
 
-/// A beginning of prompts, and an upstream that was sent one and keeps it from then on.
+/// A prompt with a long beginning that was sent to an upstream, which keeps it from then on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, SerBin, DeBin)]
 pub struct Placement {
-    /// The hash of the beginning.
-    pub beginning: u32,
+    /// Drawn by chance, as a placement is told several times.
+    pub number: u32,
     /// The hash of the upstream's id.
     pub upstream: u32,
+    /// The hash of the beginning.
+    pub beginning: u32,
+    /// The beginning's tokens.
+    pub tokens: u32,
+    /// The tokens of the rest of the prompt.
+    pub own_tokens: u32,
 }
 
 /// How an upstream stands with one balancer.
--- a/crates/routing/src/fleet_loads.rs
+++ b/crates/routing/src/fleet_loads.rs
@@ -4,7 +4,7 @@
 //! What is told ages within a second and is never stronger than what this balancer has seen itself since.
 
 use crate::router::Router;
-use crate::upstream::Upstream;
+use crate::upstream::{Prompt, Upstream};
 use std::collections::{HashMap, VecDeque};
 use woadstall_control::loads::{FleetLoad, FleetLoads, Placement, UpstreamLoad};
 
@@ -15,7 +15,9 @@
 /// Prompt tokens from which on others are told that an upstream has to read them: fewer are read within one step.
 const WORTH_TELLING: u64 = 4_096;
 /// Upstreams, and placements, that are told of at most, so that a report fits into a datagram.
-const MOST_TOLD: usize = 100;
+const MOST_TOLD: usize = 64;
+/// Placements whose numbers are remembered: those of all balancers of a region in the seconds in which they may come again.
+const MOST_KNOWN: usize = 512;
 /// How long a placement is told, in milliseconds: several reports and the period in which they are passed on.
 const PLACEMENT_TOLD: u64 = 400;
 /// How long what is told may pause, in milliseconds, before balancers beside this one may have placed what it does not know of.
@@ -29,14 +31,29 @@
 pub(crate) struct Placements {
     /// Those that this balancer has made, with their times.
     made: VecDeque<(u64, Placement)>,
+    /// Numbers of those that are known, the oldest first.
+    known: VecDeque<u32>,
     /// Since when others' are heard of without a pause, and when last.
     heard: Option<(u64, u64)>,
 }
 
 impl Placements {
-    /// A beginning goes to an upstream that is not known to keep it.
-    pub fn note(&mut self, now: u64, placement: Placement) {
+    /// This balancer has sent a prompt with a long beginning.
+    fn note_made(&mut self, now: u64, placement: Placement) {
         self.made.push_back((now, placement));
+        self.is_new(placement.number);
+    }
+
+    /// Whether a placement is heard of for the first time.
+    fn is_new(&mut self, number: u32) -> bool {
+        if self.known.contains(&number) {
+            return false;
+        }
+        self.known.push_back(number);
+        if self.known.len() > MOST_KNOWN {
+            self.known.pop_front();
+        }
+        true
     }
 
     fn note_heard(&mut self, now: u64) {
@@ -63,6 +80,28 @@
         self.upstreams.values().map(load).filter(is_worth_telling).take(MOST_TOLD).collect()
     }
 
+    /// A prompt goes to an upstream: what that keeps from then on. Of short prompts a balancer knows its own alone; those of others
+    /// are taken to be alike.
+    pub(crate) fn note_sent_prompt(&mut self, now: u64, id: &str, prompt: &Prompt, capacity: Option<u64>) {
+        let number = self.random.u32(..);
+        let Some(upstream) = self.upstreams.get_mut(id) else { return };
+        if let Some(tokens) = capacity {
+            upstream.kept.set_capacity(tokens);
+        }
+        let own_tokens = prompt.tokens.saturating_sub(prompt.shared_tokens);
+        let Some(beginning) = prompt.shared else {
+            let sharers = self.fleet.of(&upstream.region).max(1) as u64;
+            upstream.kept.note_own(own_tokens * sharers);
+            return;
+        };
+        upstream.kept.note_beginning(beginning, prompt.shared_tokens);
+        upstream.kept.note_own(own_tokens);
+        let told = |tokens: u64| u32::try_from(tokens).unwrap_or(u32::MAX);
+        let (tokens, own_tokens) = (told(prompt.shared_tokens), told(own_tokens));
+        let placement = Placement { number, upstream: upstream.key, beginning, tokens, own_tokens };
+        self.placements.note_made(now, placement);
+    }
+
     /// The placements that this balancer made a moment ago.
     pub fn placements(&mut self, now: u64) -> Vec<Placement> {
         let made = &mut self.placements.made;
@@ -77,14 +116,17 @@
         self.placements.note_heard(now);
         let by_key: HashMap<u32, FleetLoad> =
             loads.upstreams.iter().map(|load| (load.upstream, *load)).collect();
-        let mut placed: HashMap<u32, Vec<u32>> = HashMap::new();
+        let mut placed: HashMap<u32, Vec<&Placement>> = HashMap::new();
         for placement in &loads.placements {
-            placed.entry(placement.upstream).or_default().push(placement.beginning);
+            if self.placements.is_new(placement.number) {
+                placed.entry(placement.upstream).or_default().push(placement);
+            }
         }
         for upstream in self.upstreams.values_mut() {
             upstream.told = by_key.get(&upstream.key).map(|load| (now, *load));
-            for beginning in placed.get(&upstream.key).into_iter().flatten() {
-                upstream.note_kept(*beginning);
+            for placement in placed.get(&upstream.key).into_iter().flatten() {
+                upstream.kept.note_beginning(placement.beginning, u64::from(placement.tokens));
+                upstream.kept.note_own(u64::from(placement.own_tokens));
             }
         }
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,7 @@
 mod eligibility;
 mod fleet;
 mod fleet_loads;
+mod kept;
 mod locality;
 mod outage;
 mod query;
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -8,7 +8,6 @@
 use crate::upstream::{Outcome, Upstream, UpstreamId};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
-use woadstall_control::loads::Placement;
 use woadstall_control::registry::{Registration, Status};
 
 /// How long an upstream that has turned a request away as full is passed over, in milliseconds.
@@ -251,19 +250,13 @@
         upstream.in_flight += 1;
         let reading = upstream.unread(&query.prompt);
         upstream.reading += reading;
-        if let Some(beginning) = query.prompt.shared {
-            if !upstream.keeps(beginning) {
-                self.placements.note(now, Placement { beginning, upstream: upstream.key });
-            }
-            upstream.note_kept(beginning);
-        }
         upstream.breaker.sent(now);
         self.outages.sent(now, &upstream.zone);
         if upstream.is_cold(now) {
             upstream.note_cold_send(now);
         }
         let connections = query.service.max_connections as f64 * CONNECTIONS_GIVEN / total;
-        Decision::Send(Target {
+        let target = Target {
             id: upstream.id.clone(),
             address: upstream.address,
             zone: upstream.zone.clone(),
@@ -272,7 +265,10 @@
             reading,
             total_reading: upstream.reading,
             in_flight: upstream.in_flight,
-        })
+        };
+        let capacity = query.service.engine.map(|engine| engine.kv_capacity_tokens);
+        self.note_sent_prompt(now, id, &query.prompt, capacity);
+        Decision::Send(target)
     }
 
     fn refuse(&mut self, none_usable: bool) -> Decision {
--- a/crates/routing/src/selection.rs
+++ b/crates/routing/src/selection.rs
@@ -75,7 +75,7 @@
     }
 
     fn keeps(&self, id: &str, shared: u32) -> bool {
-        self.upstreams.get(id).is_some_and(|upstream| upstream.keeps(shared))
+        self.upstreams.get(id).is_some_and(|upstream| upstream.kept.has(shared))
     }
 
     fn reads_less(&self, now: u64, id: &str, tokens: u64) -> bool {
--- a/crates/routing/src/upstream.rs
+++ b/crates/routing/src/upstream.rs
@@ -1,6 +1,7 @@
 //! What a balancer knows of one upstream.
 
 use crate::breaker::Breaker;
+use crate::kept::KeptPrompts;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -71,14 +72,12 @@
     pub reading: u64,
     /// What the balancers near this one tell of it, and when they did.
     pub told: Option<(u64, FleetLoad)>,
-    /// Beginnings of prompts that this balancer, or one near it, has sent there, the newest last.
-    pub kept: VecDeque<u32>,
+    /// What it keeps of the prompts that this balancer, or one near it, has sent there.
+    pub kept: KeptPrompts,
     /// Not in the newest snapshot: it is forgotten then, unless it is told of again.
     pub unconfirmed_since: Option<u64>,
 }
 
-/// Beginnings of prompts that are remembered for an upstream.
-const KEPT: usize = 64;
 /// Sends to a cold upstream that are remembered.
 const COLD_SENDS: usize = 64;
 
@@ -103,7 +102,7 @@
             heard: None,
             reading: 0,
             told: None,
-            kept: VecDeque::new(),
+            kept: KeptPrompts::default(),
             unconfirmed_since: None,
         }
     }
@@ -139,24 +138,10 @@
 
     /// The tokens of a prompt that it has to read, as far as this balancer knows.
     pub fn unread(&self, prompt: &Prompt) -> u64 {
-        let is_kept = prompt.shared.is_some_and(|shared| self.keeps(shared));
+        let is_kept = prompt.shared.is_some_and(|shared| self.kept.has(shared));
         if is_kept { prompt.tokens.saturating_sub(prompt.shared_tokens) } else { prompt.tokens }
     }
 
-    /// Whether it was sent a beginning of prompts lately.
-    pub fn keeps(&self, shared: u32) -> bool {
-        self.kept.contains(&shared)
-    }
-
-    /// A prompt goes there.
-    pub fn note_kept(&mut self, shared: u32) {
-        self.kept.retain(|other| *other != shared);
-        self.kept.push_back(shared);
-        if self.kept.len() > KEPT {
-            self.kept.pop_front();
-        }
-    }
-
     pub fn note_cold_send(&mut self, now: u64) {
         self.cold_sends.push_back(now);
         if self.cold_sends.len() > COLD_SENDS {
