--- a/crates/control/src/machine/loads.rs
+++ b/crates/control/src/machine/loads.rs
@@ -7,6 +7,8 @@
 
 /// How often readers are told, in milliseconds: a tenth of what it takes to read a long prompt.
 const TELL_EVERY: u64 = 100;
+/// Readers from which on they are told less often, so that what telling costs a machine grows no further.
+const MANY_READERS: u64 = 40;
 /// How often they are told again what they know, as it ages.
 const REPEAT_EVERY: u64 = 300;
 
@@ -28,7 +30,8 @@
         if self.now < self.told_loads.due {
             return;
         }
-        self.told_loads.due = self.now + TELL_EVERY;
+        let readers = self.subscribers.len() as u64;
+        self.told_loads.due = self.now + TELL_EVERY * readers.max(MANY_READERS) / MANY_READERS;
         self.loads.forget(self.now);
         for (zone, subscribers) in self.subscribers_by_zone() {
             let region = self.settings.zones.get(&zone);
