--- a/crates/routing/src/fleet_loads.rs
+++ b/crates/routing/src/fleet_loads.rs
@@ -41,6 +41,9 @@
     /// This balancer has sent a prompt with a long beginning.
     fn note_made(&mut self, now: u64, placement: Placement) {
         self.made.push_back((now, placement));
+        if self.made.len() > MOST_KNOWN {
+            self.made.pop_front();
+        }
         self.is_new(placement.number);
     }
 
--- a/crates/routing/tests/fleet_loads.rs
+++ b/crates/routing/tests/fleet_loads.rs
@@ -169,3 +169,13 @@
     let chosen = quote.target(&mut router, until).id;
     assert_eq!(chosen != first, is_known);
 }
+
+#[test]
+fn placements_that_nobody_asks_for_are_bounded() {
+    let mut router = router_with(&[("n", 1)]);
+    for beginning in 0..1_000 {
+        let target = quote(beginning).target(&mut router, 0);
+        router.finish(0, &target.id, Outcome::Answered, target.reading);
+    }
+    assert_eq!(router.placements(0).len(), 64, "a report holds so many");
+}
