Rig: after a loss of power nodos come back while balancers are still starting

Nodos were booted one by one only after all 20 balancers had started, which takes seconds on a busy machine. Change: both come back at once, as power does. The test is as it was.

--- a/crates/rig/src/faults.rs
+++ b/crates/rig/src/faults.rs
@@ -172,12 +172,15 @@
         let until = fault.until.unwrap_or(self.scenario.time).0;
         let alone = |&&balancer: &&u32| self.balancers[balancer as usize].beside.is_none();
         let alone: Vec<u32> = hit.balancers.iter().filter(alone).copied().collect();
-        self.start_balancers(&alone, stale).await?;
-        for (turn, &nodo) in hit.nodos.iter().enumerate() {
-            self.script.wait(until + over.as_nanos() as u64 * turn as u64 / hit.nodos.len() as u64).await;
-            self.boot_nodo(nodo).await?;
-        }
-        Ok(())
+        // Power is back for all at one time: nodos do not wait until the balancers are up, which may take long.
+        let nodos = async {
+            for (turn, &nodo) in hit.nodos.iter().enumerate() {
+                self.script.wait(until + over.as_nanos() as u64 * turn as u64 / hit.nodos.len() as u64).await;
+                self.boot_nodo(nodo).await?;
+            }
+            Ok(())
+        };
+        tokio::try_join!(self.start_balancers(&alone, stale), nodos).map(drop)
     }
 
     /// The machines of balancers have no power, or have it again: they refuse nothing meanwhile.
