--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -54,7 +54,7 @@
 /// What to do with a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Decision {
-    /// Send it. [`Router::finish`] must follow.
+    /// Send it. [`crate::Router::finish`] must follow.
     Send(Target),
     /// Refuse it at once.
     Refuse(Refusal),
