Read once more: shared sockets for datagrams, one order of ailments, comments that hold

Cause: heartbeats and loads bound their sockets and drew their numbers in the same ten lines; may_fall_back repeated the checks of ailment; the page of loads said that they order preferences only, though witnesses have an upstream passed over. Change: front/datagrams.rs serves both; the fallback asks ailment; the comments say what holds. Behaviour is as it was.

--- a/crates/control/src/loads.rs
+++ b/crates/control/src/loads.rs
@@ -1,7 +1,9 @@
 //! What balancers tell each other of upstreams, through the control machines: prompt tokens that wait to be read, upstreams that
-//! fail, and where beginnings of prompts were sent to be read and kept. Each balancer sees a small share of an upstream's requests; together they see all.
+//! fail, and where beginnings of prompts were sent to be read and kept. Each balancer sees a small share of an upstream's
+//! requests; together they see all.
 //!
-//! Everything here may be lost, late or wrong without harm: it ages within a second, and decides an order of preference only.
+//! Everything here may be lost or late: it ages within a second. It orders preferences, and has balancers pass over an upstream
+//! that several of their zone tell of and that they have not heard of since; it never makes an upstream one that may be used.
 
 use nanoserde::{DeBin, SerBin};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/node/src/front/heartbeat.rs
+++ b/crates/node/src/front/heartbeat.rs
@@ -1,10 +1,9 @@
 //! Tells a few control machines that this balancer is there.
 
-use super::Front;
+use super::{Front, datagrams};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::net::UdpSocket;
+use std::time::Duration;
 use tokio::time::timeout;
 use woadstall_control::balancers::Heartbeat;
 use woadstall_control::shards::{MONITORS, monitors};
@@ -19,15 +18,8 @@
 }
 
 async fn announce(front: Arc<Front>) {
-    let socket = match UdpSocket::bind(SocketAddr::new(front.settings.ip, 0)).await {
-        Ok(socket) => socket,
-        Err(error) => {
-            log::error!("no socket for heartbeats: {error}");
-            return;
-        }
-    };
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let incarnation = since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(0));
+    let Some(socket) = datagrams::socket(&front, "heartbeats").await else { return };
+    let incarnation = datagrams::number_of_start();
     for sequence in 1.. {
         let heartbeat = Heartbeat {
             name: front.settings.node.clone(),
--- a/crates/node/src/front/loads.rs
+++ b/crates/node/src/front/loads.rs
@@ -1,10 +1,9 @@
 //! Tells the control machines near this balancer how upstreams stand with it, for the balancers beside it.
 
-use super::Front;
+use super::{Front, datagrams};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::net::UdpSocket;
+use std::time::Duration;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 use woadstall_control::loads::LoadReport;
 use woadstall_control::shards::short_hash;
@@ -22,15 +21,8 @@
 }
 
 async fn tell(front: Arc<Front>) {
-    let socket = match UdpSocket::bind(SocketAddr::new(front.settings.ip, 0)).await {
-        Ok(socket) => socket,
-        Err(error) => {
-            log::error!("no socket for loads: {error}");
-            return;
-        }
-    };
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let first = since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(0));
+    let Some(socket) = datagrams::socket(&front, "loads").await else { return };
+    let first = datagrams::number_of_start();
     let mut told = LoadReport {
         balancer: short_hash(&front.settings.node),
         zone: front.settings.zone.clone(),
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod clients;
 mod course;
+mod datagrams;
 mod events;
 mod feeds;
 mod forward;
--- a/crates/routing/src/eligibility.rs
+++ b/crates/routing/src/eligibility.rs
@@ -118,14 +118,12 @@
         self.upstreams.get(id).is_some_and(|upstream| self.obstacle(now, query, upstream).is_none())
     }
 
-    /// Whether all that speaks against an upstream is its breaker or its silence. A zone that seems lost gets its trials and no
+    /// Whether all that speaks against an upstream is its breaker, its silence or what others tell. A zone that seems lost gets its trials and no
     /// more: whoever waited there for a connection would be refused late.
     pub(crate) fn may_fall_back(&self, now: u64, query: &Query<'_>, id: &str) -> bool {
         let Some(upstream) = self.upstreams.get(id) else { return false };
-        let is_suspect = !upstream.breaker.allows(now)
-            || self.is_silent(now, upstream)
-            || self.is_told_failing(now, upstream);
-        is_suspect
+        let ailment = self.ailment(now, query, upstream);
+        ailment.is_some_and(|ailment| ailment != Obstacle::LostZone)
             && self.outages.allows(now, &upstream.zone, query.route.is_idempotent())
             && self.is_within_limit(upstream)
             && self.is_within_cold_budget(now, query, upstream)
