--- a/crates/decisions/src/log.rs
+++ b/crates/decisions/src/log.rs
@@ -65,11 +65,12 @@
                 began,
                 relative_latency,
             } => {
-                let change = if began { "began" } else { "ended" };
-                write!(
-                    f,
-                    "load_shedding_{change} relative_latency={relative_latency:.2}"
-                )
+                let event = if began {
+                    "load_shedding_began"
+                } else {
+                    "load_shedding_ended"
+                };
+                write!(f, "{event} relative_latency={relative_latency:.2}")
             }
         }
     }
--- a/crates/discovery/src/watch/tests.rs
+++ b/crates/discovery/src/watch/tests.rs
@@ -7,15 +7,17 @@
 use tokio::time::{Instant, timeout};
 
 /// Answers no call until a time, and every call from then on.
-struct SilentUntil {
-    answers_from: Option<Instant>,
+struct UnresponsiveUntil {
+    responds_from: Option<Instant>,
     revision: u64,
 }
 
-impl ListSource for SilentUntil {
+impl ListSource for UnresponsiveUntil {
     async fn call(&mut self, call: &Call) -> Result<EndpointList, CallError> {
-        let answers = self.answers_from.is_some_and(|from| Instant::now() >= from);
-        if !answers {
+        let responds = self
+            .responds_from
+            .is_some_and(|from| Instant::now() >= from);
+        if !responds {
             sleep(call.timeout).await;
             return Err(CallError::TimedOut);
         }
@@ -78,9 +80,9 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn discovery_that_never_answers_is_reported_again_at_growing_intervals() {
-    let source = SilentUntil {
-        answers_from: None,
+async fn discovery_that_never_responds_is_reported_again_at_growing_intervals() {
+    let source = UnresponsiveUntil {
+        responds_from: None,
         revision: 0,
     };
     let reports = watch_agent(source, Duration::from_secs(600)).await;
@@ -96,10 +98,10 @@
         .map(|pair| pair[1].0 - pair[0].0)
         .collect();
     // A call takes up to 2 s to fail, and a pause of 0.25 s follows: a reminder may be as late.
-    let late = Duration::from_millis(2_250);
+    let tolerance = Duration::from_millis(2_250);
     let mut interval = Duration::from_secs(1);
     for gap in &gaps {
-        assert!((interval..=interval + late).contains(gap), "{gaps:?}");
+        assert!((interval..=interval + tolerance).contains(gap), "{gaps:?}");
         interval = (interval * 2).min(Duration::from_secs(60));
     }
     assert!(
@@ -125,10 +127,10 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn discovery_that_answers_after_30_s_is_used_at_once() {
-    let late = Duration::from_secs(30);
-    let source = SilentUntil {
-        answers_from: Some(Instant::now() + late),
+async fn discovery_that_responds_after_30_s_is_used_at_once() {
+    let outage = Duration::from_secs(30);
+    let source = UnresponsiveUntil {
+        responds_from: Some(Instant::now() + outage),
         revision: 0,
     };
     let reports = watch_agent(source, Duration::from_secs(40)).await;
@@ -142,7 +144,7 @@
         "{recovered:?} after {failed}"
     );
     // The call that was made just before, its pause, and the call that is answered.
-    assert!(*at < late + Duration::from_millis(2_300), "{at:?}");
+    assert!(*at < outage + Duration::from_millis(2_300), "{at:?}");
     assert!(matches!(&reports[failed + 1].1, WatchEvent::List(list) if list.is_complete));
     assert!(
         reports[failed + 2..]
--- a/crates/emulator-cli/src/compare.rs
+++ b/crates/emulator-cli/src/compare.rs
@@ -1,7 +1,7 @@
 //! Two sides compared, paired by scenario and seed: the mean difference with a bootstrap interval.
 
-use crate::grid::Overrides;
 use crate::rows::Row;
+use crate::scenario_file::Overrides;
 use clap::ValueEnum;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/crates/emulator-cli/src/grid.rs
+++ b/crates/emulator-cli/src/grid.rs
@@ -2,14 +2,10 @@
 
 use crate::scenario_file::ScenarioFileError;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
 use woadstall_emulator::{Policy, Scenario};
 
 pub use crate::arguments::{parse_pair, parse_seeds};
-pub use crate::scenario_file::ScenarioFile;
-
-/// Keys and the values they are set to, as given.
-pub type Overrides = BTreeMap<String, String>;
+pub use crate::scenario_file::{Overrides, ScenarioFile};
 
 /// One run.
 #[derive(Clone)]
--- a/crates/emulator-cli/src/scenario_file.rs
+++ b/crates/emulator-cli/src/scenario_file.rs
@@ -1,7 +1,7 @@
 //! Scenario files, and the keys in them that a run sets to other values.
 
-use crate::grid::Overrides;
 use sha2::{Digest, Sha256};
+use std::collections::BTreeMap;
 use std::io;
 use std::path::Path;
 use toml::{Table, Value};
@@ -10,6 +10,9 @@
 /// Bytes of the SHA-256 that make a digest.
 const DIGEST_BYTES: usize = 8;
 
+/// Keys and the values they are set to, as given.
+pub type Overrides = BTreeMap<String, String>;
+
 /// Why a scenario could not be read, or a key in it not be set.
 #[derive(Debug, thiserror::Error)]
 pub enum ScenarioFileError {
--- a/crates/emulator/src/baseline/config.rs
+++ b/crates/emulator/src/baseline/config.rs
@@ -1,6 +1,6 @@
 //! Which baseline policies there are, and their names.
 
-use crate::policy::PolicyError;
+use super::error::PolicyError;
 use std::fmt;
 use std::str::FromStr;
 
--- a/crates/emulator/src/baseline/mod.rs
+++ b/crates/emulator/src/baseline/mod.rs
@@ -4,10 +4,12 @@
 //! twice, so that they are compared by what they serve.
 
 mod config;
+mod error;
 mod learning;
 mod selection;
 
 pub use config::{BaselineConfig, ConcurrencyLimit, RetryPolicy, ServerSelection};
+pub use error::PolicyError;
 
 use crate::agent::{BalancerAgent, Ticket};
 use crate::units::{MS, SECOND};
--- /dev/null
+++ b/crates/emulator/src/bound_check.rs
@@ -0,0 +1,172 @@
+//! Whether bounds were kept, judged from the timeline of a run alone, so that a run on sockets and one of the emulator
+//! are judged alike.
+
+use crate::measure::{Counts, RunResult, TimelineStep};
+use crate::scenario::{Bound, BoundResult, Requirement, Scenario};
+
+/// Steps that show a return.
+const IN_A_ROW: usize = 3;
+
+fn sum(steps: &[TimelineStep], from: f64, until: f64) -> Counts {
+    let mut sum = Counts::default();
+    // A step that is in the window by its middle counts.
+    let mut before = 0.0;
+    for step in steps {
+        let middle = (before + step.until) / 2.0;
+        before = step.until;
+        if middle < from || middle >= until {
+            continue;
+        }
+        sum.offered += step.counts.offered;
+        sum.refused += step.counts.refused;
+        sum.value += step.counts.value;
+        sum.value_offered += step.counts.value_offered;
+    }
+    sum
+}
+
+fn part(of: f64, all: f64) -> Option<f64> {
+    (all > 0.0).then(|| of / all)
+}
+
+/// The part of the value offered between the warm-up and the first fault that was served.
+fn served_before_faults(scenario: &Scenario, steps: &[TimelineStep]) -> f64 {
+    let (from, until) = (scenario.warm_up.seconds(), scenario.first_fault().seconds());
+    let before = sum(steps, from, until);
+    part(before.value, before.value_offered).unwrap_or(0.0)
+}
+
+/// Seconds from a time until so many log lines of a topic were written, in steps that began after it.
+fn log_lines_after(steps: &[TimelineStep], topic: &str, from: f64, least: u64) -> Option<f64> {
+    let (mut lines, mut begins) = (0, 0.0);
+    steps.iter().find_map(|step| {
+        let before = std::mem::replace(&mut begins, step.until);
+        if before >= from {
+            lines += step.lines.get(topic).copied().unwrap_or(0);
+        }
+        (lines >= least).then_some(step.until - from)
+    })
+}
+
+impl Bound {
+    /// How it was kept in a run.
+    pub fn judge(&self, scenario: &Scenario, end: &RunResult) -> BoundResult {
+        match &self.what {
+            Requirement::Served { least: wanted, .. }
+            | Requirement::PartitionsReported { least: wanted, .. } => {
+                self.at_least(*wanted, self.measured(scenario, end))
+            }
+            Requirement::Refused { most: wanted, .. }
+            | Requirement::Stays { most: wanted, .. }
+            | Requirement::Attempts { most: wanted } => {
+                self.at_most(*wanted, self.measured(scenario, end))
+            }
+            Requirement::FalseDeaths { most } => {
+                self.at_most(*most as f64, self.measured(scenario, end))
+            }
+            Requirement::Recovered { within, .. }
+            | Requirement::LogLines { within, .. }
+            | Requirement::DeathsKnown { within }
+            | Requirement::Agreement { within, .. }
+            | Requirement::Out { within, .. } => {
+                self.at_most(within.seconds(), self.measured(scenario, end))
+            }
+        }
+    }
+
+    fn at_least(&self, wanted: f64, seen: Option<f64>) -> BoundResult {
+        self.result(wanted, seen, seen.is_some_and(|seen| seen >= wanted))
+    }
+
+    fn at_most(&self, wanted: f64, seen: Option<f64>) -> BoundResult {
+        self.result(wanted, seen, seen.is_some_and(|seen| seen <= wanted))
+    }
+
+    fn result(&self, wanted: f64, seen: Option<f64>, kept: bool) -> BoundResult {
+        BoundResult {
+            name: self.name.clone(),
+            wanted,
+            seen,
+            kept,
+        }
+    }
+
+    /// What a run shows of it: a part, a count, or seconds; nothing where it never came.
+    fn measured(&self, scenario: &Scenario, end: &RunResult) -> Option<f64> {
+        let (members, evacuated) = (end.members.as_ref(), end.evacuated.as_ref());
+        match &self.what {
+            Requirement::Served { from, until, .. } => {
+                let sum = sum(&end.steps, from.seconds(), until.seconds());
+                part(sum.value, sum.value_offered)
+            }
+            Requirement::Refused { from, until, .. } => {
+                let sum = sum(&end.steps, from.seconds(), until.seconds());
+                part(sum.refused as f64, sum.offered as f64)
+            }
+            Requirement::Recovered {
+                from, part: level, ..
+            } => {
+                let level = level * served_before_faults(scenario, &end.steps);
+                let until = scenario.time.seconds();
+                self.back(&end.steps, from.seconds(), until, level)
+            }
+            Requirement::LogLines {
+                topic, from, least, ..
+            } => log_lines_after(&end.steps, topic, from.seconds(), *least),
+            Requirement::FalseDeaths { .. } => members.map(|members| members.false_deaths as f64),
+            Requirement::DeathsKnown { .. } => members
+                .filter(|members| members.never_known == 0)
+                .map(|members| members.known_ms.max / 1e3),
+            Requirement::Agreement { from, within } => {
+                members?.together_after(from.seconds(), within.seconds())
+            }
+            Requirement::PartitionsReported { at, .. } => members?
+                .partitions_reported
+                .iter()
+                .find(|(when, _)| *when >= at.seconds())
+                .map(|(_, part)| *part),
+            Requirement::Out {
+                zone, from, part, ..
+            } => evacuated?.out_after(zone, from.seconds(), *part),
+            Requirement::Stays {
+                zone, from, until, ..
+            } => Some(evacuated?.most_out(zone, from.seconds(), until.seconds())),
+            Requirement::Attempts { .. } => {
+                part(end.counts.attempts as f64, end.counts.requests as f64)
+            }
+        }
+    }
+
+    /// How long after a time service was back at a level, over some steps together: in a single one chance and what
+    /// was offered before weigh too much.
+    fn back(&self, steps: &[TimelineStep], from: f64, until: f64, level: f64) -> Option<f64> {
+        let begins = std::iter::once(0.0).chain(steps.iter().map(|step| step.until));
+        let steps: Vec<(f64, &TimelineStep)> = begins.zip(steps).collect();
+        let after = steps.iter().position(|(_, step)| step.until > from)?;
+        (after..steps.len())
+            .filter(|&at| steps[at].0 < until)
+            .find_map(|at| {
+                let row = &steps[at..steps.len().min(at + IN_A_ROW)];
+                let (value, offered) =
+                    row.iter().fold((0.0, 0.0), |(value, offered), (_, step)| {
+                        (
+                            value + step.counts.value,
+                            offered + step.counts.value_offered,
+                        )
+                    });
+                part(value, offered)
+                    .is_none_or(|part| part >= level)
+                    .then_some((steps[at].0 - from).max(0.0))
+            })
+    }
+}
+
+impl Scenario {
+    /// How the bounds were kept in a run.
+    pub fn judge(&self, end: &RunResult) -> Vec<BoundResult> {
+        self.bound
+            .iter()
+            .map(|bound| bound.judge(self, end))
+            .collect()
+    }
+}
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -8,6 +8,7 @@
 mod agent;
 mod audit;
 mod baseline;
+mod bound_check;
 mod costs;
 mod discovery;
 mod evacuation;
@@ -25,14 +26,14 @@
 pub use agent::{BalancerAgent, BoxedAgent, Ticket};
 pub use audit::{Auditor, Breach, Rule};
 pub use baseline::{
-    BaselineConfig, BaselinePolicy, ConcurrencyLimit, RetryPolicy, ServerSelection,
+    BaselineConfig, BaselinePolicy, ConcurrencyLimit, PolicyError, RetryPolicy, ServerSelection,
 };
 pub use costs::{Cost, CostRow};
 pub use evacuation::{EvacuationReport, EvacuationTracker, ShareChange};
 pub use event_queue::{EventQueue, SequenceMap};
 pub use measure::{CallOutcome, Counts, Latencies, Meter, RunResult, TimelineStep};
 pub use observer::{MemberView, MembershipObserver, MembershipReport, Quantiles};
-pub use policy::{Policy, PolicyError};
+pub use policy::Policy;
 pub use random::{Actor, Dist, chance, gap, sample, stream};
 pub use scenario::*;
 pub use units::Span;
--- a/crates/emulator/src/policy.rs
+++ b/crates/emulator/src/policy.rs
@@ -1,27 +1,11 @@
 //! Who decides in the balancers of a run.
 
 use crate::agent::BoxedAgent;
-use crate::baseline::{BaselineConfig, BaselinePolicy};
+use crate::baseline::{BaselineConfig, BaselinePolicy, PolicyError};
 use std::fmt;
 use std::str::FromStr;
 use woadstall_engine::{Engine, Settings, Time};
 
-/// A name that is no policy.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum PolicyError {
-    /// No policy has this name.
-    #[error("there is no policy {name:?}; there are woadstall, {known}")]
-    UnknownPolicy {
-        /// The name that was given.
-        name: String,
-        /// The names of the baseline policies, with commas.
-        known: String,
-    },
-    /// Baseline policies have no such addition.
-    #[error("there is no addition {0:?}; there are outlier, aimd, gradient, retries, budget")]
-    UnknownAddition(String),
-}
-
 /// Which agent the balancers of a run have.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Policy {
--- a/crates/emulator/src/random.rs
+++ b/crates/emulator/src/random.rs
@@ -3,7 +3,6 @@
 //! The generator is ChaCha with 8 rounds (`rand_chacha`), whose output is fixed by its specification; the actor's
 //! kind and number choose the stream of it. So an actor more or less does not change what the others draw.
 
-use crate::scenario::ScenarioError;
 use crate::units::Span;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -68,35 +67,6 @@
 }
 
 impl Dist {
-    /// Refuses what no distribution can have.
-    ///
-    /// # Errors
-    ///
-    /// A shape without a mean, a mean of 0, or no measured values.
-    pub fn check(&self) -> Result<(), ScenarioError> {
-        match self {
-            Self::Lognormal { cv, .. } if !(cv.is_finite() && *cv >= 0.0) => {
-                Err(ScenarioError::Distribution {
-                    name: "`cv`",
-                    number: *cv,
-                    fault: "not a number from 0 on",
-                })
-            }
-            Self::Pareto { shape, .. } if !(shape.is_finite() && *shape > 1.0) => {
-                Err(ScenarioError::Distribution {
-                    name: "`shape`",
-                    number: *shape,
-                    fault: "not over 1: there is no mean",
-                })
-            }
-            Self::Measured(values) if values.is_empty() => {
-                Err(ScenarioError::EmptyList("measured"))
-            }
-            _ if self.mean() == 0.0 => Err(ScenarioError::Inconsistent("its mean is 0")),
-            _ => Ok(()),
-        }
-    }
-
     /// The mean, in nanoseconds.
     pub fn mean(&self) -> f64 {
         match self {
--- a/crates/emulator/src/scenario/mod.rs
+++ b/crates/emulator/src/scenario/mod.rs
@@ -3,6 +3,7 @@
 
 mod bound;
 mod check;
+mod distribution;
 mod error;
 mod evacuation;
 mod fault;
--- a/crates/node/src/core/api/request.rs
+++ b/crates/node/src/core/api/request.rs
@@ -33,7 +33,7 @@
 
 /// A request is rejected before it reaches the machine.
 #[derive(Debug, Error)]
-pub(super) enum RequestError {
+pub(in crate::core) enum RequestError {
     /// Nothing has this path.
     #[error("no such path\n")]
     UnknownPath,
@@ -68,7 +68,7 @@
 /// # Errors
 ///
 /// The path or method is unknown, or headers or body are invalid.
-pub(super) fn parse(request: &Request) -> Result<ApiRequest, RequestError> {
+pub(in crate::core) fn parse(request: &Request) -> Result<ApiRequest, RequestError> {
     let path = request.url();
     let segments: Vec<&str> = path.trim_start_matches('/').split('/').collect();
     match (request.method(), segments.as_slice()) {
--- a/crates/node/src/core/api/response.rs
+++ b/crates/node/src/core/api/response.rs
@@ -22,7 +22,7 @@
 }
 
 /// Renders a response as HTTP.
-pub(super) fn render(response: ApiResponse) -> Response {
+pub(in crate::core) fn render(response: ApiResponse) -> Response {
     match response {
         ApiResponse::Machine(answer) => render_machine_answer(answer),
         ApiResponse::Registered { heartbeat_url } => {
@@ -53,12 +53,12 @@
 }
 
 /// The outcome is unknown: the caller retries, here or elsewhere.
-pub(super) fn unavailable() -> Response {
+pub(in crate::core) fn unavailable() -> Response {
     text(503, "no clear answer; ask again\n")
 }
 
 /// The response to a request that can't be parsed.
-pub(super) fn rejection(error: &RequestError) -> Response {
+pub(in crate::core) fn rejection(error: &RequestError) -> Response {
     let status = match error {
         RequestError::UnknownPath => 404,
         RequestError::UnknownMethod => 405,
--- a/crates/node/src/core/golden_tests.rs
+++ b/crates/node/src/core/golden_tests.rs
@@ -2,6 +2,7 @@
 //! HTTP.
 
 use super::api::{self, ApiRequest, ApiResponse};
+use super::api_server;
 use super::bootstrap::{founder_id, initial_state};
 use super::event::Event;
 use super::registration_store::RegistrationStore;
@@ -153,7 +154,7 @@
 fn start_api(response: ApiResponse) -> (SocketAddr, std::sync::mpsc::Receiver<String>) {
     let (events, mut received) = mpsc::unbounded_channel();
     let control = free_address();
-    api::start(&settings_with_seeds(true), control, &events).unwrap();
+    api_server::start(&settings_with_seeds(true), control, &events).unwrap();
     let (tell, calls) = std::sync::mpsc::channel();
     thread::spawn(move || {
         while let Some(event) = received.blocking_recv() {
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -5,6 +5,7 @@
 //! ([`disk`]); they send it [`event::Event`]s, and it executes the machine's actions.
 
 mod api;
+mod api_server;
 mod bootstrap;
 mod datagrams;
 mod disk;
@@ -78,7 +79,7 @@
         .map_err(SetupError::during("the internal address, UDP"))?;
     tokio::spawn(listener::run(tcp, events.clone()));
     tokio::spawn(datagrams::run(udp, events.clone()));
-    api::start(settings, control, &events)?;
+    api_server::start(settings, control, &events)?;
     let (store, registrations) = RegistrationStore::open(data_dir, unix_time());
     let mut machine = ControlMachine::new(machine_settings, durable, 0, fastrand::u64(..));
     log::info!("registrations_loaded count={}", registrations.len());
--- a/crates/runtime/src/discovery_status.rs
+++ b/crates/runtime/src/discovery_status.rs
@@ -18,7 +18,7 @@
 #[derive(Debug)]
 pub(crate) struct DiscoveryCounts {
     clock: Clock,
-    answered_at: AtomicU64,
+    responded_at: AtomicU64,
     failed_calls: AtomicU64,
 }
 
@@ -27,14 +27,14 @@
     pub fn new(clock: Clock) -> Self {
         Self {
             clock,
-            answered_at: AtomicU64::new(clock.now()),
+            responded_at: AtomicU64::new(clock.now()),
             failed_calls: AtomicU64::new(0),
         }
     }
 
-    /// Discovery has answered.
-    pub fn count_answer(&self) {
-        self.answered_at.store(self.clock.now(), Ordering::Relaxed);
+    /// Discovery has responded.
+    pub fn count_response(&self) {
+        self.responded_at.store(self.clock.now(), Ordering::Relaxed);
     }
 
     /// A call has failed.
@@ -44,9 +44,9 @@
 
     /// The present status.
     pub fn status(&self) -> DiscoveryStatus {
-        let answered_at: Time = self.answered_at.load(Ordering::Relaxed);
+        let responded_at: Time = self.responded_at.load(Ordering::Relaxed);
         DiscoveryStatus {
-            list_age: Duration::from_nanos(self.clock.now().saturating_sub(answered_at)),
+            list_age: Duration::from_nanos(self.clock.now().saturating_sub(responded_at)),
             failed_calls: self.failed_calls.load(Ordering::Relaxed),
         }
     }
--- a/crates/runtime/src/shared.rs
+++ b/crates/runtime/src/shared.rs
@@ -183,7 +183,7 @@
     pub fn on_watch_event(self: &Arc<Self>, event: WatchEvent) {
         match event {
             WatchEvent::List(list) => {
-                self.discovery.count_answer();
+                self.discovery.count_response();
                 self.on_list(&list);
             }
             WatchEvent::SubscriptionFailed => {
