--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -1,5 +1,9 @@
 //! The command line: what is checked before use, and how a fault is said.
 
+#[path = "common/program.rs"]
+mod program;
+
+use program::program_path;
 use std::path::PathBuf;
 use std::process::{Command, Output};
 use woadstall_mock_servers::http1::{config, refused_address};
@@ -12,7 +16,7 @@
 }
 
 fn woadstall(arguments: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_woadstall"))
+    Command::new(program_path())
         .args(arguments)
         .env_remove("LB_CONFIG")
         .output()
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,9 @@
 //! The built program, running.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod program;
+
+use program::program_path;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
@@ -29,7 +32,7 @@
         shell.args([
             "-c",
             &format!("ulimit -n {descriptors}; exec \"$0\""),
-            PROGRAM,
+            program_path().to_str().expect("a path in UTF-8"),
         ]);
         Self::started(spawn_as(shell, &config.to_string(), &[]))
     }
@@ -216,10 +219,8 @@
     (child.wait().unwrap(), text)
 }
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_woadstall");
-
 fn spawn(config: &str, environment: &[(&str, String)]) -> (Child, BufReader<ChildStderr>, PathBuf) {
-    spawn_as(Command::new(PROGRAM), config, environment)
+    spawn_as(Command::new(program_path()), config, environment)
 }
 
 fn spawn_as(
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -1,22 +1,24 @@
 //! The right answer to the right caller, at most once: a front against upstreams that break the protocol, on real sockets. Each
 //! crossing is forced, and nothing of one request may reach another one.
 
+#[path = "common/program.rs"]
+mod program;
+
+use program::program_path;
 use serde_json::{Value, json};
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
 use std::time::{Duration, Instant};
 use woadstall_mock_servers::http1::{Message, Reaction, TEST_TIMEOUT, Upstream};
 use woadstall_mock_servers::system::{System, call, events, response};
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_woadstall");
 /// How soon after a client has left its upstreams hear of it.
 const HEARD_OF: Duration = Duration::from_millis(500);
 
 fn system(timeout_ms: u64, attempts: u64) -> System {
-    let system = System::start(Path::new(PROGRAM), 1);
+    let system = System::start(&program_path(), 1);
     let route = |name: &str, route_type: &str| {
         json!({
             "name": name, "host": "shop.example", "path_prefix": format!("/{name}/"), "route_type": route_type,
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -65,7 +65,7 @@
 
 fn run_domain_command(admin: &Operators, words: &[&str]) -> (bool, String) {
     let at = admin.address.to_string();
-    let output = Command::new(env!("CARGO_BIN_EXE_woadstall"))
+    let output = Command::new(common::program::program_path())
         .args(words)
         .args(["--admin", &at])
         .output()
--- a/tests/golden_cli.rs
+++ b/tests/golden_cli.rs
@@ -1,5 +1,9 @@
 //! The command line, pinned: the help of every command, and the findings of `woadstall check`.
 
+#[path = "common/program.rs"]
+mod program;
+
+use program::program_path;
 use serde_json::{Value, json};
 use std::path::{Path, PathBuf};
 use std::process::Command;
@@ -15,7 +19,7 @@
 
 /// What the program writes, standard output first, and its exit code.
 fn output(folder: &Path, arguments: &[&str]) -> String {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_woadstall"));
+    let mut command = Command::new(program_path());
     for variable in [
         "LB_CONFIG",
         "LB_NAME",
--- a/tests/golden_help.rs
+++ b/tests/golden_help.rs
@@ -1,5 +1,9 @@
 //! What the system's commands print: their help, tables, findings and errors stay as they are.
 
+#[path = "common/program.rs"]
+mod program;
+
+use program::program_path;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
@@ -14,7 +18,7 @@
 }
 
 fn run(arguments: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_woadstall"))
+    Command::new(program_path())
         .args(arguments)
         .current_dir(folder())
         .env_remove("LB_CONFIG")
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -36,7 +36,7 @@
 
 fn show_members(admin: &Operators, more: &[&str]) -> (bool, String) {
     let at = admin.address.to_string();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_woadstall"));
+    let mut command = Command::new(common::program::program_path());
     let output = command
         .args(["instances", "--admin", &at])
         .args(more)
@@ -116,7 +116,7 @@
             format!("[instances]\nlisten = \"127.0.0.1:0\"\n{more}\n"),
         )
         .unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_woadstall"));
+        let mut command = Command::new(common::program::program_path());
         let checked = command.arg("check").arg(&file).output().unwrap();
         let said = String::from_utf8(checked.stdout).unwrap();
         assert!(
--- a/tests/system.rs
+++ b/tests/system.rs
@@ -1,13 +1,14 @@
 //! The system's processes together, on loopback: founding, requests, changes, kills, restarts, ends.
 
+#[path = "common/program.rs"]
+mod program;
+
+use program::program_path;
 use serde_json::{Value, json};
-use std::path::Path;
 use std::process::Command;
 use woadstall_mock_servers::http1::{Message, Reaction, Upstream};
 use woadstall_mock_servers::system::{System, call, events, response};
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_woadstall");
-
 fn route(name: &str, prefix: &str, route_type: &str) -> Value {
     json!({
         "name": name, "host": "shop.example", "path_prefix": prefix, "route_type": route_type, "timeout_ms": 5000,
@@ -30,7 +31,7 @@
 }
 
 fn system() -> System {
-    System::start(Path::new(PROGRAM), 1)
+    System::start(&program_path(), 1)
 }
 
 fn send_request(system: &System, path: &str) -> Option<Message> {
@@ -326,7 +327,7 @@
         r#"{ "node": "n", "ip": "10.0.0", "unknown": 1, "zone": 5 }"#,
     )
     .unwrap();
-    let output = Command::new(PROGRAM)
+    let output = Command::new(program_path())
         .arg("front")
         .env("WOADSTALL_BOOT", &path)
         .output()
