--- a/crates/benchmarks/src/callers.rs
+++ b/crates/benchmarks/src/callers.rs
@@ -2,7 +2,7 @@
 
 use crate::clients::{CallMethod, ClientService, Clients, request};
 use crate::error::BenchmarkError;
-use crate::measurement::{Measurement, RoundPlan};
+use crate::measurement::{Measurement, MeasurementPlan};
 use crate::process::PeerProcess;
 use crate::procfs::cpu_time;
 use crate::servers::RESPONSE_BODY;
@@ -179,7 +179,7 @@
 ///
 /// [`BenchmarkError::Io`], if a process does not start; [`BenchmarkError::Json`], if it prints no figures.
 pub fn measure_in_turns(
-    plan: RoundPlan,
+    plan: MeasurementPlan,
     methods: &[CallMethod],
     load: CallerLoad,
     upstreams: &[PeerProcess],
--- a/crates/benchmarks/src/daemon.rs
+++ b/crates/benchmarks/src/daemon.rs
@@ -1,7 +1,7 @@
 //! Two builds of the daemon against a proxy that decides nothing, over the same upstream.
 
 use crate::error::BenchmarkError;
-use crate::measurement::{Measurement, RoundPlan, table_header};
+use crate::measurement::{Measurement, MeasurementPlan, table_header};
 use crate::process::{AddressSource, PeerProcess};
 use crate::procfs::cpu_time;
 use crate::servers::RESPONSE_BODY;
@@ -135,7 +135,7 @@
 ///
 /// [`BenchmarkError::Io`] and [`BenchmarkError::NoAddress`], if a peer does not start; [`BenchmarkError::Io`], if a
 /// caller's connection fails.
-pub fn run(plan: RoundPlan, before: &Path, after: &Path) -> Result<(), BenchmarkError> {
+pub fn run(plan: MeasurementPlan, before: &Path, after: &Path) -> Result<(), BenchmarkError> {
     let upstream = PeerProcess::start_self(&["upstream".into()])?;
     let proxy = PeerProcess::start_self(&["proxy".into(), upstream.address.to_string()])?;
     let peers = [
--- a/crates/benchmarks/src/main.rs
+++ b/crates/benchmarks/src/main.rs
@@ -23,7 +23,7 @@
 use clap::{Parser, Subcommand};
 use clients::CallMethod;
 use error::BenchmarkError;
-use measurement::RoundPlan;
+use measurement::MeasurementPlan;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -82,7 +82,7 @@
 }
 
 fn run(arguments: Arguments) -> Result<(), BenchmarkError> {
-    let plan = RoundPlan {
+    let plan = MeasurementPlan {
         length: Duration::from_millis(arguments.round),
         rounds: arguments.rounds,
     };
--- a/crates/benchmarks/src/measurement.rs
+++ b/crates/benchmarks/src/measurement.rs
@@ -5,7 +5,7 @@
 
 /// How long rounds take, and how many there are.
 #[derive(Clone, Copy)]
-pub struct RoundPlan {
+pub struct MeasurementPlan {
     /// Length of a round.
     pub length: Duration,
     /// Rounds of each peer.
--- a/crates/benchmarks/src/plugin.rs
+++ b/crates/benchmarks/src/plugin.rs
@@ -3,7 +3,7 @@
 use crate::callers::{CallerLoad, measure_in_turns};
 use crate::clients::CallMethod;
 use crate::error::BenchmarkError;
-use crate::measurement::{Measurement, RoundPlan, table_header};
+use crate::measurement::{Measurement, MeasurementPlan, table_header};
 use crate::process::PeerProcess;
 
 /// Measures each way to call with one caller, with 64, and with 64 at 1,400 calls a second, and prints a table each.
@@ -11,7 +11,7 @@
 /// # Errors
 ///
 /// As [`measure_in_turns`], and [`BenchmarkError::NoAddress`], if an upstream does not start.
-pub fn run(plan: RoundPlan) -> Result<(), BenchmarkError> {
+pub fn run(plan: MeasurementPlan) -> Result<(), BenchmarkError> {
     let upstreams = PeerProcess::start_upstreams(2)?;
     let methods = [
         CallMethod::Direct,
@@ -70,7 +70,7 @@
 /// # Errors
 ///
 /// As [`run`].
-pub fn run_contention(plan: RoundPlan) -> Result<(), BenchmarkError> {
+pub fn run_contention(plan: MeasurementPlan) -> Result<(), BenchmarkError> {
     let upstreams = PeerProcess::start_upstreams(1)?;
     println!(
         "1, 4 and 16 tasks on one plug-in, 3 threads, 1 upstream\n{}",
--- a/crates/cluster-test/src/results.rs
+++ b/crates/cluster-test/src/results.rs
@@ -16,8 +16,8 @@
 use woadstall_load_test::UpstreamCounts;
 
 /// The machine is too slow where more than these shares are late or starved.
-const MAX_LATE_CALLS: f64 = 0.01;
-const MAX_LATE_TIMERS: f64 = 0.02;
+const MAX_DELAYED_CALLS: f64 = 0.01;
+const MAX_DELAYED_TIMERS: f64 = 0.02;
 const MAX_STARVED: f64 = 0.25;
 
 /// All that a run showed.
@@ -46,9 +46,9 @@
     /// Requests whose work ran more than once.
     pub ran_twice: u64,
     /// Requests without a response in time since their balancer's process was suspended.
-    pub late_at_suspended: u64,
+    pub overdue_at_suspended: u64,
     /// How often agents were read.
-    pub list_reads: u64,
+    pub list_queries: u64,
     /// What went through the fault proxy.
     pub traffic: TrafficCounts,
     /// What each upstream saw.
@@ -62,17 +62,17 @@
 impl ClusterResult {
     /// Whether no rule and no bound was broken, and no process ended by itself.
     pub fn is_passed(&self) -> bool {
-        self.end.is_kept() && self.failures.is_empty()
+        self.end.is_satisfied() && self.failures.is_empty()
     }
 
     /// Why the machine was too slow for the figures to mean anything, if it was.
     pub fn too_slow(&self) -> Option<String> {
-        let late_calls = self.lag.late as f64 / self.lag.calls.max(1) as f64;
+        let delayed_calls = self.lag.late as f64 / self.lag.calls.max(1) as f64;
         let shares = [
-            (late_calls, MAX_LATE_CALLS, "of the calls began late"),
+            (delayed_calls, MAX_DELAYED_CALLS, "of the calls began late"),
             (
                 self.timer_lag,
-                MAX_LATE_TIMERS,
+                MAX_DELAYED_TIMERS,
                 "of the rig's own timers were late",
             ),
             (
--- a/crates/cluster-test/src/results/compare.rs
+++ b/crates/cluster-test/src/results/compare.rs
@@ -88,8 +88,8 @@
         .map(|(emulator, processes)| StepShares {
             until_s: emulator.until,
             served: Pair {
-                emulator: share_served(&emulator.counts),
-                processes: share_served(&processes.counts),
+                emulator: served_ratio(&emulator.counts),
+                processes: served_ratio(&processes.counts),
             },
         })
         .collect();
@@ -105,8 +105,8 @@
             processes: processes.end.served,
         },
         rejected: Pair {
-            emulator: share_rejected(emulator),
-            processes: share_rejected(processes),
+            emulator: rejected_ratio(emulator),
+            processes: rejected_ratio(processes),
         },
         steps,
     })
@@ -123,7 +123,7 @@
         .unwrap_or_default()
 }
 
-fn share_served(counts: &Counts) -> f64 {
+fn served_ratio(counts: &Counts) -> f64 {
     if counts.value_offered > 0.0 {
         counts.value / counts.value_offered
     } else {
@@ -131,6 +131,6 @@
     }
 }
 
-fn share_rejected(row: &Row) -> f64 {
+fn rejected_ratio(row: &Row) -> f64 {
     row.end.counts.refused as f64 / row.end.counts.offered.max(1) as f64
 }
--- a/crates/cluster-test/src/results/text.rs
+++ b/crates/cluster-test/src/results/text.rs
@@ -77,12 +77,12 @@
         "  paid           {} connections through the fabric, {} kB, {} list reads",
         result.traffic.streams_opened,
         result.traffic.stream_bytes / 1_000,
-        result.list_reads
+        result.list_queries
     )?;
     writeln!(
         out,
         "  unanswered     {}, of these and late ones {} at stopped balancers; {} ran twice",
-        result.unanswered, result.late_at_suspended, result.ran_twice
+        result.unanswered, result.overdue_at_suspended, result.ran_twice
     )?;
     writeln!(
         out,
--- a/crates/cluster-test/src/run.rs
+++ b/crates/cluster-test/src/run.rs
@@ -118,7 +118,7 @@
     tasks.spawn(observer.clone().sample_timer());
     sleep(start.saturating_duration_since(Instant::now())).await;
     callers.clone().run().await;
-    schedule::wait_for_late_effects(&fleet.scenario).await;
+    schedule::wait_for_delayed_effects(&fleet.scenario).await;
     let usage = measure_usage(fleet, start.elapsed());
     tasks.shutdown().await;
     usage
@@ -163,8 +163,8 @@
             .collect(),
         unanswered: rules.unanswered(),
         ran_twice: rules.ran_twice(),
-        late_at_suspended: rules.late_at_suspended(),
-        list_reads: balancers.map(|balancer| balancer.agent.reads()).sum(),
+        overdue_at_suspended: rules.overdue_at_suspended(),
+        list_queries: balancers.map(|balancer| balancer.agent.reads()).sum(),
         traffic: fleet.network.counts(),
         upstreams: fleet
             .upstreams
@@ -190,6 +190,6 @@
         let evacuates = fleet.scenario.evacuation.is_some();
         end.evacuated = evacuates.then(|| membership.evacuations_end());
     }
-    end.bounds = fleet.scenario.judge(&end);
+    end.bounds = fleet.scenario.evaluate(&end);
     end
 }
--- a/crates/cluster-test/tests/verdicts.rs
+++ b/crates/cluster-test/tests/verdicts.rs
@@ -66,13 +66,13 @@
     let stall = "\n[[fault]]\nat = \"500 ms\"\nuntil = \"3500 ms\"\npart = 0.5\nwhat = \"stall\"\n";
     let result = run_scenario(4, stall, &[]);
     assert_passed(&result);
-    let (unanswered, late_at_suspended) = (
+    let (unanswered, overdue_at_suspended) = (
         result["lost"].as_u64().unwrap(),
         result["stood-still"].as_u64().unwrap(),
     );
     assert!(
-        late_at_suspended > 0 && unanswered <= late_at_suspended,
-        "{unanswered} lost, {late_at_suspended} since their balancer stood still"
+        overdue_at_suspended > 0 && unanswered <= overdue_at_suspended,
+        "{unanswered} lost, {overdue_at_suspended} since their balancer stood still"
     );
     let counts = &result["counts"];
     assert!(
--- a/crates/emulator-cli/src/commands.rs
+++ b/crates/emulator-cli/src/commands.rs
@@ -58,12 +58,12 @@
         Output::Json => println!("{}", row.line()?),
         Output::Text => print::row(&row),
     }
-    let is_kept = row.end.is_kept();
+    let is_satisfied = row.end.is_satisfied();
     if let Some(plot) = plot {
         let page = report::page(&[row], &FaultBand::of(&job.scenario))?;
         report::write(plot, &page)?;
     }
-    Ok(u8::from(!is_kept))
+    Ok(u8::from(!is_satisfied))
 }
 
 /// Plays all combinations whose rows are not in the file yet.
--- a/crates/emulator/src/bound_check.rs
+++ b/crates/emulator/src/bound_check.rs
@@ -50,7 +50,7 @@
 
 impl Bound {
     /// How it was kept in a run.
-    pub fn judge(&self, scenario: &Scenario, end: &RunResult) -> BoundResult {
+    pub fn evaluate(&self, scenario: &Scenario, end: &RunResult) -> BoundResult {
         match &self.what {
             Requirement::Served { least: wanted, .. }
             | Requirement::PartitionsReported { least: wanted, .. } => {
@@ -163,10 +163,10 @@
 
 impl Scenario {
     /// How the bounds were kept in a run.
-    pub fn judge(&self, end: &RunResult) -> Vec<BoundResult> {
+    pub fn evaluate(&self, end: &RunResult) -> Vec<BoundResult> {
         self.bound
             .iter()
-            .map(|bound| bound.judge(self, end))
+            .map(|bound| bound.evaluate(self, end))
             .collect()
     }
 }
--- a/crates/emulator/src/discovery/tests.rs
+++ b/crates/emulator/src/discovery/tests.rs
@@ -4,7 +4,7 @@
 use crate::units::{MS, SECOND};
 
 #[test]
-fn reads_wait_in_turn_and_fail_beyond_its_patience() {
+fn queries_are_queued_and_fail_beyond_the_time_out() {
     let mut discovery = Discovery::new(20.0, SECOND);
     let reads_per_second: Vec<Read> = (0..30).map(|_| discovery.read(0)).collect();
     assert_eq!(reads_per_second[0], Read::Answered(50 * MS));
--- a/crates/emulator/src/front/tests.rs
+++ b/crates/emulator/src/front/tests.rs
@@ -50,7 +50,7 @@
 }
 
 #[test]
-fn weights_are_as_uneven_as_was_asked_for() {
+fn weights_are_as_uneven_as_configured() {
     let mut rng = ChaCha8Rng::seed_from_u64(9);
     let all: Vec<u32> = (0..400).collect();
     let front = Front::new(&[all], 20.0, 1_000, &mut rng);
--- a/crates/emulator/src/measure.rs
+++ b/crates/emulator/src/measure.rs
@@ -142,7 +142,7 @@
 
 impl RunResult {
     /// Whether each rule and each bound was kept.
-    pub fn is_kept(&self) -> bool {
+    pub fn is_satisfied(&self) -> bool {
         self.broken() == 0 && self.bounds.iter().all(|bound| bound.kept)
     }
 
--- a/crates/emulator/src/observer.rs
+++ b/crates/emulator/src/observer.rs
@@ -208,14 +208,14 @@
         }
         self.died += 1;
         // Those that held it for gone already hear nothing new.
-        let is_gone = |by: usize| {
+        let is_delisted = |by: usize| {
             matches!(
                 self.views[by * size + who],
                 MemberView::Dead | MemberView::Left | MemberView::Unknown
             )
         };
         let needed = (0..size)
-            .filter(|&by| self.members[by].up && !is_gone(by))
+            .filter(|&by| self.members[by].up && !is_delisted(by))
             .count();
         for (&of, death) in &mut self.deaths {
             let knows = matches!(
@@ -270,14 +270,14 @@
         self.disagreements =
             self.disagreements + usize::from(self.disagrees(by, of)) - usize::from(disagreements);
         self.record_agreement(now);
-        let is_gone = |view| matches!(view, MemberView::Dead | MemberView::Left);
+        let is_delisted = |view| matches!(view, MemberView::Dead | MemberView::Left);
         if self.members[of].up {
             return self.view_of_running(now, by, of, view);
         }
         if let Some(death) = self
             .deaths
             .get_mut(&of)
-            .filter(|_| is_gone(view) && !is_gone(was))
+            .filter(|_| is_delisted(view) && !is_delisted(was))
         {
             let ms = now.saturating_sub(death.at) / 1_000_000;
             self.known.record(ms).ok();
--- a/crates/emulator/src/scenario/check/tiers.rs
+++ b/crates/emulator/src/scenario/check/tiers.rs
@@ -9,7 +9,7 @@
 /// Most balancers in all tiers of a scenario.
 const MAX_BALANCERS: u32 = 20_000;
 /// Most round trips until a connection is up.
-const MAX_ROUND_TRIPS: u32 = 10;
+const MAX_HANDSHAKE_LATENCIES: u32 = 10;
 
 impl Scenario {
     pub(super) fn check_sizes(&self) -> Check {
@@ -36,7 +36,7 @@
             return inconsistent("`workers` and `cells` must not be 0");
         }
         self.check_balancers_of(at, tier)?;
-        if tier.connections.trips > MAX_ROUND_TRIPS {
+        if tier.connections.trips > MAX_HANDSHAKE_LATENCIES {
             return inconsistent("`connections.trips` is over 10");
         }
         if let Some(probed) = &tier.probed {
--- a/crates/emulator/src/scenario/load.rs
+++ b/crates/emulator/src/scenario/load.rs
@@ -187,7 +187,7 @@
 }
 
 /// One of some that have shares, by a number from 0 to 1.
-pub fn by_share(mix: &[(f64, usize)], draw: f64) -> Option<usize> {
+pub fn by_weight(mix: &[(f64, usize)], draw: f64) -> Option<usize> {
     let mut left = draw * mix.iter().map(|(share, _)| share).sum::<f64>();
     let drawn = mix.iter().find(|(share, _)| {
         left -= share;
--- a/crates/emulator/src/scenario/mod.rs
+++ b/crates/emulator/src/scenario/mod.rs
@@ -18,7 +18,7 @@
 pub use evacuation::{EvacuationConfig, FalseReport, FalseReporting};
 pub use fault::{Fault, FaultKind, LinkFault, StoredFiles};
 pub use limits::{Clocks, Limits, Network, RegistryConfig, RegistryQueries};
-pub use load::{CallerGroup, CallerRetries, Load, by_share};
+pub use load::{CallerGroup, CallerRetries, Load, by_weight};
 pub use members::{Direction, MemberLink, MemberLinkFault, MembershipConfig};
 pub use tiers::{Connections, DownstreamCalls, FrontConfig, ProbeConfig, QueueOrder, Tier};
 
--- a/crates/emulator/src/upstream.rs
+++ b/crates/emulator/src/upstream.rs
@@ -214,9 +214,9 @@
 
     /// One more connection; `false` if it has no place for it.
     pub fn connect(&mut self) -> bool {
-        let has_room = self.most_connections == 0 || self.connections < self.most_connections;
-        self.connections += u32::from(has_room);
-        has_room
+        let has_capacity = self.most_connections == 0 || self.connections < self.most_connections;
+        self.connections += u32::from(has_capacity);
+        has_capacity
     }
 
     /// Connections to one of its processes are closed: what went to an earlier one went with that.
@@ -262,7 +262,7 @@
 
     /// Counts a request that came while it was cold. Tells the part of what pushes it over that came within the
     /// window, if that is over 1; `capacity` is the requests a second that it can do when warm.
-    pub fn count_cold(&mut self, now: Time, capacity: f64) -> Option<f64> {
+    pub fn count_warming_up(&mut self, now: Time, capacity: f64) -> Option<f64> {
         let started = self.started?;
         if now >= started + self.slow_start_window + WINDOW {
             return None;
--- a/crates/emulator/src/world/callers.rs
+++ b/crates/emulator/src/world/callers.rs
@@ -24,19 +24,19 @@
 
     pub(super) fn call_arrives(&mut self, group: usize) {
         self.plan_arrival(group);
-        self.place_call(group, false);
+        self.start_call(group, false);
     }
 
     pub(super) fn closed_loop_call(&mut self, group: usize) {
         if self.event_queue.now() < self.scenario.time.0 {
-            self.place_call(group, true);
+            self.start_call(group, true);
         }
     }
 
-    pub(super) fn place_call(&mut self, group: usize, closed_loop: bool) {
+    pub(super) fn start_call(&mut self, group: usize, closed_loop: bool) {
         let now = self.event_queue.now();
         let mix = &self.mixes[group];
-        let class = by_share(mix, self.behavior_rngs[group].random::<f64>()).unwrap_or(0);
+        let class = by_weight(mix, self.behavior_rngs[group].random::<f64>()).unwrap_or(0);
         let client_call = ClientCall {
             class,
             group: Some(group as u32),
@@ -90,7 +90,7 @@
         self.record_story(client_call, || {
             format!("try {tries} reaches balancer {balancer}")
         });
-        self.balancer_reads(request);
+        self.balancer_queries(request);
     }
 
     /// The balancer that a caller's connection leads to.
@@ -119,7 +119,7 @@
     }
 
     /// A balancer reads a request, once its process does not stand still.
-    pub(super) fn balancer_reads(&mut self, number: u64) {
+    pub(super) fn balancer_queries(&mut self, number: u64) {
         let Some(request) = self
             .requests
             .get(number)
@@ -129,7 +129,7 @@
         };
         let at = request.balancer as usize;
         if let Some(until) = self.paused_until(at) {
-            return self.event_queue.at(until, Event::BalancerReads(number));
+            return self.event_queue.at(until, Event::BalancerQueries(number));
         }
         let Some(client_call) = self.client_calls.get(request.client_call) else {
             return;
--- a/crates/emulator/src/world/event.rs
+++ b/crates/emulator/src/world/event.rs
@@ -11,7 +11,7 @@
     /// A caller asks again.
     CallerRetries(u64),
     /// A balancer that stood still reads a request.
-    BalancerReads(u64),
+    BalancerQueries(u64),
     /// An attempt reaches its upstream.
     AttemptArrived(u64),
     /// An upstream is done with its own work on an attempt.
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -31,7 +31,7 @@
 use crate::policy::Policy;
 use crate::random::{Actor, chance, gap, sample, stream};
 use crate::scenario::{
-    CallEffect, CallGroup, Fault, FaultKind, LinkFault, Load, Scenario, by_share,
+    CallEffect, CallGroup, Fault, FaultKind, LinkFault, Load, Scenario, by_weight,
 };
 use crate::units::{MS, SECOND};
 use crate::upstream::{Admission, Upstream, UpstreamFaults};
@@ -240,7 +240,7 @@
             ..end
         };
         RunResult {
-            bounds: self.scenario.judge(&end),
+            bounds: self.scenario.evaluate(&end),
             ..end
         }
     }
@@ -259,7 +259,7 @@
             Event::CallArrives(group) => self.call_arrives(group as usize),
             Event::ClosedLoopCall(group) => self.closed_loop_call(group as usize),
             Event::CallerRetries(client_call) => self.send_to_balancer(client_call),
-            Event::BalancerReads(request) => self.balancer_reads(request),
+            Event::BalancerQueries(request) => self.balancer_queries(request),
             Event::AttemptArrived(attempt) => self.attempt_arrived(event, attempt),
             Event::WorkFinished { upstream, .. }
                 if self.upstreams[upstream as usize].active_faults.stopped =>
--- a/crates/emulator/src/world/upstreams.rs
+++ b/crates/emulator/src/world/upstreams.rs
@@ -55,7 +55,7 @@
         let mean = self.scenario.class[class].service.mean();
         let there = &mut self.upstreams[upstream];
         let warm = f64::from(there.workers()) * 1e9 / mean;
-        let Some(part) = there.count_cold(now, warm) else {
+        let Some(part) = there.count_warming_up(now, warm) else {
             return false;
         };
         self.auditor.pushed_over(now, &there.name, part);
--- a/crates/emulator/tests/audit.rs
+++ b/crates/emulator/tests/audit.rs
@@ -16,9 +16,9 @@
     Nothing,
     SendsTwice,
     SendsToTheDrained,
-    FloodsTheCold,
-    AnswersTwice,
-    NeverAnswers,
+    OverloadsWarmingUp,
+    RespondsTwice,
+    NeverResponds,
 }
 
 /// An agent that goes wrong.
@@ -94,15 +94,15 @@
                         (self.peers[name].address, self.peers[name].boot_ms);
                 }
             }
-            (Command::SendAttempt(send), Does::FloodsTheCold) => {
+            (Command::SendAttempt(send), Does::OverloadsWarmingUp) => {
                 if let Some(name) = &self.cold {
                     (send.to.address, send.to.boot_ms) =
                         (self.peers[name].address, self.peers[name].boot_ms);
                 }
             }
-            (Command::Respond { request, .. }, Does::AnswersTwice | Does::NeverAnswers) => {
+            (Command::Respond { request, .. }, Does::RespondsTwice | Does::NeverResponds) => {
                 self.done += 1;
-                if self.done == 100 && self.does == Does::NeverAnswers {
+                if self.done == 100 && self.does == Does::NeverResponds {
                     return self.next_command();
                 }
                 if self.done == 100 {
@@ -168,13 +168,13 @@
     crowd.callers[0].load = woadstall_emulator::Load::Constant(1_500.0);
     assert_eq!(broken(&sabotaged(&crowd, Does::Nothing)), []);
     assert_eq!(
-        broken(&sabotaged(&crowd, Does::FloodsTheCold)),
+        broken(&sabotaged(&crowd, Does::OverloadsWarmingUp)),
         [Rule::Cold]
     );
-    assert_eq!(rules(Does::AnswersTwice), [Rule::OneAnswer]);
+    assert_eq!(rules(Does::RespondsTwice), [Rule::OneAnswer]);
     // It is not over at the end either.
     assert_eq!(
-        rules(Does::NeverAnswers),
+        rules(Does::NeverResponds),
         [Rule::OneAnswer, Rule::Conservation]
     );
 }
@@ -307,7 +307,7 @@
 /// The engine in the emulator is the engine: told the same inputs at the same times, another one gives the same
 /// commands.
 #[test]
-fn a_run_told_again_gives_the_same_commands() {
+fn a_replayed_run_gives_identical_commands() {
     use woadstall_emulator::engine::Engine;
     let scenario = small(ROLL);
     let compared = Arc::new(Mutex::new(0));
--- a/crates/emulator/tests/fleet.rs
+++ b/crates/emulator/tests/fleet.rs
@@ -46,7 +46,7 @@
 }
 
 #[test]
-fn each_nodo_that_calls_has_a_balancer_of_its_own() {
+fn each_calling_upstream_has_a_balancer_of_its_own() {
     let scenario = tiers("");
     assert_eq!(
         (
@@ -71,7 +71,7 @@
 /// A balancer sidecar of an upstream dies with it, and starts with it: what it held is no one's to answer, and the next
 /// process knows the list of its start.
 #[test]
-fn a_balancer_beside_a_nodo_dies_and_starts_with_it() {
+fn a_sidecar_balancer_dies_and_starts_with_its_upstream() {
     let fault = "[[fault]]\nat = \"2 s\"\nuntil = \"4 s\"\npart = 0.5\nwhat = { kill = {} }\n";
     let all = fault.to_owned() + &fault.replace("part = 0.5", "part = 0.34\ntier = \"posting\"");
     let end = play(&tiers(&all));
@@ -103,7 +103,7 @@
 
 /// The front goes on dealing to the dead until it notices: the same death costs more where it notices late.
 #[test]
-fn a_front_that_notices_late_deals_to_the_dead() {
+fn a_front_with_delayed_detection_sends_to_dead_processes() {
     let with = |detection_delay: u64| {
         let fault =
             "[[fault]]\nat = \"2 s\"\nuntil = \"6 s\"\npart = 0.67\nwhat = { restart = {} }\n";
@@ -235,7 +235,7 @@
 
 /// Where upstreams tell their load when probed, balancers ask before they send; a cut or a dead upstream does not answer.
 #[test]
-fn probes_are_answered_by_what_lives() {
+fn health_checks_are_answered_by_running_processes() {
     let mut scenario =
         small("[[fault]]\nat = \"3 s\"\nuntil = \"5 s\"\npart = 0.34\nwhat = \"silent\"\n");
     scenario.tier[0].probed = Some(ProbeConfig {
--- a/crates/emulator/tests/power.rs
+++ b/crates/emulator/tests/power.rs
@@ -25,7 +25,7 @@
 /// Upstreams that stand still for less than the callers' time answer late what they had; those that stand still for
 /// good answer nothing.
 #[test]
-fn stopped_nodos_answer_once_they_go_on() {
+fn suspended_upstreams_respond_once_they_are_resumed() {
     let stop =
         |until: &str| format!("[[fault]]\nat = \"3 s\"\nuntil = \"{until}\"\nwhat = \"stop\"\n");
     let short = played(&stop("3500 ms"));
@@ -55,7 +55,7 @@
 /// A way that is cut from one zone to the other loses what goes there and the answers that come back by it; with
 /// an upstream of its own zone each balancer serves on.
 #[test]
-fn one_way_is_cut() {
+fn one_direction_is_partitioned() {
     let partitioned =
         "[[fault]]\nat = \"3 s\"\nzone = \"a\"\nwhat = { link = { to = \"b\", cut = true } }\n";
     let end = played(partitioned);
@@ -87,7 +87,7 @@
             ("tries", false)
         ]
     );
-    assert!(!end.is_kept());
+    assert!(!end.is_satisfied());
     let refused = |text: &str| {
         Scenario::read(&format!("{}{text}", common::SMALL))
             .unwrap_err()
--- a/crates/emulator/tests/returning.rs
+++ b/crates/emulator/tests/returning.rs
@@ -53,16 +53,16 @@
     end
 }
 
-fn no_nodo_falls(end: &RunResult) {
-    assert!(end.is_kept(), "{:?}", end.breaches);
+fn no_upstream_is_overloaded(end: &RunResult) {
+    assert!(end.is_satisfied(), "{:?}", end.breaches);
 }
 
 /// A third of what warm upstreams can do is asked of cold ones: sent by their warm share alone, 45% of it was refused in the
 /// first seconds. Answers in time let the pace grow.
 #[test]
-fn what_cold_nodos_can_do_is_sent_to_them() {
+fn upstreams_that_warm_up_get_what_they_can_serve() {
     let end = play(&[]);
-    no_nodo_falls(&end);
+    no_upstream_is_overloaded(&end);
     assert!(end.score > 0.96, "{}", end.score);
 }
 
@@ -71,7 +71,7 @@
 #[test]
 fn an_overload_does_not_come_all_at_once_when_budgets_end() {
     let end = play(&[("constant = 350.0", "constant = 2350.0")]);
-    no_nodo_falls(&end);
+    no_upstream_is_overloaded(&end);
     assert!(end.score > 0.6, "{}", end.score);
 }
 
@@ -89,7 +89,7 @@
             &format!("{storm}\n{fault}"),
         ),
     ]);
-    no_nodo_falls(&end);
+    no_upstream_is_overloaded(&end);
     // A fifth of the time nobody could serve.
     assert!(end.score > 0.74, "{}", end.score);
 }
--- a/crates/load-test/src/callers.rs
+++ b/crates/load-test/src/callers.rs
@@ -2,6 +2,7 @@
 //! when a call was due, not from when this program came to it, so that its own slowness is not left out.
 
 mod attempt;
+mod attempt_result;
 mod call;
 mod endpoint;
 
@@ -164,8 +165,8 @@
     /// One caller of a crowd: it calls, waits for the response, and pauses for `think` nanoseconds on average.
     async fn closed_loop(self: Arc<Self>, group: usize, caller: u32, think: u64) {
         let mut habits = stream(self.seed, Actor::Habits, (group as u32) << 16 | caller);
-        let first_pause = (habits.random::<f64>() * think as f64) as u64;
-        sleep(Duration::from_nanos(first_pause)).await;
+        let first_backoff = (habits.random::<f64>() * think as f64) as u64;
+        sleep(Duration::from_nanos(first_backoff)).await;
         while self.now() < self.scenario.time.0 {
             let seed = habits.random();
             self.clone().call(group, self.now(), seed).await;
--- a/crates/load-test/src/callers/attempt.rs
+++ b/crates/load-test/src/callers/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a call: the request, the balancer that it goes through, and the response.
 
+use super::attempt_result::AttemptResult;
 use super::call::{Call, RESPONSE_PATIENCE};
 use super::endpoint::{BalancerEndpoint, choose_in_zone};
 use super::{Callers, Transport};
@@ -24,22 +25,6 @@
 const MAX_RETRY_PUSHBACK_MS: u64 = 3_600_000;
 const NANOS_PER_MILLI: u64 = 1_000_000;
 
-/// The result of an attempt.
-#[derive(Debug)]
-pub enum AttemptResult {
-    /// The work was done.
-    Served,
-    /// Rejected before any work, with the advice when to retry, 0 if there was none.
-    Rejected {
-        /// In nanoseconds from now.
-        retry_after_ns: u64,
-    },
-    /// An error, or no response.
-    Failed,
-    /// No balancer has seen it.
-    NotSent,
-}
-
 /// What attempts are counted by.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TallyKey {
--- a/crates/load-test/src/callers/call.rs
+++ b/crates/load-test/src/callers/call.rs
@@ -1,17 +1,17 @@
 //! One call: its attempts, the backoff between them, and its outcome.
 
 use super::Callers;
-use super::attempt::AttemptResult;
+use super::attempt_result::AttemptResult;
 use crate::lock;
 use rand::RngExt;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::sleep;
-use woadstall_emulator::{Actor, CallEffect, CallOutcome, by_share, chance, stream};
+use woadstall_emulator::{Actor, CallEffect, CallOutcome, by_weight, chance, stream};
 
 /// A call that begins later than this is counted as late.
-const LATE_BEGIN: Duration = Duration::from_millis(5);
+const MAX_START_DELAY: Duration = Duration::from_millis(5);
 /// A caller waits so much longer than its time before it is sure that no response comes.
 pub const RESPONSE_PATIENCE: Duration = Duration::from_millis(250);
 
@@ -35,7 +35,7 @@
         self.record_lateness(due);
         let mut rng = stream(seed, Actor::Habits, 0);
         let callers = &self.scenario.callers[group];
-        let class = by_share(&self.mixes[group], rng.random::<f64>()).unwrap_or(0);
+        let class = by_weight(&self.mixes[group], rng.random::<f64>()).unwrap_or(0);
         let call = Call {
             group,
             class,
@@ -80,7 +80,7 @@
         let lateness = Duration::from_nanos(self.now().saturating_sub(due));
         let mut lag = lock(&self.lag);
         lag.calls += 1;
-        lag.late += u64::from(lateness > LATE_BEGIN);
+        lag.late += u64::from(lateness > MAX_START_DELAY);
         lag.worst_ms = lag.worst_ms.max(lateness.as_secs_f64() * 1e3);
     }
 
--- a/crates/load-test/src/main.rs
+++ b/crates/load-test/src/main.rs
@@ -22,7 +22,7 @@
 const INVALID_INPUT: u8 = 3;
 const TOO_SLOW: u8 = 4;
 /// The share of the calls that may begin late before the figures are doubted.
-const MAX_LATE_CALLS: f64 = 0.01;
+const MAX_DELAYED_CALLS: f64 = 0.01;
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
@@ -90,7 +90,7 @@
 
 fn exit_code(end: &RunResult, lag: &Lag) -> u8 {
     let is_broken = end.broken() > 0;
-    if lag.late as f64 > MAX_LATE_CALLS * lag.calls as f64 {
+    if lag.late as f64 > MAX_DELAYED_CALLS * lag.calls as f64 {
         let (late, calls, worst_ms) = (lag.late, lag.calls, lag.worst_ms);
         warn!(
             late,
--- a/crates/load-test/src/rule_checker.rs
+++ b/crates/load-test/src/rule_checker.rs
@@ -60,7 +60,7 @@
     requests: HashMap<String, RequestRecord>,
     /// When a group of upstreams last ran the work of a key.
     keys: HashMap<(String, u32), Instant>,
-    late_at_suspended: u64,
+    overdue_at_suspended: u64,
     unanswered: u64,
     ran_twice: u64,
     suspensions: Vec<Suspension>,
@@ -177,7 +177,7 @@
                     .is_none_or(|until| sent < until + RESPONSE_GRACE)
         };
         if state.suspensions.iter().any(excuses) {
-            state.late_at_suspended += 1;
+            state.overdue_at_suspended += 1;
             return;
         }
         let what = if answered {
@@ -190,8 +190,8 @@
     }
 
     /// Requests that had no response in time since their daemon's process was suspended.
-    pub fn late_at_suspended(&self) -> u64 {
-        lock(&self.state).late_at_suspended
+    pub fn overdue_at_suspended(&self) -> u64 {
+        lock(&self.state).overdue_at_suspended
     }
 
     /// Requests that never had a response, whatever the reason.
--- a/crates/load-test/src/run.rs
+++ b/crates/load-test/src/run.rs
@@ -102,7 +102,7 @@
     if let Some(faults) = faults {
         faults.abort();
     }
-    schedule::wait_for_late_effects(&scenario).await;
+    schedule::wait_for_delayed_effects(&scenario).await;
     drop(daemons);
     Ok(LoadResult {
         lag: callers.lag(),
--- a/crates/load-test/src/schedule.rs
+++ b/crates/load-test/src/schedule.rs
@@ -12,7 +12,7 @@
 /// What a draining upstream has beyond its callers' time to finish its work: the second that rule 3 allows, and the way.
 const DRAIN_MARGIN: Duration = Duration::from_millis(1_250);
 /// Nobody waits for longer than this for work that was given up on.
-const MAX_LATE_EFFECT: Duration = Duration::from_secs(5);
+const MAX_EFFECT_DELAY: Duration = Duration::from_secs(5);
 
 /// The schedule of a scenario from a start on.
 pub struct Schedule {
@@ -76,6 +76,6 @@
 }
 
 /// Waits for work that upstreams may still do though it was given up on: its effects count against the rules as well.
-pub async fn wait_for_late_effects(scenario: &Scenario) {
-    sleep(Duration::from_nanos(scenario.longest().0).min(MAX_LATE_EFFECT)).await;
+pub async fn wait_for_delayed_effects(scenario: &Scenario) {
+    sleep(Duration::from_nanos(scenario.longest().0).min(MAX_EFFECT_DELAY)).await;
 }
--- a/crates/load-test/tests/load.rs
+++ b/crates/load-test/tests/load.rs
@@ -57,7 +57,7 @@
 /// Where no upstream ever responds, each call ends in its time all the same, and none is served. Where responses are lost
 /// after the work, unsafe calls are not retried.
 #[tokio::test(flavor = "multi_thread")]
-async fn silent_upstreams_and_lost_responses_end_calls_in_time() {
+async fn unresponsive_upstreams_and_lost_responses_end_calls_in_time() {
     let mut scenario = short_scenario();
     (scenario.time, scenario.warm_up) = (Span(1_500 * MS), Span(0));
     scenario.callers[0].load = Load::Constant(60.0);
