Consensus, storage, frames: the parts that a second replicated group needs

Need: the coordination service gets a replicated group of its own, beside the configuration's.

Change, without effect on what exists: `LeaderClock` moves from the control machine to consensus; `Timing::MULTI_REGION` names the timing that both groups use; a storage's segments may be of another size (three files of 24 MB for each of two groups would not fit a disk of 128 MB); frames of any type can be decoded from a header and a payload.

Measured: tests of consensus, control and storage pass; golden files of stored forms and frames are untouched.

--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -15,6 +15,16 @@
     pub election_timeout_max: Milliseconds,
 }
 
+impl Timing {
+    /// For a group over several regions: a round trip between them takes up to 110 ms, and a machine
+    /// has a part of a core.
+    pub const MULTI_REGION: Self = Self {
+        heartbeat_interval: 150,
+        election_timeout_min: 900,
+        election_timeout_max: 1_500,
+    };
+}
+
 /// Settings that all replicas of a group share.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
--- a/crates/control/src/machine/mod.rs
+++ b/crates/control/src/machine/mod.rs
@@ -14,7 +14,6 @@
 mod failure_detection;
 mod feeds;
 mod gossip;
-mod leader_clock;
 mod leadership;
 mod load_notices;
 mod log_event;
@@ -38,14 +37,15 @@
 use calls::PendingCalls;
 use feeds::Feeds;
 use gossip::PendingGossip;
-use leader_clock::LeaderClock;
 use leadership::LeadershipTracker;
 use load_notices::LoadNotices;
 use peers::Peer;
 use registrations::PersistProgress;
 use std::collections::{BTreeMap, BTreeSet};
 use timers::Timers;
-use woadstall_consensus::{DurableState, Member, Membership, Replica, Settings, Snapshot};
+use woadstall_consensus::{
+    DurableState, LeaderClock, Member, Membership, Replica, Settings, Snapshot,
+};
 
 /// A control machine.
 #[derive(Debug)]
--- a/crates/control/src/machine/replication.rs
+++ b/crates/control/src/machine/replication.rs
@@ -1,13 +1,13 @@
 //! The replicated log behind the machine: carries out what the replica asks for, and applies
 //! committed entries to the state.
 
-use super::{Action, ControlMachine, LogEvent, leader_clock};
+use super::{Action, ControlMachine, LogEvent};
 use crate::command::Command;
 use crate::feed::FeedEvent;
 use crate::state::ControlState;
 use crate::wire::Packet;
 use nanoserde::DeBin;
-use woadstall_consensus::{Entry, EntryPayload, Message, Output, Snapshot};
+use woadstall_consensus::{Entry, EntryPayload, Message, Output, Snapshot, is_from_leader};
 
 /// Bytes of commands in the log since its last snapshot from which on a new one is taken.
 const COMPACT_BYTES: usize = 4 << 20;
@@ -28,7 +28,7 @@
     /// A message of the log has arrived, with its sender's time.
     pub(super) fn on_consensus(&mut self, message: Message, clock: u64) {
         let (from, term) = (message.from, message.term);
-        let is_from_leader = leader_clock::is_from_leader(&message);
+        let is_from_leader = is_from_leader(&message);
         self.replica.handle_message(self.now, message);
         if is_from_leader && self.replica.term() == term && self.replica.leader() == Some(from) {
             self.leader_clock.observe(self.now, term, clock);
--- a/crates/control/src/machine/settings.rs
+++ b/crates/control/src/machine/settings.rs
@@ -4,13 +4,8 @@
 use std::collections::BTreeMap;
 use woadstall_consensus::Timing;
 
-/// Timing of the replicated log: a round trip between regions takes up to 110 ms, and a machine has
-/// a part of a core.
-pub const TIMING: Timing = Timing {
-    heartbeat_interval: 150,
-    election_timeout_min: 900,
-    election_timeout_max: 1_500,
-};
+/// Timing of the replicated log.
+pub const TIMING: Timing = Timing::MULTI_REGION;
 
 /// What a machine is given at its start.
 #[derive(Clone, Debug)]
--- a/crates/control/src/wire/frame.rs
+++ b/crates/control/src/wire/frame.rs
@@ -63,7 +63,7 @@
 /// Where the frame is of another version, truncated, too long, damaged or not of this type.
 pub fn decode_frame<T: DeBin>(bytes: &[u8]) -> Result<T, WireError> {
     let (header, payload) = bytes.split_first_chunk().ok_or(WireError::Length)?;
-    decode(header, payload)
+    decode_split_frame(header, payload)
 }
 
 /// The length of a frame's payload in bytes, from its header.
@@ -85,7 +85,11 @@
 }
 
 /// The value of a frame's header and payload.
-pub(super) fn decode<T: DeBin>(
+///
+/// # Errors
+///
+/// As [`decode_frame`].
+pub fn decode_split_frame<T: DeBin>(
     header: &[u8; HEADER_BYTES],
     payload: &[u8],
 ) -> Result<T, WireError> {
--- a/crates/control/src/wire/mod.rs
+++ b/crates/control/src/wire/mod.rs
@@ -5,8 +5,8 @@
 mod packet;
 
 pub use frame::{
-    HEADER_BYTES, MAX_FRAME_BYTES, VERSION, WireError, decode_frame, encode_frame, payload_length,
-};
-pub use packet::{
-    CallId, LeaderTime, MachineInfo, Packet, Renewal, SubscribeRequest, ZoneBalancers,
+    HEADER_BYTES, MAX_FRAME_BYTES, VERSION, WireError, decode_frame, decode_split_frame,
+    encode_frame, payload_length,
 };
+pub use packet::{CallId, MachineInfo, Packet, Renewal, SubscribeRequest, ZoneBalancers};
+pub use woadstall_consensus::LeaderTime;
--- a/crates/control/src/wire/packet.rs
+++ b/crates/control/src/wire/packet.rs
@@ -1,14 +1,14 @@
 //! The packets. The wire format consists of the order of the variants and of their fields; the
 //! identifiers are not part of it.
 
-use super::frame::{HEADER_BYTES, WireError, decode, decode_frame, encode_frame};
+use super::frame::{HEADER_BYTES, WireError, decode_frame, decode_split_frame, encode_frame};
 use crate::balancers::{BalancerHeartbeat, BalancerRenewal};
 use crate::command::{Command, CommandOutcome};
 use crate::feed::FeedEvent;
 use crate::loads::{FleetLoads, LoadReport};
 use crate::registry::Registration;
 use nanoserde::{DeBin, SerBin};
-use woadstall_consensus::{Member, Message, ReplicaId};
+use woadstall_consensus::{LeaderTime, Member, Message, ReplicaId};
 
 /// A control machine: where it is and how others reach it.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
@@ -33,15 +33,6 @@
     pub number: u64,
 }
 
-/// A moment on the clock of the leader of a term.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
-pub struct LeaderTime {
-    /// The term, which identifies the leader's process.
-    pub term: u64,
-    /// Milliseconds on that process's clock.
-    pub at: u64,
-}
-
 /// A message from one process to another.
 #[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
 pub enum Packet {
@@ -191,7 +182,7 @@
     ///
     /// Where the frame is of another version, truncated, too long, damaged or not a packet.
     pub fn decode(header: &[u8; HEADER_BYTES], payload: &[u8]) -> Result<Self, WireError> {
-        decode(header, payload)
+        decode_split_frame(header, payload)
     }
 
     /// The packet of a datagram, which holds one frame.
--- a/crates/storage/src/error.rs
+++ b/crates/storage/src/error.rs
@@ -1,6 +1,6 @@
 //! Errors of the operations of the storage.
 
-use crate::{FORMAT_VERSION, SEGMENT_BYTES};
+use crate::FORMAT_VERSION;
 use std::io;
 use std::path::{Path, PathBuf};
 use thiserror::Error;
@@ -49,10 +49,12 @@
     #[error(transparent)]
     Medium(#[from] MediumError),
     /// The state is larger than a segment.
-    #[error("the state of {bytes} bytes does not fit a segment of {SEGMENT_BYTES}")]
+    #[error("the state of {bytes} bytes does not fit a segment of {segment_bytes}")]
     TooLarge {
         /// The bytes of a checkpoint.
         bytes: usize,
+        /// The bytes of a segment.
+        segment_bytes: u64,
     },
     /// There is no state to which records could be added.
     #[error("the storage was not initialized")]
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -26,7 +26,7 @@
 /// third allows a failed write to be repeated elsewhere.
 pub const SEGMENT_COUNT: usize = 3;
 
-/// Bytes of a file. The largest checkpoint has a configuration of 6 MB with the outcomes of past
-/// commands, 4 MB of entries that are about to be compacted, 4 MB of uncommitted ones, and one more
-/// command of 6 MB.
+/// Bytes of a file by default. The largest checkpoint has a configuration of 6 MB with the outcomes of
+/// past commands, 4 MB of entries that are about to be compacted, 4 MB of uncommitted ones, and one
+/// more command of 6 MB.
 pub const SEGMENT_BYTES: u64 = 24 << 20;
--- a/crates/storage/src/medium/directory.rs
+++ b/crates/storage/src/medium/directory.rs
@@ -1,8 +1,8 @@
 //! Preallocated files in a directory.
 
 use super::StorageMedium;
+use crate::SEGMENT_COUNT;
 use crate::error::MediumError;
-use crate::{SEGMENT_BYTES, SEGMENT_COUNT};
 use std::fs::{self, File};
 use std::io::{self, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
@@ -17,21 +17,28 @@
 #[derive(Debug)]
 pub struct DirectoryMedium {
     files: Vec<SegmentFile>,
+    segment_bytes: u64,
 }
 
 impl DirectoryMedium {
-    /// Opens the files of a directory; creates what is missing.
+    /// Opens the files of a directory, each of so many bytes; creates what is missing.
     ///
     /// # Errors
     ///
     /// [`MediumError`] if the directory or a file can't be created, opened or resized.
-    pub fn open(directory: &Path) -> Result<Self, MediumError> {
+    pub fn open(directory: &Path, segment_bytes: u64) -> Result<Self, MediumError> {
         fs::create_dir_all(directory).map_err(MediumError::at(directory))?;
         let files = (0..SEGMENT_COUNT)
-            .map(|number| SegmentFile::open(directory.join(format!("segment-{number}"))))
+            .map(|number| {
+                let path = directory.join(format!("segment-{number}"));
+                SegmentFile::open(path, segment_bytes)
+            })
             .collect::<Result<Vec<_>, _>>()?;
         sync_directory(directory).map_err(MediumError::at(directory))?;
-        Ok(Self { files })
+        Ok(Self {
+            files,
+            segment_bytes,
+        })
     }
 }
 
@@ -59,6 +66,10 @@
         self.files[file].file.sync_data()
     }
 
+    fn segment_bytes(&self) -> u64 {
+        self.segment_bytes
+    }
+
     fn path(&self, file: usize) -> PathBuf {
         self.files[file].path.clone()
     }
@@ -66,21 +77,21 @@
 
 impl SegmentFile {
     /// Opens a file; creates it or changes its size if needed.
-    fn open(path: PathBuf) -> Result<Self, MediumError> {
-        let file = open_preallocated(&path).map_err(MediumError::at(&path))?;
+    fn open(path: PathBuf, bytes: u64) -> Result<Self, MediumError> {
+        let file = open_preallocated(&path, bytes).map_err(MediumError::at(&path))?;
         Ok(Self { path, file })
     }
 }
 
-fn open_preallocated(path: &Path) -> io::Result<File> {
+fn open_preallocated(path: &Path, bytes: u64) -> io::Result<File> {
     let file = File::options()
         .read(true)
         .write(true)
         .create(true)
         .truncate(false)
         .open(path)?;
-    if file.metadata()?.len() != SEGMENT_BYTES {
-        file.set_len(SEGMENT_BYTES)?;
+    if file.metadata()?.len() != bytes {
+        file.set_len(bytes)?;
         file.sync_all()?;
     }
     Ok(file)
--- a/crates/storage/src/medium/mod.rs
+++ b/crates/storage/src/medium/mod.rs
@@ -4,6 +4,7 @@
 
 pub use directory::DirectoryMedium;
 
+use crate::SEGMENT_BYTES;
 use std::io;
 use std::path::PathBuf;
 
@@ -31,6 +32,11 @@
     /// The error of the operating system. Any part of what was written may be durable.
     fn sync(&mut self, file: usize) -> io::Result<()>;
 
+    /// Bytes of a file.
+    fn segment_bytes(&self) -> u64 {
+        SEGMENT_BYTES
+    }
+
     /// The path of a file, for errors.
     fn path(&self, file: usize) -> PathBuf;
 }
--- a/crates/storage/src/segment/writer.rs
+++ b/crates/storage/src/segment/writer.rs
@@ -2,7 +2,6 @@
 
 use super::header::SegmentHeader;
 use super::record::{RecordPrefix, SegmentRecord};
-use crate::SEGMENT_BYTES;
 use crate::error::MediumError;
 use crate::medium::StorageMedium;
 use nanoserde::SerBin;
@@ -63,9 +62,9 @@
         bytes.extend_from_slice(&payload);
     }
 
-    /// Whether so many bytes fit the rest of the file.
-    pub fn fits(&self, bytes: usize) -> bool {
-        self.offset + bytes as u64 <= SEGMENT_BYTES
+    /// Whether so many bytes fit the rest of a file of `segment_bytes`.
+    pub fn fits(&self, bytes: usize, segment_bytes: u64) -> bool {
+        self.offset + bytes as u64 <= segment_bytes
     }
 
     /// Writes bytes after what is written, and waits until they are durable.
--- a/crates/storage/src/storage.rs
+++ b/crates/storage/src/storage.rs
@@ -31,7 +31,16 @@
     ///
     /// [`OpenError`] if a file can't be created or read, or has the format of another version.
     pub fn open(directory: &Path) -> Result<Self, OpenError> {
-        Self::load(DirectoryMedium::open(directory)?)
+        Self::open_sized(directory, SEGMENT_BYTES)
+    }
+
+    /// The same with files of so many bytes.
+    ///
+    /// # Errors
+    ///
+    /// As [`open`](Self::open).
+    pub fn open_sized(directory: &Path, segment_bytes: u64) -> Result<Self, OpenError> {
+        Self::load(DirectoryMedium::open(directory, segment_bytes)?)
     }
 }
 
@@ -102,7 +111,7 @@
             return self.write_checkpoint();
         };
         let bytes = segment.encode_updates(records);
-        if !segment.fits(bytes.len()) {
+        if !segment.fits(bytes.len(), self.medium.segment_bytes()) {
             return self.write_checkpoint();
         }
         segment.append(&mut self.medium, &bytes)?;
@@ -117,8 +126,12 @@
         let file = (sequence % SEGMENT_COUNT as u64) as usize;
         let mut segment = SegmentWriter::new(file, sequence);
         let bytes = segment.encode_checkpoint(state);
-        if bytes.len() as u64 > SEGMENT_BYTES {
-            return Err(WriteError::TooLarge { bytes: bytes.len() });
+        let segment_bytes = self.medium.segment_bytes();
+        if bytes.len() as u64 > segment_bytes {
+            return Err(WriteError::TooLarge {
+                bytes: bytes.len(),
+                segment_bytes,
+            });
         }
         segment.append(&mut self.medium, &bytes)?;
         self.last_sequence = sequence;
