Golden daemon test: it waits for the first assessment of a zone

The answer names a zone's reason: "as several others found" until the process has assessed it, "0% of 0 calls fail" from then on. The golden file has the second; the test asked without waiting and lost the race.

Change: the test waits for the first assessment, bounded by the tests' time-out, then compares the same golden file as before. That the text for a zone not assessed yet misleads an operator stays open (roadmap, evacuation).

--- a/tests/golden_daemon.rs
+++ b/tests/golden_daemon.rs
@@ -7,8 +7,9 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
+use std::time::Instant;
 use woadstall_mock_servers::http1::{
-    LONG_BUDGET, Reaction, Upstream, config, in_service, named_request, ok_response,
+    LONG_BUDGET, Reaction, TEST_TIMEOUT, Upstream, config, in_service, named_request, ok_response,
     refused_address, target,
 };
 
@@ -193,6 +194,24 @@
     text
 }
 
+/// Waits until the process has assessed a domain: before that its answer gives another reason.
+fn await_first_assessment(admin: SocketAddr, domain: &str) {
+    let begin = Instant::now();
+    let named = format!("\"name\":\"{domain}\"");
+    loop {
+        let places = exchange(
+            admin,
+            "GET /control/places HTTP/1.1\r\nHost: operators\r\n\r\n",
+        );
+        let entry = places.split_once(&named).map(|(_, entry)| entry);
+        let entry = entry.and_then(|entry| entry.split('}').next());
+        if entry.is_some_and(|entry| entry.contains("calls fail")) {
+            return;
+        }
+        assert!(begin.elapsed() < TEST_TIMEOUT, "{places}");
+    }
+}
+
 #[test]
 fn responses_to_operators() {
     let upstream = Upstream::start(|_| Reaction::Respond(ok_response("done")));
@@ -258,6 +277,7 @@
         "GET /control/counters HTTP/1.1\r\nHost: operators\r\n\r\n",
     );
     assert_golden("fleet-counters.txt", &without_varying_values(&counters));
+    await_first_assessment(admin.address, "zone a");
     let paths = [
         "/control/instances",
         "/control/places",
