--- a/crates/mock-servers/src/system.rs
+++ b/crates/mock-servers/src/system.rs
@@ -16,8 +16,8 @@
 const CORES: u8 = 3;
 /// Systems of one process must not share addresses: a port that one has found free another may have found free too.
 static NEXT_SUBNET: AtomicU8 = AtomicU8::new(0);
-/// The ports of a machine: control, directory, front, ready, and those between processes.
-const PORTS: usize = 5;
+/// The ports of a machine: control, directory, front, ready, and the first and the last one between processes.
+const PORTS: usize = 6;
 /// Times of the operator's and the upstreams' calls: far more often than upstreams really say that they are there.
 const HEARTBEAT_MS: u64 = 60_000;
 
@@ -83,11 +83,12 @@
         let in_flight: Vec<TcpListener> = (0..PORTS)
             .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
             .collect();
-        let ports: Vec<u16> = in_flight
+        let mut ports: Vec<u16> = in_flight
             .iter()
             .map(|in_flight| in_flight.local_addr().expect("an address").port())
             .collect();
         drop(in_flight);
+        ports[4..].sort_unstable();
         let id = std::process::id().to_le_bytes();
         let mut system = Self {
             program: program.to_owned(),
@@ -140,7 +141,7 @@
         json!({
             "node": name, "ip": ip, "zone": format!("zone-{zone}"), "region": format!("region-{zone}"),
             "zones": { "zone-0": "region-0", "zone-1": "region-1", "zone-2": "region-2" },
-            "listen": listen, "ephemeral_ports": [self.ports[4], self.ports[4]], "seeds": seeds,
+            "listen": listen, "ephemeral_ports": [self.ports[4], self.ports[5]], "seeds": seeds,
             "heartbeat_ms": HEARTBEAT_MS, "limits": { "memory_mb": 256, "max_fds": 1024 },
             "fault_tolerance": { "machines": 1 },
             "bounds": {
