--- /dev/null
+++ b/crates/node/src/core/api/coordination.rs
@@ -0,0 +1,295 @@
+//! Requests and responses of the coordination service: locks, numbers, keys and watches.
+
+use super::http::{HttpRequest, HttpResponse};
+use super::request::RequestError;
+use crate::core::coordination::CoordinationRequest;
+use serde_json::{Value, json};
+use woadstall_control::reader::{FieldReader, Findings};
+use woadstall_coordination::command::{Call, Command, Query, group_of};
+use woadstall_coordination::machine::{self, CoordinationMachine, WatchRequest};
+use woadstall_coordination::outcome::Outcome;
+use woadstall_coordination::state::{Event, GroupEvents};
+
+/// Bytes of a name at most: of a lock, a holder, a sequence, a key or a group.
+const MAX_NAME_BYTES: usize = 256;
+/// Bytes of a value at most.
+const MAX_VALUE_BYTES: usize = 64 << 10;
+/// The longest lease: a day, in milliseconds.
+const MAX_HOLD_MS: u64 = 24 * 60 * 60 * 1_000;
+/// The longest that a watch waits, in milliseconds.
+const MAX_WAIT_MS: u64 = 30_000;
+/// How long a watch waits if its request does not say, in milliseconds.
+const DEFAULT_WAIT_MS: u64 = 2_000;
+
+/// The kinds of resources, by their place in the path.
+const LOCKS: &str = "/v1/locks/";
+const NUMBERS: &str = "/v1/numbers/";
+const KEYS: &str = "/v1/cells/";
+const WATCHES: &str = "/v1/watch/";
+
+/// Parses a request; `None` if its path is none of the service's.
+///
+/// # Errors
+///
+/// The method is unknown, or names or body are invalid.
+pub(super) fn parse(request: &HttpRequest) -> Option<Result<CoordinationRequest, RequestError>> {
+    let path = &request.path;
+    let method = request.method.as_str();
+    if let Some(lock) = path.strip_prefix(LOCKS) {
+        Some(parse_lock(request, method, lock).map(command))
+    } else if let Some(sequence) = path.strip_prefix(NUMBERS) {
+        Some(parse_number(method, sequence).map(command))
+    } else if let Some(key) = path.strip_prefix(KEYS) {
+        Some(parse_key(request, method, key))
+    } else {
+        let group = path.strip_prefix(WATCHES)?;
+        Some(parse_watch(request, method, group))
+    }
+}
+
+fn command(command: Command) -> CoordinationRequest {
+    CoordinationRequest::Call(Call::Command(command))
+}
+
+fn parse_lock(request: &HttpRequest, method: &str, lock: &str) -> Result<Command, RequestError> {
+    if !matches!(method, "POST" | "PUT" | "DELETE") {
+        return Err(RequestError::UnknownMethod);
+    }
+    let body = read_document(request)?;
+    let root = FieldReader::new(&body);
+    let findings = &mut Findings::default();
+    let lock = checked_name("(lock)", lock, findings);
+    let holder = root.field("holder").string(findings);
+    let holder = checked_name("holder", &holder, findings);
+    let command = match method {
+        "POST" => Command::AcquireLock {
+            lock,
+            holder,
+            hold_ms: hold_ms(&root, findings),
+        },
+        "PUT" => Command::RenewLock {
+            lock,
+            holder,
+            fencing_token: root.field("fence").integer(findings),
+            hold_ms: hold_ms(&root, findings),
+        },
+        _ => Command::ReleaseLock {
+            lock,
+            holder,
+            fencing_token: root.field("fence").integer(findings),
+        },
+    };
+    without_findings(command, findings)
+}
+
+fn parse_number(method: &str, sequence: &str) -> Result<Command, RequestError> {
+    if method != "POST" {
+        return Err(RequestError::UnknownMethod);
+    }
+    let findings = &mut Findings::default();
+    let sequence = checked_name("(number)", sequence, findings);
+    without_findings(Command::NextNumber { sequence }, findings)
+}
+
+fn parse_key(
+    request: &HttpRequest,
+    method: &str,
+    key: &str,
+) -> Result<CoordinationRequest, RequestError> {
+    let findings = &mut Findings::default();
+    let key = checked_name("(key)", key, findings);
+    match method {
+        "GET" => {
+            let query = without_findings(Query::Get { key }, findings)?;
+            Ok(CoordinationRequest::Call(Call::Query(query)))
+        }
+        "PUT" => parse_put(request, key, findings).map(command),
+        _ => Err(RequestError::UnknownMethod),
+    }
+}
+
+fn parse_put(
+    request: &HttpRequest,
+    key: String,
+    findings: &mut Findings,
+) -> Result<Command, RequestError> {
+    let body = read_document(request)?;
+    let root = FieldReader::new(&body);
+    let if_revision = root.field("if_revision");
+    let put = Command::Put {
+        key,
+        value: value(&root.field("value"), findings),
+        if_revision: if_revision.value().map(|_| if_revision.integer(findings)),
+    };
+    without_findings(put, findings)
+}
+
+fn parse_watch(
+    request: &HttpRequest,
+    method: &str,
+    group: &str,
+) -> Result<CoordinationRequest, RequestError> {
+    if method != "GET" {
+        return Err(RequestError::UnknownMethod);
+    }
+    let findings = &mut Findings::default();
+    let group = checked_name("(group)", group_of(group), findings);
+    let after = parameter(request, "after", 0, findings);
+    let wait_ms = parameter(request, "wait_ms", DEFAULT_WAIT_MS, findings).min(MAX_WAIT_MS);
+    let watch = WatchRequest {
+        group,
+        after,
+        wait_ms,
+    };
+    without_findings(watch, findings).map(CoordinationRequest::Watch)
+}
+
+/// A number in the query of a request.
+fn parameter(request: &HttpRequest, name: &str, default: u64, findings: &mut Findings) -> u64 {
+    let Some(text) = request.parameter(name) else {
+        return default;
+    };
+    text.parse().unwrap_or_else(|_| {
+        findings.add(name, "must be a whole number, 0 or more");
+        default
+    })
+}
+
+fn read_document(request: &HttpRequest) -> Result<Value, RequestError> {
+    Ok(serde_json::from_slice(&request.body)?)
+}
+
+fn checked_name(path: &str, name: &str, findings: &mut Findings) -> String {
+    if name.len() > MAX_NAME_BYTES {
+        findings.add(path, format!("is longer than {MAX_NAME_BYTES} bytes"));
+    }
+    // A field that is empty has its finding already.
+    if name.is_empty() && path.starts_with('(') {
+        findings.add(path, "must not be empty");
+    }
+    name.to_owned()
+}
+
+fn hold_ms(root: &FieldReader<'_>, findings: &mut Findings) -> u64 {
+    let field = root.field("hold_ms");
+    let found = findings.0.len();
+    let hold_ms = field.integer(findings);
+    if findings.0.len() == found && !(1..=MAX_HOLD_MS).contains(&hold_ms) {
+        findings.add(field.path(), format!("must be between 1 and {MAX_HOLD_MS}"));
+    }
+    hold_ms
+}
+
+fn value(field: &FieldReader<'_>, findings: &mut Findings) -> String {
+    let text = match field.value().map(Value::as_str) {
+        Some(Some(text)) => text,
+        Some(None) => {
+            findings.add(field.path(), "must be a string");
+            ""
+        }
+        None => {
+            findings.add(field.path(), "is missing");
+            ""
+        }
+    };
+    if text.len() > MAX_VALUE_BYTES {
+        let problem = format!("is longer than {MAX_VALUE_BYTES} bytes");
+        findings.add(field.path(), problem);
+    }
+    text.to_owned()
+}
+
+fn without_findings<T>(request: T, findings: &mut Findings) -> Result<T, RequestError> {
+    if findings.is_empty() {
+        Ok(request)
+    } else {
+        Err(RequestError::InvalidFields(std::mem::take(findings)))
+    }
+}
+
+/// Renders a response. A status of 412, 429 or 503 says that the call has not taken effect and never
+/// will; where that is not known, it is 504.
+pub(super) fn render(response: machine::Response) -> HttpResponse {
+    match response {
+        machine::Response::Executed(outcome) => render_outcome(outcome),
+        machine::Response::Events(found) => HttpResponse::json(200, events(&found).to_string()),
+        machine::Response::HistoryCompacted => {
+            HttpResponse::text(410, "the history begins later\n")
+        }
+        machine::Response::NotExecuted => {
+            HttpResponse::text(503, "not executed; ask another machine\n")
+        }
+        machine::Response::Overloaded => HttpResponse::text(429, "too many requests wait here\n"),
+        machine::Response::Unknown => unknown(),
+    }
+}
+
+/// It is not known whether the call was or will be executed.
+pub(super) fn unknown() -> HttpResponse {
+    HttpResponse::text(504, "the outcome is not known\n")
+}
+
+fn render_outcome(outcome: Outcome) -> HttpResponse {
+    let (status, body) = match outcome {
+        Outcome::LockAcquired { fencing_token } => (200, json!({ "fence": fencing_token })),
+        Outcome::LockRenewed | Outcome::LockReleased => (200, json!({})),
+        Outcome::LockHeld => (409, json!({ "error": "another caller holds the lock" })),
+        Outcome::LockLost => (409, json!({ "error": "the lease has ended" })),
+        Outcome::Number { value } => (200, json!({ "value": value })),
+        Outcome::Put { revision } | Outcome::GroupRevision { revision } => {
+            (200, json!({ "revision": revision }))
+        }
+        Outcome::RevisionConflict { current } => (412, json!({ "revision": current })),
+        Outcome::LimitReached => (429, json!({ "error": "there is no room for more" })),
+        Outcome::Value { value, revision } => {
+            (200, json!({ "value": value, "revision": revision }))
+        }
+        Outcome::KeyNotFound => (404, json!({ "error": "no such key" })),
+    };
+    HttpResponse::json(status, body.to_string())
+}
+
+fn events(found: &GroupEvents) -> Value {
+    let events: Vec<Value> = found.events.iter().map(event).collect();
+    json!({ "events": events, "revision": found.revision })
+}
+
+fn event(event: &Event) -> Value {
+    json!({ "name": &*event.key, "value": &*event.value, "revision": event.revision })
+}
+
+/// The status of the service on a machine as JSON. The keys are documented in
+/// `docs/system-operators.md`.
+pub(in crate::core) fn coordination_status(machine: &CoordinationMachine) -> String {
+    let replica = machine.replica();
+    let status = machine.status();
+    let counters = status.counters;
+    json!({
+        "id": format!("{:x}", replica.id()),
+        "leader": replica.leader().map(|leader| format!("{leader:x}")),
+        "in_quorum": machine.in_quorum(),
+        "term": replica.term(),
+        "commit": replica.commit_index(),
+        "last": replica.log().last_index(),
+        "voters": replica.membership().all_voters().map(|voter| &voter.address).collect::<Vec<_>>(),
+        "leases": status.state.leases,
+        "sequences": status.state.sequences,
+        "keys": status.state.keys,
+        "events": status.state.events,
+        "bytes": status.state.bytes,
+        "pending_calls": status.pending_calls,
+        "queued_calls": status.queued_calls,
+        "uncommitted_entries": status.uncommitted_entries,
+        "watches": status.watches,
+        "executed": counters.executed,
+        "not_executed": counters.not_executed,
+        "overloaded": counters.overloaded,
+        "unknown": counters.unknown,
+        "watches_with_events": counters.watches_with_events,
+        "watches_without_events": counters.watches_without_events,
+        "watches_compacted": counters.watches_compacted,
+        "batches": counters.batches,
+        "expired_leases": counters.expired_leases,
+    })
+    .to_string()
+}
--- a/crates/node/src/core/api/mod.rs
+++ b/crates/node/src/core/api/mod.rs
@@ -1,10 +1,14 @@
 //! Requests and responses of the HTTP API, for operators (configuration, evacuations, status),
-//! upstreams (registrations) and clients (directory): how they are read and written.
+//! upstreams (registrations), clients (directory) and applications (coordination): how they are read and written.
 
+mod coordination;
+mod http;
 pub(super) mod request;
 pub(super) mod response;
 mod status;
 
+pub(super) use coordination::coordination_status;
+pub(super) use http::{HttpRequest, HttpResponse};
 pub(super) use request::ApiRequest;
 pub(super) use response::ApiResponse;
 pub(super) use status::status;
--- a/crates/node/src/core/api/request.rs
+++ b/crates/node/src/core/api/request.rs
@@ -1,8 +1,10 @@
 //! Parses requests to the API.
 
-use rouille::Request;
+use super::coordination;
+use super::http::HttpRequest;
+use crate::core::coordination::CoordinationRequest;
+use ::http::header::IF_MATCH;
 use serde_json::Value;
-use std::io::{self, Read};
 use std::net::SocketAddr;
 use thiserror::Error;
 use woadstall_control::command::Command;
@@ -11,7 +13,7 @@
 use woadstall_control::registry::{Registration, UpstreamStatus};
 
 /// Bytes of a body at most.
-const MAX_BODY_BYTES: u64 = 6 << 20;
+pub(in crate::core) const MAX_BODY_BYTES: usize = 6 << 20;
 
 /// A request that can be passed to the machine.
 #[derive(Clone, Debug)]
@@ -29,6 +31,10 @@
     Resolve(ResolveRequest),
     /// `GET /v1/status`.
     Status,
+    /// `GET /v1/status/coordination`.
+    CoordinationStatus,
+    /// A call or a watch of an application.
+    Coordination(CoordinationRequest),
 }
 
 /// A request is rejected before it reaches the machine.
@@ -43,22 +49,22 @@
     /// `If-Match` is missing or no number.
     #[error("If-Match must hold the version that this builds on\n")]
     InvalidIfMatch,
-    /// The request has no body.
-    #[error("no body\n")]
-    MissingBody,
     /// The body is longer than [`MAX_BODY_BYTES`].
     #[error("the body is too large\n")]
     BodyTooLarge,
-    /// The body can't be received.
-    #[error("the body can't be read: {0}\n")]
-    BodyIo(#[from] io::Error),
-    /// The body of a registration is not JSON.
+    /// The body was not complete in time.
+    #[error("the body did not come in time\n")]
+    BodyTimeout,
+    /// The thread that parsed the request has ended.
+    #[error("the request could not be parsed\n")]
+    ParserEnded,
+    /// The body of a registration or of an application's call is not JSON.
     #[error("the body can't be read: {0}\n")]
     BodyJson(#[from] serde_json::Error),
     /// The body of a change is not JSON.
     #[error("(document): can't be read: {0}\n")]
     ChangeJson(#[source] serde_json::Error),
-    /// Fields of a registration are missing or invalid.
+    /// Fields of a registration or of an application's call are missing or invalid.
     #[error("{0}")]
     InvalidFields(Findings),
 }
@@ -68,12 +74,14 @@
 /// # Errors
 ///
 /// The path or method is unknown, or headers or body are invalid.
-pub(in crate::core) fn parse(request: &Request) -> Result<ApiRequest, RequestError> {
-    let path = request.url();
-    let segments: Vec<&str> = path.trim_start_matches('/').split('/').collect();
-    match (request.method(), segments.as_slice()) {
+pub(in crate::core) fn parse(request: &HttpRequest) -> Result<ApiRequest, RequestError> {
+    if let Some(coordination) = coordination::parse(request) {
+        return coordination.map(ApiRequest::Coordination);
+    }
+    let segments: Vec<&str> = request.path.trim_start_matches('/').split('/').collect();
+    match (request.method.as_str(), segments.as_slice()) {
         ("PUT", ["v1", "instances", id]) => {
-            let body: Value = serde_json::from_slice(&read_body(request)?)?;
+            let body: Value = serde_json::from_slice(&request.body)?;
             registration(id, &body).map(ApiRequest::Register)
         }
         ("DELETE", ["v1", "instances", id]) => Ok(ApiRequest::Deregister((*id).to_owned())),
@@ -94,20 +102,22 @@
         })),
         ("GET", ["v1", "resolve"]) => Ok(ApiRequest::Resolve(directory_question(request))),
         ("GET", ["v1", "status"]) => Ok(ApiRequest::Status),
+        ("GET", ["v1", "status", "coordination"]) => Ok(ApiRequest::CoordinationStatus),
         (
             _,
             ["v1", "instances", _]
             | ["v1", "evacuations", _]
+            | ["v1", "status", "coordination"]
             | ["v1", "config" | "resolve" | "status"],
         ) => Err(RequestError::UnknownMethod),
         _ => Err(RequestError::UnknownPath),
     }
 }
 
-fn directory_question(request: &Request) -> ResolveRequest {
-    let parameter = |name: &str| request.get_param(name).unwrap_or_default();
+fn directory_question(request: &HttpRequest) -> ResolveRequest {
+    let parameter = |name: &str| request.parameter(name).unwrap_or_default();
     ResolveRequest {
-        client: request.remote_addr().ip().to_string(),
+        client: request.client.to_string(),
         host: parameter("name"),
         zone: parameter("zone"),
         region: parameter("region"),
@@ -116,26 +126,16 @@
 
 /// The version that a change builds on, and the change. One that is not JSON never becomes an
 /// order.
-fn configuration_change(request: &Request) -> Result<(u64, Vec<u8>), RequestError> {
+fn configuration_change(request: &HttpRequest) -> Result<(u64, Vec<u8>), RequestError> {
     let base = request
-        .header("If-Match")
+        .header(&IF_MATCH)
         .and_then(|value| value.trim().trim_matches('"').parse().ok())
         .ok_or(RequestError::InvalidIfMatch)?;
-    let body = read_body(request)?;
+    let body = request.body.to_vec();
     serde_json::from_slice::<serde::de::IgnoredAny>(&body).map_err(RequestError::ChangeJson)?;
     Ok((base, body))
 }
 
-fn read_body(request: &Request) -> Result<Vec<u8>, RequestError> {
-    let reader = request.data().ok_or(RequestError::MissingBody)?;
-    let mut body = Vec::new();
-    reader.take(MAX_BODY_BYTES + 1).read_to_end(&mut body)?;
-    if body.len() as u64 > MAX_BODY_BYTES {
-        return Err(RequestError::BodyTooLarge);
-    }
-    Ok(body)
-}
-
 fn registration(id: &str, body: &Value) -> Result<Registration, RequestError> {
     let findings = &mut Findings::default();
     let root = FieldReader::new(body);
--- a/crates/node/src/core/api_server.rs
+++ b/crates/node/src/core/api_server.rs
@@ -1,59 +1,226 @@
-//! Serves the HTTP API: hands requests to the process and waits for their responses.
+//! Serves the HTTP API: hands requests to the control machine or to the coordination service and waits
+//! for their responses.
 
 use super::CoreError;
-use super::api::{request, response};
+use super::api::{ApiRequest, ApiResponse, HttpRequest, HttpResponse, request, response};
+use super::coordination::{self, CoordinationHandle, CoordinationRequest};
 use super::event::{Event, EventSender};
-use crate::http_server;
+use super::listener::ACCEPT_RETRY_INTERVAL;
+use crate::error::SetupError;
 use crate::settings::{Endpoint, NodeSettings};
-use rouille::{Request, Response};
-use std::net::SocketAddr;
-use std::sync::mpsc::sync_channel;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio::task::spawn_blocking;
+use tokio::time::{sleep, timeout};
+use woadstall_coordination::command::Call;
+use woadstall_socket_options::set_nodelay;
 
 /// How long a request waits for its response; the machine itself gives up a little sooner.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Threads that answer requests. Some wait for a quorum; at most eight orders are under way at a
-/// time.
-const WORKERS: usize = 24;
+/// How long a client may take to send the head of a request, from the end of the last one on.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// How long a client may take to send a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Bytes of a body that is too large which are still read, so that its sender gets the response.
+const MAX_DISCARDED_BYTES: usize = 32 << 20;
+/// Bytes of a body from which on it is parsed on another thread: the replicated logs go on meanwhile.
+const LARGE_BODY_BYTES: usize = 64 << 10;
+/// The part of the descriptors that clients of the API may use.
+const CLIENT_DESCRIPTOR_RATIO: f64 = 0.7;
+
+/// Where requests go.
+#[derive(Clone, Debug)]
+pub(super) struct RequestQueues {
+    /// The control machine.
+    pub control: EventSender,
+    /// The coordination service, if it runs.
+    pub coordination: Option<CoordinationHandle>,
+}
 
 /// Serves the API on the addresses of the control and directory endpoints, which may be the same.
 ///
 /// # Errors
 ///
 /// An address can't be bound.
-pub(super) fn start(
+pub(super) async fn start(
     settings: &NodeSettings,
     control: SocketAddr,
-    events: &EventSender,
+    queues: RequestQueues,
 ) -> Result<(), CoreError> {
     let directory = settings
         .listen_address(Endpoint::Directory)
         .filter(|address| *address != control);
+    let server = Arc::new(ApiServer {
+        queues,
+        max_connections: (settings.max_fds as f64 * CLIENT_DESCRIPTOR_RATIO) as usize,
+        connections: AtomicUsize::new(0),
+    });
     for address in std::iter::once(control).chain(directory) {
-        let events = events.clone();
-        http_server::spawn(address, Some(WORKERS), move |request| {
-            handle(request, &events)
-        })?;
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(SetupError::during(format!("address {address}")))?;
+        tokio::spawn(accept(server.clone(), listener));
     }
     Ok(())
 }
 
-fn handle(http_request: &Request, events: &EventSender) -> Response {
-    let request = match request::parse(http_request) {
-        Ok(request) => request,
-        Err(error) => return response::rejection(&error),
-    };
-    let (responder, response) = sync_channel(1);
-    let event = Event::Api {
-        request,
-        received_at: Instant::now(),
-        responder,
-    };
-    if events.send(event).is_err() {
-        return response::unavailable();
-    }
-    match response.recv_timeout(RESPONSE_TIMEOUT) {
-        Ok(response) => response::render(response),
-        Err(_) => response::unavailable(),
+/// Accepts connections, for as long as the process runs.
+async fn accept(server: Arc<ApiServer>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, client)) => {
+                let open = server.connections.load(Ordering::Relaxed);
+                if open >= server.max_connections {
+                    log::warn!("api_connection_rejected open_connections={open}");
+                    continue;
+                }
+                server.connections.fetch_add(1, Ordering::Relaxed);
+                tokio::spawn(serve_connection(server.clone(), stream, client.ip()));
+            }
+            Err(error) => {
+                log::warn!("accept_failed error={error}");
+                sleep(ACCEPT_RETRY_INTERVAL).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(server: Arc<ApiServer>, stream: TcpStream, client: IpAddr) {
+    set_nodelay(&stream);
+    let service = service_fn(|request| {
+        let server = server.clone();
+        async move { server.serve(request, client).await }
+    });
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = connection.await {
+        log::debug!("api_connection_failed error={error}");
+    }
+    server.connections.fetch_sub(1, Ordering::Relaxed);
+}
+
+/// What the connections share.
+#[derive(Debug)]
+struct ApiServer {
+    queues: RequestQueues,
+    max_connections: usize,
+    /// The number of open connections.
+    connections: AtomicUsize,
+}
+
+impl ApiServer {
+    /// Answers a request. An error closes the connection.
+    async fn serve(
+        &self,
+        request: hyper::Request<Incoming>,
+        client: IpAddr,
+    ) -> Result<hyper::Response<Full<Bytes>>, hyper::Error> {
+        let (head, body) = request.into_parts();
+        let response = match timeout(BODY_TIMEOUT, read_body(body)).await {
+            Ok(body) => match body? {
+                Some(body) => self.answer(HttpRequest::new(head, body, client)).await,
+                None => response::rejection(&request::RequestError::BodyTooLarge),
+            },
+            Err(_) => response::rejection(&request::RequestError::BodyTimeout),
+        };
+        Ok(response.into())
+    }
+
+    async fn answer(&self, request: HttpRequest) -> HttpResponse {
+        match parse(request).await {
+            Ok(ApiRequest::Coordination(request)) => self.coordinate(request).await,
+            Ok(ApiRequest::CoordinationStatus) => self.coordination_status().await,
+            Ok(request) => self.control(request).await,
+            Err(error) => response::rejection(&error),
+        }
+    }
+
+    async fn control(&self, request: ApiRequest) -> HttpResponse {
+        let (responder, response) = oneshot::channel();
+        let event = Event::Api {
+            request,
+            received_at: Instant::now(),
+            responder,
+        };
+        if self.queues.control.send(event).is_err() {
+            return response::unavailable();
+        }
+        let response = receive(response, RESPONSE_TIMEOUT).await;
+        response.map_or_else(response::unavailable, response::render)
+    }
+
+    async fn coordination_status(&self) -> HttpResponse {
+        let Some(coordination) = &self.queues.coordination else {
+            return response::unavailable();
+        };
+        let (responder, response) = oneshot::channel();
+        coordination.send(coordination::Event::Status { responder });
+        let response = receive(response, RESPONSE_TIMEOUT).await;
+        response.map_or_else(response::unavailable, response::render)
+    }
+
+    async fn coordinate(&self, request: CoordinationRequest) -> HttpResponse {
+        let Some(coordination) = &self.queues.coordination else {
+            return response::unavailable();
+        };
+        let time = match &request {
+            CoordinationRequest::Call(_) => RESPONSE_TIMEOUT,
+            CoordinationRequest::Watch(watch) => {
+                Duration::from_millis(watch.wait_ms) + RESPONSE_TIMEOUT
+            }
+        };
+        let is_command = matches!(request, CoordinationRequest::Call(Call::Command(_)));
+        let (responder, response) = oneshot::channel();
+        coordination.send(coordination::Event::Request {
+            request,
+            received_at: Instant::now(),
+            responder,
+        });
+        let response = receive(response, time).await;
+        response.map_or_else(|| response::timed_out(is_command), response::render)
+    }
+}
+
+async fn parse(request: HttpRequest) -> Result<ApiRequest, request::RequestError> {
+    if request.body.len() < LARGE_BODY_BYTES {
+        return request::parse(&request);
+    }
+    let parsed = spawn_blocking(move || request::parse(&request)).await;
+    parsed.unwrap_or(Err(request::RequestError::ParserEnded))
+}
+
+/// Waits for a response; `None` if there is none in time.
+async fn receive(response: oneshot::Receiver<ApiResponse>, time: Duration) -> Option<ApiResponse> {
+    timeout(time, response).await.ok()?.ok()
+}
+
+/// Reads a body; `None` if it is too large.
+async fn read_body(mut body: Incoming) -> Result<Option<Bytes>, hyper::Error> {
+    let mut read = Vec::new();
+    let mut size = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        size += data.len();
+        if size <= request::MAX_BODY_BYTES {
+            read.extend_from_slice(&data);
+        } else if size > MAX_DISCARDED_BYTES {
+            break;
+        } else {
+            read = Vec::new();
+        }
     }
+    Ok((size <= request::MAX_BODY_BYTES).then(|| read.into()))
 }
--- a/crates/node/src/core/bootstrap.rs
+++ b/crates/node/src/core/bootstrap.rs
@@ -9,8 +9,7 @@
 /// The state of a machine whose disk is empty. The seeds found the group at the first start of the
 /// whole system; any other machine gets a new identity and joins the group.
 pub(super) fn initial_state(settings: &NodeSettings, control: SocketAddr) -> DurableState {
-    let is_founder = settings.bootstrap && settings.seeds.contains(&control);
-    if !is_founder {
+    if !is_founder(settings, control) {
         let id = fastrand::u64(1..);
         return DurableState::new(id, Snapshot::default());
     }
@@ -22,6 +21,11 @@
     DurableState::new(founder_id(control), founding_snapshot(&founders))
 }
 
+/// Whether the machine with this control address, whose disk is empty, founds the groups.
+pub(super) fn is_founder(settings: &NodeSettings, control: SocketAddr) -> bool {
+    settings.bootstrap && settings.seeds.contains(&control)
+}
+
 /// The identity of a founder. Derived from its control address, so that all founders agree on it
 /// without a message.
 pub(super) fn founder_id(seed: SocketAddr) -> ReplicaId {
--- /dev/null
+++ b/crates/node/src/core/coordination/mod.rs
@@ -0,0 +1,141 @@
+//! The coordination service in a core process: a machine of its group (`woadstall-coordination`) with
+//! its own port, its own storage and its own task.
+
+mod disk;
+mod event;
+mod founding;
+mod listener;
+mod process;
+
+pub(super) use event::{CoordinationRequest, Event, EventSender};
+
+use super::CoreError;
+use crate::error::SetupError;
+use crate::settings::NodeSettings;
+use crate::time::millis;
+use disk::Disk;
+use founding::initial_state;
+use process::Process;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use woadstall_consensus::{DurableState, Member};
+use woadstall_coordination::machine::{CoordinationMachine, MachineSettings};
+use woadstall_coordination::wire::MachineInfo;
+use woadstall_storage::Storage;
+
+/// The folder of the group's storage, under the process's own.
+const STORAGE_FOLDER: &str = "coordination";
+/// Bytes of a file of the storage: a state of 4 MB, as much that waits to be compacted or committed,
+/// and room to spare.
+const SEGMENT_BYTES: u64 = 12 << 20;
+/// How much longer than asked for the history of keys is kept, so that a watch that resumes in time
+/// never comes too late.
+const HISTORY_FACTOR: u64 = 2;
+/// The same in milliseconds, beside the factor.
+const HISTORY_SLACK_MS: u64 = 10_000;
+
+/// The process's end of the service.
+#[derive(Clone, Debug)]
+pub(super) struct CoordinationHandle {
+    events: EventSender,
+    /// The port of the service's internal protocol, the same on all machines.
+    port: u16,
+    is_being_replaced: Arc<AtomicBool>,
+}
+
+impl CoordinationHandle {
+    /// Tells the service something.
+    pub fn send(&self, event: Event) {
+        if self.events.send(event).is_err() {
+            log::error!("coordination_task_ended");
+        }
+    }
+
+    /// The port of the service's internal protocol, the same on all machines.
+    pub fn port(&self) -> u16 {
+        self.port
+    }
+
+    /// Whether the vote of this machine is being given to another one.
+    pub fn is_being_replaced(&self) -> bool {
+        self.is_being_replaced.load(Ordering::Relaxed)
+    }
+}
+
+/// Starts the service. `None`, and a warning, where the settings leave it no port.
+///
+/// # Errors
+///
+/// The storage can't be opened, or the port can't be bound.
+pub(super) async fn start(
+    settings: &NodeSettings,
+    control: SocketAddr,
+    data_dir: &Path,
+) -> Result<Option<CoordinationHandle>, CoreError> {
+    let Some(address) = settings.coordination_address() else {
+        log::warn!("coordination_disabled reason=\"ephemeral_ports holds one port\"");
+        return Ok(None);
+    };
+    let (storage, durable) = open_storage(data_dir, settings, control)?;
+    log::info!(
+        "coordination_started id={:x} address={address} last_index={}",
+        durable.id,
+        durable.log.last_index()
+    );
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(SetupError::during("the coordination address"))?;
+    let (events, event_queue) = mpsc::unbounded_channel();
+    tokio::spawn(listener::run(listener, events.clone()));
+    let machine_settings = machine_settings(settings, address, durable.id);
+    let machine = CoordinationMachine::new(machine_settings, durable, 0, fastrand::u64(..));
+    let disk = Disk::start(storage, events.clone());
+    let handle = CoordinationHandle {
+        events: events.clone(),
+        port: address.port(),
+        is_being_replaced: Arc::default(),
+    };
+    let process = Process::new(machine, disk, events, handle.is_being_replaced.clone());
+    tokio::spawn(process.run(event_queue));
+    Ok(Some(handle))
+}
+
+/// Opens the storage of the group's log. An empty one is initialized.
+fn open_storage(
+    data_dir: &Path,
+    settings: &NodeSettings,
+    control: SocketAddr,
+) -> Result<(Storage, DurableState), CoreError> {
+    let mut storage = Storage::open_sized(&data_dir.join(STORAGE_FOLDER), SEGMENT_BYTES)?;
+    let durable = match storage.state() {
+        Some(state) => state.clone(),
+        None => {
+            let state = initial_state(settings, control);
+            storage.initialize(state.clone())?;
+            state
+        }
+    };
+    Ok((storage, durable))
+}
+
+fn machine_settings(settings: &NodeSettings, address: SocketAddr, id: u64) -> MachineSettings {
+    let member = Member {
+        id,
+        address: address.to_string(),
+    };
+    MachineSettings {
+        machine: MachineInfo {
+            member,
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+        },
+        seeds: super::addresses(&settings.coordination_seeds()),
+        tolerated: settings.tolerated_failures,
+        history_ms: HISTORY_FACTOR * millis(settings.history_period) + HISTORY_SLACK_MS,
+        incarnation: fastrand::u64(1..),
+    }
+}
--- a/crates/node/src/core/disk.rs
+++ b/crates/node/src/core/disk.rs
@@ -1,18 +1,15 @@
 //! The disk's thread. Records that arrive while it writes are written together, with one sync.
 
 use super::event::{Event, EventSender};
+use super::log_writer::{LogWriter, RETRY_INTERVAL};
 use super::registration_store::RegistrationStore;
 use crate::time::unix_time;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread;
-use std::time::Duration;
 use woadstall_consensus::Record;
 use woadstall_control::registry::Registration;
 use woadstall_storage::Storage;
 
-/// Time between attempts of a write that fails.
-const RETRY_INTERVAL: Duration = Duration::from_millis(200);
-
 /// A write.
 #[derive(Debug, PartialEq)]
 enum WriteJob {
@@ -41,7 +38,7 @@
     pub fn start(storage: Storage, store: RegistrationStore, events: EventSender) -> Self {
         let (jobs, job_queue) = channel();
         let writer = Writer {
-            storage,
+            log: LogWriter::new(storage),
             store,
             events,
             pending_registrations: None,
@@ -75,7 +72,7 @@
 
 /// What the thread owns.
 struct Writer {
-    storage: Storage,
+    log: LogWriter,
     store: RegistrationStore,
     events: EventSender,
     /// Registrations that the disk has not accepted yet.
@@ -119,7 +116,7 @@
             }
         }
         if let Some(sequence) = last_sequence {
-            self.persist_records(&records);
+            self.log.persist(&records);
             self.notify(Event::RecordsPersisted(sequence))?;
         }
         if let Some(number) = self.try_save_registrations() {
@@ -136,20 +133,6 @@
         self.pending_registrations = Some(write);
     }
 
-    /// Writes records, however often that has to be tried.
-    fn persist_records(&mut self, records: &[Record]) {
-        let mut result = self.storage.write(records);
-        while let Err(error) = result {
-            log::warn!(
-                "log_write_failed retry_in_ms={} error={error}",
-                RETRY_INTERVAL.as_millis()
-            );
-            thread::sleep(RETRY_INTERVAL);
-            // The storage keeps records that it could not write.
-            result = self.storage.write(&[]);
-        }
-    }
-
     /// Writes the pending registrations once. A failure does not delay the replicated log.
     fn try_save_registrations(&mut self) -> Option<u64> {
         let write = self.pending_registrations.take()?;
--- a/crates/node/src/core/golden_tests.rs
+++ b/crates/node/src/core/golden_tests.rs
@@ -2,7 +2,7 @@
 //! HTTP.
 
 use super::api::{self, ApiRequest, ApiResponse};
-use super::api_server;
+use super::api_server::{self, RequestQueues};
 use super::bootstrap::{founder_id, initial_state};
 use super::event::Event;
 use super::registration_store::RegistrationStore;
@@ -154,7 +154,18 @@
 fn start_api(response: ApiResponse) -> (SocketAddr, std::sync::mpsc::Receiver<String>) {
     let (events, mut received) = mpsc::unbounded_channel();
     let control = free_address();
-    api_server::start(&settings_with_seeds(true), control, &events).unwrap();
+    let queues = RequestQueues {
+        control: events,
+        coordination: None,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let settings = settings_with_seeds(true);
+    let start = api_server::start(&settings, control, queues);
+    runtime.block_on(start).unwrap();
+    thread::spawn(move || runtime.block_on(std::future::pending::<()>()));
     let (tell, calls) = std::sync::mpsc::channel();
     thread::spawn(move || {
         while let Some(event) = received.blocking_recv() {
@@ -163,7 +174,7 @@
             } = event
             {
                 tell.send(described(request)).ok();
-                responder.try_send(response.clone()).ok();
+                responder.send(response.clone()).ok();
             }
         }
     });
@@ -208,6 +219,8 @@
             question.client, question.host, question.zone, question.region
         ),
         ApiRequest::Status => "status".to_owned(),
+        ApiRequest::CoordinationStatus => "coordination status".to_owned(),
+        ApiRequest::Coordination(request) => format!("{request:?}"),
     }
 }
 
--- a/crates/node/src/core/listener.rs
+++ b/crates/node/src/core/listener.rs
@@ -5,6 +5,7 @@
 use super::frame_queue::frame_queue;
 use super::peers::write_frames;
 use crate::packet_stream::{self, read_packet};
+use nanoserde::DeBin;
 use std::io::{self, ErrorKind};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -20,12 +21,26 @@
 /// Pause after a failed accept, such as for lack of descriptors.
 pub(super) const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Accepts connections, for as long as the process runs.
+/// Accepts connections of machines and subscribers, for as long as the process runs.
 pub(super) async fn run(listener: TcpListener, events: EventSender) {
+    accept_connections(listener, |number, stream| {
+        serve_connection(number, stream, events.clone())
+    })
+    .await;
+}
+
+/// Accepts connections, for as long as the process runs; each is numbered and served by a task of
+/// its own. One on which an invalid packet comes is logged.
+pub(super) async fn accept_connections<F>(
+    listener: TcpListener,
+    serve: impl Fn(u64, TcpStream) -> F,
+) where
+    F: Future<Output = io::Result<()>> + Send + 'static,
+{
     for connection_number in 1.. {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(handle_connection(connection_number, stream, events.clone()));
+                tokio::spawn(log_invalid_packets(serve(connection_number, stream)));
             }
             Err(error) => {
                 log::warn!("accept_failed error={error}");
@@ -35,23 +50,28 @@
     }
 }
 
-async fn handle_connection(number: u64, stream: TcpStream, events: EventSender) {
-    if let Err(error) = serve_connection(number, stream, events).await
+async fn log_invalid_packets(connection: impl Future<Output = io::Result<()>>) {
+    if let Err(error) = connection.await
         && error.kind() == ErrorKind::InvalidData
     {
         log::warn!("connection_rejected error={error}");
     }
 }
 
-/// The first packet of a connection tells who its peer is.
+/// Reads the first packet of a new connection, which tells who its peer is.
+pub(super) async fn read_first_packet<T: DeBin>(stream: &mut TcpStream) -> io::Result<T> {
+    set_nodelay(stream);
+    enable_dead_peer_detection(stream, packet_stream::USER_TIMEOUT);
+    timeout(FIRST_PACKET_TIMEOUT, read_packet(stream)).await?
+}
+
+/// Serves another core machine, or a balancer that subscribes to the feed.
 async fn serve_connection(
     number: u64,
     mut stream: TcpStream,
     events: EventSender,
 ) -> io::Result<()> {
-    set_nodelay(&stream);
-    enable_dead_peer_detection(&stream, packet_stream::USER_TIMEOUT);
-    let first = timeout(FIRST_PACKET_TIMEOUT, read_packet(&mut stream)).await??;
+    let first = read_first_packet(&mut stream).await?;
     match first {
         Packet::Hello { ref machine, .. } => {
             let peer = machine.member.address.clone();
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -2,17 +2,20 @@
 //!
 //! One task owns the machine ([`process::Process`]). Around it are the peers' connections
 //! ([`peers`], [`listener`], [`datagrams`]), the HTTP API ([`api`]) and the disk's thread
-//! ([`disk`]); they send it [`event::Event`]s, and it executes the machine's actions.
+//! ([`disk`]); they send it [`event::Event`]s, and it executes the machine's actions. The coordination
+//! service ([`coordination`]) has a task, a port and a storage of its own.
 
 mod api;
 mod api_server;
 mod bootstrap;
+mod coordination;
 mod datagrams;
 mod disk;
 mod error;
 mod event;
 mod frame_queue;
 mod listener;
+mod log_writer;
 mod peers;
 mod pending_requests;
 mod process;
@@ -24,6 +27,7 @@
 use crate::error::SetupError;
 use crate::settings::{Endpoint, NodeSettings, SettingsWatcher};
 use crate::time::unix_time;
+use api_server::RequestQueues;
 use disk::Disk;
 use process::Process;
 use registration_store::RegistrationStore;
@@ -79,13 +83,18 @@
         .map_err(SetupError::during("the internal address, UDP"))?;
     tokio::spawn(listener::run(tcp, events.clone()));
     tokio::spawn(datagrams::run(udp, events.clone()));
-    api_server::start(settings, control, &events)?;
+    let coordination = coordination::start(settings, control, data_dir).await?;
+    let queues = RequestQueues {
+        control: events.clone(),
+        coordination: coordination.clone(),
+    };
+    api_server::start(settings, control, queues).await?;
     let (store, registrations) = RegistrationStore::open(data_dir, unix_time());
     let mut machine = ControlMachine::new(machine_settings, durable, 0, fastrand::u64(..));
     log::info!("registrations_loaded count={}", registrations.len());
     machine.restore_registrations(registrations);
     let disk = Disk::start(storage, store, events.clone());
-    let process = Process::new(machine, disk, watcher, events);
+    let process = Process::new(machine, disk, watcher, events, coordination);
     process.run(event_queue).await
 }
 
--- a/crates/node/src/core/peers.rs
+++ b/crates/node/src/core/peers.rs
@@ -1,17 +1,18 @@
 //! Outgoing connections to other core machines. Each direction of a pair of machines has a
 //! connection of its own: a machine sends on those that it has opened.
 
-use super::event::{Event, EventSender};
 use super::frame_queue::{FrameReceiver, FrameSender, frame_queue};
 use crate::packet_stream;
+use bytes::Bytes;
 use std::collections::HashMap;
+use std::fmt;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
-use woadstall_control::wire::Packet;
 
 /// Limits of a peer's queue. Beyond them its connection is replaced, and the machine repeats what
 /// may have been lost. A frame may be as large as a configuration.
@@ -25,18 +26,29 @@
 /// How long one write may take.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Is called with a peer's address whenever a connection to it is established. Returns whether
+/// anybody is still interested.
+type ConnectedCallback = Arc<dyn Fn(String) -> bool + Send + Sync>;
+
 /// The connections, by the peers' internal addresses.
-#[derive(Debug)]
 pub(super) struct Peers {
-    events: EventSender,
+    on_connected: ConnectedCallback,
     queues: HashMap<String, FrameSender>,
 }
 
+impl fmt::Debug for Peers {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut shown = formatter.debug_struct("Peers");
+        shown.field("queues", &self.queues).finish_non_exhaustive()
+    }
+}
+
 impl Peers {
-    /// No connection yet.
-    pub fn new(events: EventSender) -> Self {
+    /// No connection yet. `on_connected` is called with a peer's address whenever a connection to
+    /// it is established; it returns whether anybody is still interested.
+    pub fn new(on_connected: impl Fn(String) -> bool + Send + Sync + 'static) -> Self {
         Self {
-            events,
+            on_connected: Arc::new(on_connected),
             queues: HashMap::new(),
         }
     }
@@ -54,7 +66,7 @@
             address,
             socket_address,
             frames,
-            self.events.clone(),
+            self.on_connected.clone(),
         ));
     }
 
@@ -63,13 +75,13 @@
         self.queues.remove(address);
     }
 
-    /// Queues a packet for a machine, if it has a connection. A full queue is dropped with its
+    /// Queues a frame for a machine, if it has a connection. A full queue is dropped with its
     /// connection, and a new one begins.
-    pub fn send(&mut self, address: &str, packet: &Packet) {
+    pub fn send(&mut self, address: &str, frame: impl FnOnce() -> Bytes) {
         let Some(queue) = self.queues.get(address) else {
             return;
         };
-        if let Err(error) = queue.send(packet.encode().into()) {
+        if let Err(error) = queue.send(frame()) {
             log::warn!("peer_reconnecting peer={address} error={error}");
             self.connect(address.to_owned());
         }
@@ -80,14 +92,13 @@
     address: String,
     socket_address: SocketAddr,
     mut frames: FrameReceiver,
-    events: EventSender,
+    on_connected: ConnectedCallback,
 ) {
     loop {
         if let Ok(mut stream) = packet_stream::connect(socket_address).await {
-            // Frames for the previous connection: on `PeerConnected` the machine repeats what
-            // matters.
+            // Frames for the previous connection: the machine repeats what matters.
             frames.clear();
-            if events.send(Event::PeerConnected(address.clone())).is_err() {
+            if !on_connected(address.clone()) {
                 return;
             }
             if let Err(error) = write_frames(&mut stream, &mut frames).await {
--- a/crates/node/src/core/pending_requests.rs
+++ b/crates/node/src/core/pending_requests.rs
@@ -2,11 +2,11 @@
 
 use super::api::ApiResponse;
 use std::collections::HashMap;
-use std::sync::mpsc::SyncSender;
+use tokio::sync::oneshot;
 use woadstall_control::machine::CallResponse;
 
-/// Where the response to a request goes; its thread waits there.
-pub(super) type Responder = SyncSender<ApiResponse>;
+/// Where the response to a request goes; its connection waits there.
+pub(super) type Responder = oneshot::Sender<ApiResponse>;
 
 /// The requests, by the token that the machine returns with its answer.
 #[derive(Debug, Default)]
@@ -63,13 +63,13 @@
             }
             (answer, _) => ApiResponse::Machine(answer),
         };
-        respond(&request.responder, response);
+        respond(request.responder, response);
     }
 }
 
-/// Hands a response to the thread that waits for it; one that has timed out takes none.
-pub(super) fn respond(responder: &Responder, response: ApiResponse) {
-    responder.try_send(response).ok();
+/// Hands a response to the connection that waits for it; one that has timed out takes none.
+pub(super) fn respond(responder: Responder, response: ApiResponse) {
+    responder.send(response).ok();
 }
 
 #[cfg(test)]
--- a/crates/node/src/core/pending_requests/tests.rs
+++ b/crates/node/src/core/pending_requests/tests.rs
@@ -1,7 +1,7 @@
 //! Requests are answered once, and registrations with the address of later heartbeats.
 
 use super::{ApiResponse, PendingRequests};
-use std::sync::mpsc::sync_channel;
+use tokio::sync::oneshot;
 use woadstall_control::machine::CallResponse;
 
 const URL: &str = "http://10.1.0.1:7000/v1/instances/i-1";
@@ -11,7 +11,7 @@
     let mut pending = PendingRequests::default();
     let tokens = [pending.next_token(), pending.next_token()];
     assert_ne!(tokens[0], tokens[1]);
-    let (responder, response) = sync_channel(1);
+    let (responder, mut response) = oneshot::channel();
     pending.add(tokens[0], responder);
     pending.complete(tokens[1], CallResponse::Indeterminate);
     assert!(response.try_recv().is_err(), "it is another request's");
@@ -32,7 +32,7 @@
     ] {
         let mut pending = PendingRequests::default();
         let token = pending.next_token();
-        let (responder, response) = sync_channel(1);
+        let (responder, mut response) = oneshot::channel();
         pending.add_registration(token, responder, Some(URL.to_owned()));
         pending.complete(token, answer);
         match response.try_recv() {
--- a/crates/node/src/core/process.rs
+++ b/crates/node/src/core/process.rs
@@ -2,6 +2,7 @@
 //! actions that come out.
 
 use super::api::{self, ApiRequest, ApiResponse};
+use super::coordination::{self, CoordinationHandle};
 use super::disk::Disk;
 use super::event::{Event, EventSender};
 use super::frame_queue::FrameSender;
@@ -14,12 +15,13 @@
 use crate::time::millis;
 use bytes::Bytes;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{MissedTickBehavior, interval};
 use woadstall_control::machine::{Action, CallResponse, ControlMachine};
-use woadstall_control::wire::Packet;
+use woadstall_control::wire::{MachineInfo, Packet};
 
 /// How often the machine's clock advances.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -30,6 +32,8 @@
 /// How often registrations are written although none has changed, so that their age is known after
 /// a restart.
 const REGISTRATION_REFRESH_INTERVAL: Duration = Duration::from_secs(10);
+/// How often the coordination service is told where other control machines are.
+const KNOWN_ADDRESSES_INTERVAL: Duration = Duration::from_secs(1);
 /// How long requests are still answered after SIGTERM, while leadership is transferred.
 const SHUTDOWN_PERIOD: Duration = Duration::from_millis(600);
 /// The same while another machine replaces this one as a voter.
@@ -50,6 +54,9 @@
     /// Queues of the balancers that read the feed, by the number of their connection.
     subscribers: BTreeMap<u64, FrameSender>,
     pending_requests: PendingRequests,
+    /// The coordination service, if it runs.
+    coordination: Option<CoordinationHandle>,
+    known_addresses_sent: Instant,
 }
 
 impl Process {
@@ -59,12 +66,13 @@
         disk: Disk,
         watcher: SettingsWatcher,
         events: EventSender,
+        coordination: Option<CoordinationHandle>,
     ) -> Self {
         let now = Instant::now();
         Self {
             started: now,
             machine,
-            peers: Peers::new(events),
+            peers: Peers::new(move |address| events.send(Event::PeerConnected(address)).is_ok()),
             disk,
             saved_version: 0,
             saved_at: now,
@@ -73,6 +81,8 @@
             settings_checked: now,
             subscribers: BTreeMap::new(),
             pending_requests: PendingRequests::default(),
+            coordination,
+            known_addresses_sent: now,
         }
     }
 
@@ -103,6 +113,7 @@
                 _ = terminate.recv() => {
                     log::info!("shutdown_started signal=SIGTERM");
                     self.machine.begin_shutdown(self.now());
+                    self.tell_coordination(coordination::Event::ShutdownStarted);
                     shutdown_began = Some(Instant::now());
                 }
             }
@@ -112,6 +123,9 @@
             }
             self.execute_actions();
             self.save_registrations_if_due();
+            if self.known_addresses_sent.elapsed() >= KNOWN_ADDRESSES_INTERVAL {
+                self.send_known_addresses();
+            }
             if self.settings_checked.elapsed() >= SETTINGS_CHECK_INTERVAL {
                 let settings = self.watcher.reload_if_modified();
                 self.apply_settings(settings);
@@ -123,7 +137,10 @@
     }
 
     fn shutdown_period(&self) -> Duration {
-        if self.machine.is_being_replaced() {
+        let coordination = self.coordination.as_ref();
+        let is_being_replaced = self.machine.is_being_replaced()
+            || coordination.is_some_and(CoordinationHandle::is_being_replaced);
+        if is_being_replaced {
             REPLACEMENT_PERIOD
         } else {
             SHUTDOWN_PERIOD
@@ -177,10 +194,7 @@
     ) {
         let is_order = matches!(request, ApiRequest::Order(_));
         if is_order && self.stalls.is_stale(Instant::now(), received_at) {
-            respond(
-                &responder,
-                ApiResponse::Machine(CallResponse::Indeterminate),
-            );
+            respond(responder, ApiResponse::Machine(CallResponse::Indeterminate));
             return;
         }
         let token = self.pending_requests.next_token();
@@ -207,11 +221,13 @@
             }
             ApiRequest::Resolve(question) => {
                 let balancers = self.machine.resolve(&question);
-                respond(&responder, ApiResponse::Balancers(balancers));
+                respond(responder, ApiResponse::Balancers(balancers));
             }
+            // They go to the coordination service.
+            ApiRequest::Coordination(_) | ApiRequest::CoordinationStatus => {}
             ApiRequest::Status => {
                 let status = api::status(&self.machine, now);
-                respond(&responder, ApiResponse::Status(status));
+                respond(responder, ApiResponse::Status(status));
             }
         }
     }
@@ -222,6 +238,29 @@
         if let Some(settings) = settings {
             self.machine
                 .set_seeds(addresses(&settings.internal_seeds()));
+            let seeds = addresses(&settings.coordination_seeds());
+            self.tell_coordination(coordination::Event::Seeds(seeds));
+        }
+    }
+
+    /// Tells the coordination service where other control machines are.
+    fn send_known_addresses(&mut self) {
+        self.known_addresses_sent = Instant::now();
+        let Some(port) = self.coordination.as_ref().map(CoordinationHandle::port) else {
+            return;
+        };
+        let machines = self.machine.machines();
+        let address = |machine: &MachineInfo| {
+            let internal: SocketAddr = machine.member.address.parse().ok()?;
+            Some(SocketAddr::new(internal.ip(), port).to_string())
+        };
+        let known = machines.iter().filter_map(address).collect();
+        self.tell_coordination(coordination::Event::KnownAddresses(known));
+    }
+
+    fn tell_coordination(&self, event: coordination::Event) {
+        if let Some(coordination) = &self.coordination {
+            coordination.send(event);
         }
     }
 
@@ -249,7 +288,9 @@
             match action {
                 Action::Connect { address } => self.peers.connect(address),
                 Action::Disconnect { address } => self.peers.disconnect(&address),
-                Action::Send { address, packet } => self.peers.send(&address, &packet),
+                Action::Send { address, packet } => {
+                    self.peers.send(&address, || packet.encode().into());
+                }
                 Action::Persist { sequence, record } => self.disk.persist(sequence, record),
                 Action::PersistRegistrations { number } => save_number = Some(number),
                 Action::Respond { token, response } => {
--- a/crates/node/src/packet_stream.rs
+++ b/crates/node/src/packet_stream.rs
@@ -1,12 +1,13 @@
 //! Packets of the internal protocol over TCP connections.
 
+use nanoserde::DeBin;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use woadstall_control::wire::{HEADER_BYTES, Packet, payload_length};
+use woadstall_control::wire::{HEADER_BYTES, Packet, decode_split_frame, payload_length};
 use woadstall_socket_options::{enable_dead_peer_detection, set_nodelay};
 
 /// How long sent data may stay unacknowledged before a connection is closed. A lost segment is
@@ -46,7 +47,9 @@
 /// # Errors
 ///
 /// The connection is broken or closed (`UnexpectedEof`), or the frame is invalid (`InvalidData`).
-pub(crate) async fn read_packet(stream: &mut (impl AsyncReadExt + Unpin)) -> io::Result<Packet> {
+pub(crate) async fn read_packet<T: DeBin>(
+    stream: &mut (impl AsyncReadExt + Unpin),
+) -> io::Result<T> {
     let mut header = [0; HEADER_BYTES];
     stream.read_exact(&mut header).await?;
     let invalid = |error| io::Error::new(ErrorKind::InvalidData, error);
@@ -57,5 +60,5 @@
     if received < length {
         return Err(ErrorKind::UnexpectedEof.into());
     }
-    Packet::decode(&header, &payload).map_err(invalid)
+    decode_split_frame(&header, &payload).map_err(invalid)
 }
--- a/crates/node/src/settings/document.rs
+++ b/crates/node/src/settings/document.rs
@@ -39,6 +39,11 @@
         memory_bytes: mebibytes(limits.field("memory_mb").integer_or(256, findings)),
         max_fds: usize::try_from(limits.field("max_fds").integer_or(1_024, findings))
             .unwrap_or(usize::MAX),
+        history_period: Duration::from_millis(milliseconds(
+            &root.field("bounds").field("history_s"),
+            20.0,
+            findings,
+        )),
         grace_period: Duration::from_millis(milliseconds(
             &root.field("bounds").field("grace_s"),
             8.0,
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -117,6 +117,8 @@
     pub memory_bytes: usize,
     /// `limits.max_fds`: file descriptors of the process; default: 1,024.
     pub max_fds: usize,
+    /// `bounds.history_s`: for how long applications may resume watches; default: 20 s.
+    pub history_period: Duration,
     /// `bounds.grace_s`: how long a process may go on after SIGTERM; default: 8 s.
     pub grace_period: Duration,
     /// The other fields of `bounds`: limits for routing.
@@ -167,6 +169,27 @@
         SocketAddr::new(self.ip, self.internal_ports.first)
     }
 
+    /// Where this process listens for the internal protocol of the coordination service: a port of
+    /// its own, so that neither group delays the other. `None` where there is only one port.
+    pub fn coordination_address(&self) -> Option<SocketAddr> {
+        self.coordination_address_of(self.ip)
+    }
+
+    /// Where the machine with this address listens for the internal protocol of the coordination
+    /// service.
+    pub fn coordination_address_of(&self, ip: IpAddr) -> Option<SocketAddr> {
+        let PortRange { first, last } = self.internal_ports;
+        (last > first).then(|| SocketAddr::new(ip, last))
+    }
+
+    /// Internal addresses of the seeds in the coordination service.
+    pub fn coordination_seeds(&self) -> Vec<SocketAddr> {
+        self.seeds
+            .iter()
+            .filter_map(|seed| self.coordination_address_of(seed.ip()))
+            .collect()
+    }
+
     /// Where the machine with this control address listens for the internal protocol; all machines
     /// use the same ports.
     pub fn internal_address_of(&self, control: SocketAddr) -> SocketAddr {
--- a/crates/node/tests/golden_settings.rs
+++ b/crates/node/tests/golden_settings.rs
@@ -32,7 +32,7 @@
         "fault_tolerance": { "machines": 2 },
         "limits": { "memory_mb": 300, "max_fds": 2000 },
         "bounds": {
-            "grace_s": 7.5, "retry_budget_ratio": 0.3, "budget_window_s": 12.5, "budget_slack": 56, "cold_over": 1.5,
+            "history_s": 25, "grace_s": 7.5, "retry_budget_ratio": 0.3, "budget_window_s": 12.5, "budget_slack": 56, "cold_over": 1.5,
             "cold_slack": 5.5,
         },
         "an unknown key": 1,
@@ -56,6 +56,7 @@
         heartbeat_ms,
         memory_bytes,
         max_fds,
+        history_period,
         grace_period,
         bounds,
     } = settings;
@@ -63,11 +64,12 @@
         "node={node}\nip={ip}\nzone={zone}\nregion={region}\nzones={zones:?}\nlisten={listen:?}\n\
          ephemeral_ports=({}, {})\nseeds={seeds:?}\nbootstrap={bootstrap}\ndata_dir={data_dir:?}\n\
          fault_tolerance.machines={tolerated_failures}\nheartbeat_ms={heartbeat_ms}\nlimits.memory={memory_bytes} bytes\n\
-         limits.max_fds={max_fds}\nbounds.grace={} ms\nbounds.retry_budget_ratio={}\n\
+         limits.max_fds={max_fds}\nbounds.history={} ms\nbounds.grace={} ms\nbounds.retry_budget_ratio={}\n\
          bounds.budget_window={} ms\nbounds.budget_slack={}\nbounds.cold_over={}\nbounds.cold_slack={}\n\
-         internal_address={}\ninternal_seeds={:?}\nlisten.control={:?}\nlisten.ready={:?}\n",
+         internal_address={}\ninternal_seeds={:?}\ncoordination_address={:?}\ncoordination_seeds={:?}\nlisten.control={:?}\nlisten.ready={:?}\n",
         internal_ports.first,
         internal_ports.last,
+        history_period.as_millis(),
         grace_period.as_millis(),
         bounds.retry_budget_ratio,
         bounds.retry_budget_window_ms,
@@ -76,6 +78,8 @@
         bounds.warmup_slack,
         settings.internal_address(),
         settings.internal_seeds(),
+        settings.coordination_address(),
+        settings.coordination_seeds(),
         settings.listen_address(Endpoint::Control),
         settings.listen_address(Endpoint::Readiness),
     )
@@ -103,7 +107,7 @@
 }
 
 /// Each key of the document in turn, by its path.
-const KEYS: [&str; 29] = [
+const KEYS: [&str; 30] = [
     "/node",
     "/ip",
     "/zone",
@@ -126,6 +130,7 @@
     "/limits/memory_mb",
     "/limits/max_fds",
     "/bounds",
+    "/bounds/history_s",
     "/bounds/grace_s",
     "/bounds/retry_budget_ratio",
     "/bounds/budget_window_s",
