Coordination: in doubt, a command is never sent to a leader again

Ruled out: to name such outcomes unclear by case; it needs a rule for each command and keeps two copies in the log.

Change: a command that may be in the log stays with the log: its outcome answers it when it is applied here, and otherwise it is 504 after 0.9 s. A call that a leader has said it did not propose still goes to the next one.

Calls that wait at a machine are bounded (429).

--- a/crates/coordination/src/command.rs
+++ b/crates/coordination/src/command.rs
@@ -51,12 +51,6 @@
 }
 
 impl Command {
-    /// Whether a caller that gets the outcome of a second execution is served as well as by that of
-    /// the first one. A lock that is acquired a second time gets another fencing token.
-    pub fn is_idempotent(&self) -> bool {
-        !matches!(self, Self::AcquireLock { .. })
-    }
-
     /// About how many bytes the command takes in a batch.
     pub fn size(&self) -> usize {
         const HEADER_BYTES: usize = 40;
--- a/crates/coordination/src/machine/calls.rs
+++ b/crates/coordination/src/machine/calls.rs
@@ -14,6 +14,8 @@
 /// machine after a second.
 const CALL_TIMEOUT_MS: u64 = 900;
 
+/// Calls that may wait at a machine: more than are executed within [`CALL_TIMEOUT_MS`].
+const MAX_PENDING_CALLS: usize = 2_048;
 /// A call that takes so many milliseconds is logged.
 const SLOW_CALL_MS: u64 = 400;
 
@@ -33,6 +35,8 @@
     Executed(Outcome),
     /// It was not executed and never will be.
     NotExecuted,
+    /// The same, as too many calls wait here.
+    Overloaded,
     /// It may have been executed, or may still be.
     Unknown,
 }
@@ -74,12 +78,10 @@
         BatchedCall { id, call }
     }
 
-    /// Whether it may be sent to a leader again.
-    fn may_be_resent(&self) -> bool {
-        match &self.call {
-            Call::Command(command) => !self.is_in_doubt || command.is_idempotent(),
-            Call::Query(_) => true,
-        }
+    /// Whether it may be sent to a leader. A command that may be in the log is not sent again: a
+    /// second copy could take effect after the first one was rejected.
+    fn may_be_sent(&self) -> bool {
+        !self.is_in_doubt || matches!(self.call, Call::Query(_))
     }
 }
 
@@ -111,6 +113,10 @@
             self.answer(caller, CallResult::NotExecuted);
             return;
         }
+        if self.calls.len() >= MAX_PENDING_CALLS {
+            self.answer(caller, CallResult::Overloaded);
+            return;
+        }
         self.calls.last_number += 1;
         let number = self.calls.last_number;
         let pending = PendingCall {
@@ -159,7 +165,7 @@
             return false;
         }
         pending.lose_leader();
-        now < pending.deadline && pending.may_be_resent()
+        now < pending.deadline && pending.may_be_sent()
     }
 
     fn enqueue_own(&mut self, number: u64) {
@@ -265,6 +271,7 @@
             result: match result {
                 CallResult::Executed(_) => "executed",
                 CallResult::NotExecuted => "not_executed",
+                CallResult::Overloaded => "overloaded",
                 CallResult::Unknown => "unknown",
             },
         });
@@ -287,6 +294,7 @@
     match result {
         CallResult::Executed(outcome) => Response::Executed(outcome),
         CallResult::NotExecuted => Response::NotExecuted,
+        CallResult::Overloaded => Response::Overloaded,
         CallResult::Unknown => Response::Unknown,
     }
 }
--- a/crates/coordination/src/machine/leadership.rs
+++ b/crates/coordination/src/machine/leadership.rs
@@ -22,8 +22,12 @@
 }
 
 impl CoordinationMachine {
-    /// Whether a leader with a quorum was heard of within the longest election time-out.
+    /// Whether a leader with a quorum was heard of within the longest election time-out, and this
+    /// machine's state is the group's.
     pub fn in_quorum(&self) -> bool {
+        if self.is_state_damaged {
+            return false;
+        }
         let last_heard = if self.replica.is_leader() {
             self.replica.last_leader_contact()
         } else {
@@ -35,6 +39,11 @@
         last_heard.is_some_and(|at| self.now <= at + patience)
     }
 
+    /// Whether this machine has applied everything that the leader has announced as committed.
+    pub(super) fn is_caught_up(&self) -> bool {
+        self.in_quorum() && self.applied >= self.announced_commit
+    }
+
     /// The leader of the current term, if it is known; it may be this machine.
     pub(super) fn leader(&self) -> Option<LeaderAddress> {
         let leader = self.replica.leader()?;
--- a/crates/coordination/src/machine/mod.rs
+++ b/crates/coordination/src/machine/mod.rs
@@ -54,6 +54,10 @@
     state: CoordinationState,
     /// The position of the last entry that was applied.
     applied: u64,
+    /// The greatest position that a leader has announced as committed.
+    announced_commit: u64,
+    /// Whether an entry or a snapshot could not be read, so that the state is not the group's.
+    is_state_damaged: bool,
     /// Bytes of commands in the log since its last snapshot.
     log_bytes: usize,
     leader_clock: LeaderClock,
@@ -87,6 +91,8 @@
             replica: Replica::new(durable, replica_settings, now, seed),
             state: CoordinationState::default(),
             applied: 0,
+            announced_commit: 0,
+            is_state_damaged: false,
             log_bytes: 0,
             leader_clock: LeaderClock::default(),
             lease_clock: None,
--- a/crates/coordination/src/machine/replication.rs
+++ b/crates/coordination/src/machine/replication.rs
@@ -6,7 +6,9 @@
 use crate::batch::Batch;
 use crate::state::{AppliedBatch, CoordinationState};
 use crate::wire::Packet;
-use woadstall_consensus::{Entry, EntryPayload, Message, Output, Snapshot, is_from_leader};
+use woadstall_consensus::{
+    Entry, EntryPayload, Message, MessageBody, Output, Snapshot, is_from_leader,
+};
 
 /// Bytes of batches in the log since its last snapshot from which on a new one is taken.
 const COMPACT_BYTES: usize = 1 << 20;
@@ -27,9 +29,11 @@
     pub(super) fn on_consensus(&mut self, message: Message, clock: u64) {
         let (from, term) = (message.from, message.term);
         let is_from_leader = is_from_leader(&message);
+        let announced = announced_commit(&message);
         self.replica.handle_message(self.now, message);
         if is_from_leader && self.replica.term() == term && self.replica.leader() == Some(from) {
             self.leader_clock.observe(self.now, term, clock);
+            self.announced_commit = self.announced_commit.max(announced);
         }
         self.process_replica_outputs();
     }
@@ -76,12 +80,16 @@
                 self.applied = snapshot.index;
                 self.log_bytes = 0;
                 self.state = state;
+                self.is_state_damaged = false;
                 self.answer_all_watches();
             }
-            Err(error) => self.log(LogEvent::SnapshotRejected {
-                index: snapshot.index,
-                error: error.to_string(),
-            }),
+            Err(error) => {
+                self.is_state_damaged = true;
+                self.log(LogEvent::SnapshotRejected {
+                    index: snapshot.index,
+                    error: error.to_string(),
+                });
+            }
         }
     }
 
@@ -93,10 +101,13 @@
                 self.log_bytes += bytes.len();
                 match Batch::decode(&bytes) {
                     Ok(batch) => self.apply_batch(index, batch),
-                    Err(error) => self.log(LogEvent::EntryRejected {
-                        index,
-                        error: error.to_string(),
-                    }),
+                    Err(error) => {
+                        self.is_state_damaged = true;
+                        self.log(LogEvent::EntryRejected {
+                            index,
+                            error: error.to_string(),
+                        });
+                    }
                 }
             }
             EntryPayload::Membership(membership) => {
@@ -153,3 +164,12 @@
         }
     }
 }
+
+/// The position that a leader's message announces as committed, or 0.
+fn announced_commit(message: &Message) -> u64 {
+    match &message.body {
+        MessageBody::AppendEntriesRequest(request) => request.leader_commit,
+        MessageBody::InstallSnapshotRequest(request) => request.chunk.meta.last_log.index,
+        _ => 0,
+    }
+}
--- a/crates/coordination/src/machine/watches.rs
+++ b/crates/coordination/src/machine/watches.rs
@@ -143,7 +143,8 @@
     /// The response to a watch, if there is one by now.
     fn response_to_watch(&self, number: u64) -> Option<Response> {
         let watch = self.watches.by_number.get(&number)?;
-        if watch.after > 0 {
+        // The events of a machine that is far behind may be compacted at all others.
+        if watch.after > 0 && self.is_caught_up() {
             match self.state.events_after(&watch.group, watch.after) {
                 Err(_) => return Some(Response::HistoryCompacted),
                 Ok(found) if !found.events.is_empty() => return Some(Response::Events(found)),
