Coordination: a second request of a lock's holder never shortens its lease

A caller counts itself holder from its last successful call. Where the response to a second POST was lost, that is the first one, but the state had already replaced the lease by one of the second request's duration: a lease of 5 s, requested again for 1 s, was free after 1 s while its holder relied on 5 s. Renewals kept the later of the two ends, requests did not; now both do.

a_second_request_of_the_holder_never_shortens_its_lease failed before ("left: LockAcquired { fencing_token: 3 }" 1 ms before the end of the first lease).

--- a/crates/coordination/src/state/locks.rs
+++ b/crates/coordination/src/state/locks.rs
@@ -63,7 +63,8 @@
     }
 
     /// Acquires a lock that nobody else holds. Its holder gets a new fencing token, so that calls
-    /// of its former hold that are still under way do not concern this one.
+    /// of its former hold that are still under way do not concern this one. The lease never ends
+    /// earlier than it was to end before: where the response is lost, the holder relies on that.
     pub fn acquire(&mut self, request: AcquireRequest) -> Outcome {
         let AcquireRequest {
             lock,
@@ -78,12 +79,13 @@
         if current.is_none() && !has_room {
             return Outcome::LimitReached;
         }
+        let former_expiry_ms = current.map_or(0, |lease| lease.expires_ms);
         self.last_fencing_token += 1;
         let fencing_token = self.last_fencing_token;
         let lease = Lease {
             holder,
             fencing_token,
-            expires_ms,
+            expires_ms: expires_ms.max(former_expiry_ms),
         };
         self.insert(lock, lease);
         Outcome::LockAcquired { fencing_token }
--- /dev/null
+++ b/crates/coordination/tests/locks.rs
@@ -0,0 +1,237 @@
+//! Locks: who holds one, until when, and with which fencing token.
+
+mod support;
+
+use rstest::rstest;
+use support::{Service, acquire, acquired, release, renew};
+use woadstall_coordination::outcome::Outcome;
+
+#[test]
+fn a_lock_is_held_by_one_caller_at_a_time() {
+    let mut service = Service::new();
+    assert_eq!(service.execute(acquire("l", "a", 3_000)), acquired(1));
+    assert_eq!(service.execute(acquire("l", "b", 3_000)), Outcome::LockHeld);
+    assert_eq!(service.execute(acquire("m", "b", 3_000)), acquired(2));
+}
+
+#[rstest]
+#[case::just_before_its_end(2_999, Outcome::LockHeld)]
+#[case::at_its_end(3_000, acquired(2))]
+#[case::long_after(60_000, acquired(2))]
+fn a_lease_ends_after_its_duration(#[case] elapsed_ms: u64, #[case] expected: Outcome) {
+    let mut service = Service::new();
+    service.advance(10_000);
+    service.execute(acquire("l", "a", 3_000));
+    service.advance(elapsed_ms);
+    assert_eq!(service.execute(acquire("l", "b", 1_000)), expected);
+}
+
+#[test]
+fn a_batch_reports_the_leases_that_ran_out_by_its_time() {
+    let mut service = Service::new();
+    service.execute(acquire("l", "a", 3_000));
+    service.execute(acquire("m", "a", 2_000));
+    service.execute(acquire("n", "a", 9_000));
+    service.advance(3_000);
+    assert_eq!(service.checkpoint().expired_locks, ["m", "l"]);
+    assert_eq!(service.state.size().leases, 1);
+    assert!(service.checkpoint().expired_locks.is_empty());
+}
+
+#[test]
+fn the_holder_gets_its_lock_again_with_a_greater_token_and_more_time() {
+    let mut service = Service::new();
+    service.execute(acquire("l", "a", 3_000));
+    service.advance(2_000);
+    assert_eq!(service.execute(acquire("l", "a", 3_000)), acquired(2));
+    service.advance(2_999);
+    assert_eq!(service.execute(acquire("l", "b", 1_000)), Outcome::LockHeld);
+    service.advance(1);
+    assert_eq!(service.execute(acquire("l", "b", 1_000)), acquired(3));
+}
+
+// A caller whose second request got no answer counts from its first one.
+#[test]
+fn a_second_request_of_the_holder_never_shortens_its_lease() {
+    let mut service = Service::new();
+    service.execute(acquire("l", "a", 5_000));
+    service.execute(acquire("l", "a", 1_000));
+    service.advance(4_999);
+    assert_eq!(service.execute(acquire("l", "b", 1_000)), Outcome::LockHeld);
+    service.advance(1);
+    assert_eq!(service.execute(acquire("l", "b", 1_000)), acquired(3));
+}
+
+#[test]
+fn a_renewal_counts_from_its_own_time() {
+    let mut service = Service::new();
+    service.execute(acquire("l", "a", 3_000));
+    service.advance(2_999);
+    let renewal = renew("l", "a", 1, 3_000);
+    assert_eq!(service.execute(renewal), Outcome::LockRenewed);
+    service.advance(2_999);
+    assert_eq!(service.execute(acquire("l", "b", 1_000)), Outcome::LockHeld);
+    service.advance(1);
+    assert_eq!(service.execute(acquire("l", "b", 1_000)), acquired(2));
+}
+
+#[test]
+fn a_renewal_never_shortens_the_lease() {
+    let mut service = Service::new();
+    service.execute(acquire("l", "a", 5_000));
+    service.execute(renew("l", "a", 1, 100));
+    service.advance(4_999);
+    assert_eq!(service.execute(acquire("l", "b", 1_000)), Outcome::LockHeld);
+}
+
+#[test]
+fn a_renewal_at_the_end_of_the_lease_or_later_fails() {
+    let mut service = Service::new();
+    service.execute(acquire("l", "a", 3_000));
+    service.advance(3_000);
+    let renewal = renew("l", "a", 1, 3_000);
+    assert_eq!(service.execute(renewal.clone()), Outcome::LockLost);
+    assert_eq!(service.execute(acquire("l", "b", 3_000)), acquired(2));
+    assert_eq!(service.execute(renewal), Outcome::LockLost);
+    assert_eq!(
+        service.execute(renew("l", "b", 2, 3_000)),
+        Outcome::LockRenewed
+    );
+}
+
+#[rstest]
+#[case::another_holder("b", 2)]
+#[case::an_older_token("a", 1)]
+#[case::a_token_to_come("a", 3)]
+#[case::token_0("a", 0)]
+fn calls_that_do_not_name_the_lease_leave_it_alone(#[case] holder: &str, #[case] token: u64) {
+    let mut service = Service::new();
+    service.execute(acquire("l", "a", 3_000));
+    service.execute(acquire("l", "a", 3_000));
+    let before = service.state.clone();
+    let renewal = renew("l", holder, token, 60_000);
+    assert_eq!(service.execute(renewal), Outcome::LockLost);
+    let release = release("l", holder, token);
+    assert_eq!(service.execute(release), Outcome::LockReleased);
+    assert_eq!(service.state.size(), before.size());
+    service.advance(2_999);
+    assert_eq!(service.execute(acquire("l", "c", 1_000)), Outcome::LockHeld);
+    service.advance(1);
+    assert_eq!(service.execute(acquire("l", "c", 1_000)), acquired(3));
+}
+
+#[test]
+fn a_released_lock_is_free_at_once() {
+    let mut service = Service::new();
+    service.execute(acquire("l", "a", 3_000));
+    assert_eq!(service.execute(release("l", "a", 1)), Outcome::LockReleased);
+    assert_eq!(
+        service.execute(renew("l", "a", 1, 3_000)),
+        Outcome::LockLost
+    );
+    assert_eq!(service.execute(acquire("l", "b", 3_000)), acquired(2));
+}
+
+#[test]
+fn a_release_of_what_is_not_held_succeeds() {
+    let mut service = Service::new();
+    assert_eq!(service.execute(release("l", "a", 1)), Outcome::LockReleased);
+    service.execute(acquire("l", "a", 3_000));
+    service.advance(3_000);
+    assert_eq!(service.execute(release("l", "a", 1)), Outcome::LockReleased);
+}
+
+// The release of the former hold is still under way when the same holder acquires the lock again.
+#[test]
+fn a_late_release_of_a_former_hold_does_not_touch_the_new_one() {
+    let mut service = Service::new();
+    service.execute(acquire("l", "a", 3_000));
+    assert_eq!(service.execute(acquire("l", "a", 3_000)), acquired(2));
+    assert_eq!(service.execute(release("l", "a", 1)), Outcome::LockReleased);
+    assert_eq!(service.execute(acquire("l", "b", 3_000)), Outcome::LockHeld);
+    assert_eq!(
+        service.execute(renew("l", "a", 2, 3_000)),
+        Outcome::LockRenewed
+    );
+}
+
+#[test]
+fn the_next_life_of_a_holder_that_died_takes_its_lock_back() {
+    let mut service = Service::new();
+    service.execute(acquire("l", "a", 5_000));
+    service.advance(1_000);
+    assert_eq!(service.execute(acquire("l", "a", 5_000)), acquired(2));
+    let renewal_of_the_former_life = renew("l", "a", 1, 60_000);
+    assert_eq!(
+        service.execute(renewal_of_the_former_life),
+        Outcome::LockLost
+    );
+    service.advance(5_000);
+    assert_eq!(service.execute(acquire("l", "b", 1_000)), acquired(3));
+}
+
+#[test]
+fn fencing_tokens_rise_over_releases_expiries_and_snapshots() {
+    let mut service = Service::new();
+    assert_eq!(service.execute(acquire("l", "a", 3_000)), acquired(1));
+    service.execute(release("l", "a", 1));
+    service.restore_from_snapshot();
+    assert_eq!(service.execute(acquire("l", "b", 3_000)), acquired(2));
+    service.advance(3_000);
+    service.checkpoint();
+    service.restore_from_snapshot();
+    assert_eq!(service.execute(acquire("l", "a", 3_000)), acquired(3));
+}
+
+#[test]
+fn a_rejected_request_takes_no_fencing_token() {
+    let mut service = Service::new();
+    service.execute(acquire("l", "a", 3_000));
+    service.execute(acquire("l", "b", 3_000));
+    assert_eq!(service.execute(acquire("m", "b", 3_000)), acquired(2));
+}
+
+#[rstest]
+#[case::nothing(0)]
+#[case::forever(u64::MAX)]
+fn extreme_durations_are_kept(#[case] hold_ms: u64) {
+    let mut service = Service::new();
+    service.advance(1_000);
+    assert_eq!(service.execute(acquire("l", "a", hold_ms)), acquired(1));
+    service.advance(1);
+    let is_held = service.execute(acquire("l", "b", 1_000)) == Outcome::LockHeld;
+    assert_eq!(is_held, hold_ms > 0);
+}
+
+#[test]
+fn calls_of_one_batch_are_executed_in_their_order() {
+    use woadstall_coordination::command::Call;
+    let mut service = Service::new();
+    let calls = [
+        acquire("l", "a", 3_000),
+        acquire("l", "b", 3_000),
+        release("l", "a", 1),
+        acquire("l", "b", 3_000),
+    ];
+    let applied = service.apply(calls.map(Call::Command));
+    let outcomes: Vec<Outcome> = applied
+        .outcomes
+        .into_iter()
+        .map(|one| one.outcome)
+        .collect();
+    let expected = [
+        acquired(1),
+        Outcome::LockHeld,
+        Outcome::LockReleased,
+        acquired(2),
+    ];
+    assert_eq!(outcomes, expected);
+}
+
+#[test]
+fn names_of_locks_are_any_text() {
+    let mut service = Service::new();
+    for (token, lock) in (1..).zip(["", ".", "l ", "l\0", "\u{10ffff}", &"x".repeat(256)]) {
+        assert_eq!(service.execute(acquire(lock, "a", 3_000)), acquired(token));
+    }
+}
