Coordination: stored batches and states carry a checksum before their payload

nanoserde 0.2.1 allocates a Vec of the length that its input names. One flipped byte in a batch or a state, or a batch of another layout, asks for terabytes: on the code before, one flipped bit in a length of an encoded batch ended the test process in handle_alloc_error (no unwinding, so no error either). A batch was also decoded whole before its version was looked at, so a machine in a rolling upgrade met that too.

Both now share one encoding: the version first, then a CRC-32, then the payload, which is decoded only if both match. The stored form is not in use yet, so its version stays 1. Checksums of the disk and of the links were no substitute for the version.

--- a/crates/coordination/src/batch.rs
+++ b/crates/coordination/src/batch.rs
@@ -1,11 +1,8 @@
 //! The entries of the replicated log: calls that are executed together.
 
 use crate::command::Call;
-use nanoserde::{DeBin, DeBinErr, SerBin};
-use thiserror::Error;
-
-/// The version of the encoding. Others are not read.
-const FORMAT_VERSION: u16 = 1;
+use crate::encoding::{self, DecodeError};
+use nanoserde::{DeBin, SerBin};
 
 /// Identifies a call among those of all processes that ever ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, SerBin, DeBin)]
@@ -37,32 +34,10 @@
     pub calls: Vec<BatchedCall>,
 }
 
-/// A batch with the version of its encoding.
-#[derive(SerBin, DeBin)]
-struct StoredBatch {
-    version: u16,
-    batch: Batch,
-}
-
-/// A batch can't be decoded from bytes.
-#[derive(Debug, Error)]
-pub enum BatchError {
-    /// The bytes are damaged.
-    #[error("the batch can't be decoded: {0}")]
-    Encoding(#[from] DeBinErr),
-    /// The encoding has another version.
-    #[error("batch format {0} instead of {FORMAT_VERSION}")]
-    Version(u16),
-}
-
 impl Batch {
     /// The batch as bytes.
-    pub fn encode(self) -> Vec<u8> {
-        let stored = StoredBatch {
-            version: FORMAT_VERSION,
-            batch: self,
-        };
-        stored.serialize_bin()
+    pub fn encode(&self) -> Vec<u8> {
+        encoding::encode(self)
     }
 
     /// The batch from its bytes.
@@ -70,12 +45,7 @@
     /// # Errors
     ///
     /// Where the bytes are damaged or of another version.
-    pub fn decode(bytes: &[u8]) -> Result<Self, BatchError> {
-        let StoredBatch { version, batch } = StoredBatch::deserialize_bin(bytes)?;
-        if version == FORMAT_VERSION {
-            Ok(batch)
-        } else {
-            Err(BatchError::Version(version))
-        }
+    pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+        encoding::decode(bytes)
     }
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,10 +7,12 @@
 //! - [`state`] is what the log makes of them. It is deterministic: all replicas come to the same state.
 //! - [`machine`] is a replica of the group with the calls and watches that wait at it. The process
 //!   that runs it hands in packets, calls and the time.
+//! - [`encoding`] is how batches and states are stored.
 //! - [`wire`] is what the machines send each other.
 
 pub mod batch;
 pub mod command;
+pub mod encoding;
 pub mod machine;
 pub mod outcome;
 pub mod state;
--- a/crates/coordination/src/state/mod.rs
+++ b/crates/coordination/src/state/mod.rs
@@ -14,7 +14,6 @@
 mod snapshot;
 
 pub use feed::{Event, GroupEvents, WatchError};
-pub use snapshot::StateError;
 
 use crate::batch::{Batch, BatchedCall, CallId};
 use crate::command::{Call, Command, Query};
--- a/crates/coordination/src/state/snapshot.rs
+++ b/crates/coordination/src/state/snapshot.rs
@@ -6,27 +6,12 @@
 use super::locks::{Lease, LockTable};
 use super::sequences::SequenceTable;
 use crate::command::group_of;
-use nanoserde::{DeBin, DeBinErr, SerBin};
-use thiserror::Error;
-
-/// The version of the encoding. Others are not read.
-const FORMAT_VERSION: u16 = 1;
-
-/// A state can't be decoded from bytes.
-#[derive(Debug, Error)]
-pub enum StateError {
-    /// The bytes are damaged.
-    #[error("the state can't be decoded: {0}")]
-    Encoding(#[from] DeBinErr),
-    /// The encoding has another version.
-    #[error("state format {0} instead of {FORMAT_VERSION}")]
-    Version(u16),
-}
+use crate::encoding::{self, DecodeError};
+use nanoserde::{DeBin, SerBin};
 
 /// The fields of a state, in the order in which they are stored.
 #[derive(SerBin, DeBin)]
 struct StoredState {
-    version: u16,
     index: u64,
     clock_ms: u64,
     last_fencing_token: u64,
@@ -79,7 +64,6 @@
     pub fn encode(&self) -> Vec<u8> {
         let feed = self.keys.feed();
         let stored = StoredState {
-            version: FORMAT_VERSION,
             index: self.index,
             clock_ms: self.clock_ms,
             last_fencing_token: self.locks.last_fencing_token(),
@@ -90,7 +74,7 @@
             first_offset: feed.first_offset(),
             events: feed.events().map(StoredEvent::from).collect(),
         };
-        stored.serialize_bin()
+        encoding::encode(&stored)
     }
 
     /// The state from its bytes.
@@ -98,13 +82,8 @@
     /// # Errors
     ///
     /// Where the bytes are damaged or of another version.
-    pub fn decode(bytes: &[u8]) -> Result<Self, StateError> {
-        let mut offset = 0;
-        let version = u16::de_bin(&mut offset, bytes)?;
-        if version != FORMAT_VERSION {
-            return Err(StateError::Version(version));
-        }
-        let stored = StoredState::deserialize_bin(bytes)?;
+    pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+        let stored: StoredState = encoding::decode(bytes)?;
         let mut state = Self {
             index: stored.index,
             clock_ms: stored.clock_ms,
