Coordination: a put sent twice is not reported as rejected while a copy may succeed

412 and 429 promise that a call has not taken effect and never will. A put is sent again when the connection to the leader breaks; the queue knows ids only until they are in a batch, so the log can hold two copies.

A call of which the log may hold several copies is now answered as unknown, unless the outcome is final for every copy: a revision that is gone never comes back.

a_put_is_not_reported_as_rejected_while_a_second_copy_may_succeed failed before ("left: Some(Executed(RevisionConflict { current: 1 }))", then the put of that call at revision 3). It comes with the tests of machines that are wired by hand in virtual time: the way of a call, changes of leadership, the lease clock over leaders, watches.

--- a/crates/coordination/src/command.rs
+++ b/crates/coordination/src/command.rs
@@ -1,5 +1,6 @@
 //! The calls of applications.
 
+use crate::outcome::Outcome;
 use nanoserde::{DeBin, SerBin};
 
 /// A call that may change the state; it takes effect as part of a [`Batch`](crate::batch::Batch).
@@ -57,6 +58,18 @@
         !matches!(self, Self::AcquireLock { .. })
     }
 
+    /// Whether a second execution can't take effect any more where the first one had this outcome.
+    /// A put that did not fit, or that requires a revision to come, may still succeed.
+    pub fn is_settled_by(&self, outcome: &Outcome) -> bool {
+        match (self, outcome) {
+            (Self::Put { if_revision, .. }, Outcome::RevisionConflict { current }) => {
+                if_revision.is_some_and(|required| required < *current)
+            }
+            (_, Outcome::LimitReached) => false,
+            _ => true,
+        }
+    }
+
     /// About how many bytes the command takes in a batch.
     pub fn size(&self) -> usize {
         const HEADER_BYTES: usize = 40;
--- a/crates/coordination/src/machine/calls.rs
+++ b/crates/coordination/src/machine/calls.rs
@@ -48,6 +48,8 @@
     sent_to: Option<LeaderAddress>,
     /// Whether a former leader may have executed it, or may still do so.
     is_in_doubt: bool,
+    /// Whether the log may hold more than one copy of it.
+    is_repeated: bool,
 }
 
 impl PendingCall {
@@ -61,6 +63,22 @@
         }
     }
 
+    /// What is known of the call once a copy of it was executed.
+    fn result_of(&self, outcome: Outcome) -> CallResult {
+        match &self.call {
+            Call::Command(command) if self.is_repeated && !command.is_settled_by(&outcome) => {
+                CallResult::Unknown
+            }
+            _ => CallResult::Executed(outcome),
+        }
+    }
+
+    /// The call is given to a leader.
+    fn send_to(&mut self, leader: LeaderAddress) {
+        self.sent_to = Some(leader);
+        self.is_repeated |= self.is_in_doubt;
+    }
+
     /// The leader that has the call does not have it for certain any more.
     fn lose_leader(&mut self) {
         if self.sent_to.take().is_some() {
@@ -120,6 +138,7 @@
             deadline: self.now + CALL_TIMEOUT_MS,
             sent_to: None,
             is_in_doubt: false,
+            is_repeated: false,
         };
         self.calls.by_number.insert(number, pending);
         self.dispatch([number].into_iter());
@@ -139,7 +158,7 @@
                 continue;
             }
             if self.replica.is_leader() {
-                self.enqueue_own(number);
+                self.enqueue_own(number, &leader);
             } else {
                 forwarded.extend(self.forwarded(number, &leader));
             }
@@ -162,14 +181,13 @@
         now < pending.deadline && pending.may_be_resent()
     }
 
-    fn enqueue_own(&mut self, number: u64) {
-        let leader = self.leader();
+    fn enqueue_own(&mut self, number: u64, leader: &LeaderAddress) {
         let taken_by = self.own_address().to_owned();
         let id = self.call_id(number);
         let Some(pending) = self.calls.by_number.get_mut(&number) else {
             return;
         };
-        pending.sent_to = leader;
+        pending.send_to(leader.clone());
         let queued = QueuedCall {
             call: pending.batched(id),
             taken_by,
@@ -194,7 +212,7 @@
         let expires = self
             .leader_clock
             .to_leader_time(leader.term, pending.deadline)?;
-        pending.sent_to = Some(leader.clone());
+        pending.send_to(leader.clone());
         let call = pending.batched(id);
         Some(ForwardedCall { call, expires })
     }
@@ -213,8 +231,12 @@
     /// Calls were executed; those that this process has taken are answered.
     pub(super) fn on_executed_calls(&mut self, outcomes: Vec<CallOutcome>) {
         for CallOutcome { id, outcome } in outcomes {
-            if id.incarnation == self.settings.incarnation {
-                self.finish(id.number, CallResult::Executed(outcome));
+            if id.incarnation != self.settings.incarnation {
+                continue;
+            }
+            if let Some(pending) = self.calls.by_number.get(&id.number) {
+                let result = pending.result_of(outcome);
+                self.finish(id.number, result);
             }
         }
     }
--- /dev/null
+++ b/crates/coordination/tests/machine/calls.rs
@@ -0,0 +1,251 @@
+//! The way of a call: to the leader, into the log, and back; and what its caller is told where that
+//! fails.
+
+use crate::calls_support::{acquire, acquired, get, next_number, number, put, put_at, value};
+use crate::cluster::{Cluster, STEP_MS};
+use rstest::rstest;
+use woadstall_coordination::command::{Call, Command};
+use woadstall_coordination::machine::Response;
+use woadstall_coordination::outcome::Outcome;
+use woadstall_coordination::wire::Packet;
+
+/// The time in milliseconds after which a call has its answer.
+const CALL_TIMEOUT_MS: u64 = 900;
+
+fn executed(outcome: Outcome) -> Option<Response> {
+    Some(Response::Executed(outcome))
+}
+
+/// A query that has nothing to find.
+fn query() -> Call {
+    Call::Query(get("g.a"))
+}
+
+#[test]
+fn a_single_machine_answers_its_calls() {
+    let (mut cluster, leader) = Cluster::with_leader(1);
+    assert_eq!(cluster.execute(leader, next_number("n")), number(1));
+    let token = cluster.submit(leader, query());
+    assert_eq!(
+        cluster.await_response(token, 100),
+        executed(Outcome::KeyNotFound)
+    );
+}
+
+#[test]
+fn every_machine_takes_calls() {
+    let (mut cluster, _) = Cluster::with_leader(3);
+    for (id, expected) in [(1, 1), (2, 2), (3, 3)] {
+        assert_eq!(cluster.execute(id, next_number("n")), number(expected));
+    }
+    assert_eq!(cluster.execute(1, put("g.a", "x", None)), put_at(1));
+    for id in [1, 2, 3] {
+        let token = cluster.submit(id, query());
+        let response = cluster.await_response(token, 100);
+        assert_eq!(response, executed(value("x", 1)), "machine {id}");
+    }
+    cluster.await_same_states();
+}
+
+#[test]
+fn calls_without_a_leader_are_not_executed() {
+    let mut cluster = Cluster::new(3);
+    for call in [query(), Call::Command(acquire("l", "a", 1_000))] {
+        let token = cluster.submit(1, call);
+        assert_eq!(cluster.response(token), Some(Response::NotExecuted));
+    }
+}
+
+#[test]
+fn an_isolated_machine_stops_taking_calls() {
+    let (mut cluster, _) = Cluster::with_leader(3);
+    let follower = cluster.follower();
+    cluster.isolate(follower);
+    cluster.run(1_600);
+    let token = cluster.submit_command(follower, next_number("n"));
+    assert_eq!(cluster.response(token), Some(Response::NotExecuted));
+}
+
+#[rstest]
+#[case::command(Call::Command(next_number("n")), Response::Unknown)]
+#[case::query(query(), Response::NotExecuted)]
+fn a_forwarded_call_without_an_answer_ends_in_time(#[case] call: Call, #[case] expected: Response) {
+    let (mut cluster, _) = Cluster::with_leader(3);
+    let follower = cluster.follower();
+    cluster.drop_packets(|_, _, packet| matches!(packet, Packet::Calls(_)));
+    let token = cluster.submit(follower, call);
+    let end = cluster.now + CALL_TIMEOUT_MS;
+    assert_eq!(
+        cluster.await_response(token, CALL_TIMEOUT_MS - STEP_MS),
+        None
+    );
+    assert_eq!(cluster.await_response(token, 2 * STEP_MS), Some(expected));
+    assert!(cluster.now <= end + STEP_MS);
+}
+
+// The caller has been told that the outcome is unknown; the call arrives at the leader afterwards.
+#[test]
+fn a_call_that_reaches_the_leader_after_its_time_is_not_executed() {
+    let (mut cluster, leader) = Cluster::with_leader(3);
+    let follower = cluster.follower();
+    cluster.drop_packets(|_, _, packet| matches!(packet, Packet::Calls(_)));
+    cluster.submit_command(follower, acquire("l", "a", 60_000));
+    let calls = cluster.forwarded_calls();
+    assert_eq!(calls.len(), 1);
+    cluster.drop_nothing();
+    cluster.run(CALL_TIMEOUT_MS + 2 * STEP_MS);
+    let sent = cluster.sent.len();
+    cluster.hand_in(follower, leader, calls[0].clone());
+    cluster.run(200);
+    let rejected = |packet: &Packet| matches!(packet, Packet::RejectedCalls(ids) if ids.len() == 1);
+    let mut later = cluster.sent[sent..].iter();
+    assert!(later.any(|(from, _, packet)| *from == leader && rejected(packet)));
+    assert_eq!(cluster.machine(leader).state().size().leases, 0);
+}
+
+#[test]
+fn a_call_for_another_term_is_not_executed() {
+    let (mut cluster, leader) = Cluster::with_leader(3);
+    let follower = cluster.follower();
+    cluster.drop_packets(|_, _, packet| matches!(packet, Packet::Calls(_)));
+    cluster.submit_command(follower, acquire("l", "a", 60_000));
+    let Packet::Calls(mut calls) = cluster.forwarded_calls().remove(0) else {
+        unreachable!()
+    };
+    calls[0].expires.term -= 1;
+    cluster.hand_in(follower, leader, Packet::Calls(calls));
+    cluster.run(200);
+    assert_eq!(cluster.machine(leader).state().size().leases, 0);
+}
+
+#[test]
+fn a_call_that_was_lost_with_its_connection_is_sent_again() {
+    let (mut cluster, leader) = Cluster::with_leader(3);
+    let follower = cluster.follower();
+    cluster.drop_packets(|_, _, packet| matches!(packet, Packet::Calls(_)));
+    let token = cluster.submit_command(follower, put("g.a", "x", Some(0)));
+    cluster.drop_nothing();
+    cluster.run(100);
+    assert_eq!(cluster.response(token), None);
+    cluster.reset_link(follower, leader);
+    assert_eq!(cluster.await_response(token, 100), executed(put_at(1)));
+}
+
+#[test]
+fn a_request_for_a_lock_is_never_sent_twice() {
+    let (mut cluster, leader) = Cluster::with_leader(3);
+    let follower = cluster.follower();
+    cluster.drop_packets(|_, _, packet| matches!(packet, Packet::Calls(_)));
+    let token = cluster.submit_command(follower, acquire("l", "a", 60_000));
+    cluster.drop_nothing();
+    cluster.reset_link(follower, leader);
+    let response = cluster.await_response(token, CALL_TIMEOUT_MS + STEP_MS);
+    assert_eq!(response, Some(Response::Unknown));
+    assert_eq!(cluster.forwarded_calls().len(), 1);
+    assert_eq!(cluster.machine(leader).state().size().leases, 0);
+}
+
+// The first copy has been proposed, its outcome is on its way.
+#[test]
+fn a_call_that_is_sent_twice_takes_effect_once() {
+    let (mut cluster, leader) = Cluster::with_leader(3);
+    let follower = cluster.follower();
+    let token = cluster.submit_command(follower, put("g.a", "x", None));
+    cluster.run(2 * STEP_MS);
+    cluster.reset_link(follower, leader);
+    assert_eq!(cluster.await_response(token, 300), executed(put_at(1)));
+    cluster.run(300);
+    assert_eq!(cluster.machine(leader).state().group_revision("g"), 1);
+}
+
+/// Two copies of a follower's put are committed in two batches, with another put in between.
+/// Returns what the caller of the first put is told.
+fn response_to_a_put_that_is_proposed_twice(required: u64, between: Command) -> Option<Response> {
+    let (mut cluster, leader) = Cluster::with_leader(3);
+    let follower = cluster.follower();
+    assert_eq!(
+        cluster.execute(leader, put("g.a", "first", None)),
+        put_at(1)
+    );
+    cluster.run(100);
+    // The leader's commit does not reach the follower while the copies are made.
+    let from_leader = move |from, to, packet: &Packet| {
+        (from, to) == (leader, follower) && matches!(packet, Packet::Consensus { .. })
+    };
+    cluster.drop_packets(from_leader);
+    let token = cluster.submit_command(follower, put("g.a", "twice", Some(required)));
+    cluster.run(100);
+    cluster.execute(leader, between);
+    cluster.run(100);
+    cluster.reset_link(follower, leader);
+    cluster.run(100);
+    cluster.drop_nothing();
+    cluster.await_response(token, CALL_TIMEOUT_MS)
+}
+
+#[test]
+fn a_put_over_a_revision_that_is_gone_is_rejected_for_good() {
+    let between = put("g.a", "between", Some(1));
+    let response = response_to_a_put_that_is_proposed_twice(0, between);
+    assert_eq!(response, executed(Outcome::RevisionConflict { current: 1 }));
+}
+
+// The first copy is rejected, and the second one succeeds.
+#[test]
+fn a_put_is_not_reported_as_rejected_while_a_second_copy_may_succeed() {
+    let between = put("g.a", "between", Some(1));
+    let response = response_to_a_put_that_is_proposed_twice(2, between);
+    assert_eq!(response, Some(Response::Unknown));
+}
+
+#[test]
+fn calls_that_the_queue_has_no_room_for_are_executed_later() {
+    const CALLS: u64 = 6_000;
+    let (mut cluster, leader) = Cluster::with_leader(3);
+    let submit = |_| cluster.submit_command(leader, next_number("n"));
+    let tokens: Vec<u64> = (0..CALLS).map(submit).collect();
+    assert!(cluster.machine(leader).status().queued_calls <= 4_096);
+    cluster.run(CALL_TIMEOUT_MS - STEP_MS);
+    let mut values = Vec::new();
+    for token in tokens {
+        match cluster.response(token) {
+            Some(Response::Executed(Outcome::Number { value })) => values.push(value),
+            other => panic!("{other:?}"),
+        }
+    }
+    values.sort_unstable();
+    assert_eq!(values, (1..=CALLS).collect::<Vec<u64>>());
+}
+
+#[test]
+fn a_batch_is_bounded_and_calls_keep_their_order() {
+    let (mut cluster, leader) = Cluster::with_leader(3);
+    let large = "v".repeat(60 << 10);
+    let mut tokens = Vec::new();
+    for count in 0..10 {
+        let text = format!("{count}{large}");
+        tokens.push(cluster.submit_command(leader, put("g.a", &text, None)));
+    }
+    cluster.run(500);
+    for (token, revision) in tokens.into_iter().zip(1..) {
+        assert_eq!(cluster.response(token), executed(put_at(revision)));
+    }
+    assert!(cluster.machine(leader).status().counters.batches >= 3);
+}
+
+#[test]
+fn calls_of_an_earlier_process_are_not_answered() {
+    let (mut cluster, leader) = Cluster::with_leader(3);
+    let follower = cluster.follower();
+    cluster.submit_command(follower, acquire("l", "a", 60_000));
+    cluster.stop(follower);
+    cluster.run(300);
+    cluster.restart(follower);
+    cluster.run(1_000);
+    let token = cluster.submit_command(follower, next_number("n"));
+    assert_eq!(cluster.await_response(token, 300), executed(number(1)));
+    assert!(cluster.machine(leader).replica().is_leader());
+    let outcome = cluster.execute(follower, acquire("m", "a", 1_000));
+    let leases = cluster.machine(leader).state().size().leases as u64;
+    assert_eq!(outcome, acquired(leases));
+}
--- /dev/null
+++ b/crates/coordination/tests/machine/watches.rs
@@ -0,0 +1,238 @@
+//! Watches at any machine: events at once, and "none" only where that is certain.
+
+use crate::calls_support::{HISTORY_MS, acquire, listed, next_number, put, put_at};
+use crate::cluster::{Cluster, STEP_MS};
+use rstest::rstest;
+use woadstall_coordination::machine::Response;
+use woadstall_coordination::state::GroupEvents;
+
+/// Watches that may wait at a machine.
+const MAX_WATCHES: u64 = 1_024;
+/// How long after its end a watch is answered at the latest, in milliseconds.
+const CONFIRMATION_TIMEOUT_MS: u64 = 600;
+/// A commit on all machines, in milliseconds.
+const COMMIT_MS: u64 = 200;
+
+/// A group of three machines that have a key at revision 1, their leader and a follower.
+fn cluster() -> (Cluster, u64, u64) {
+    let (mut cluster, leader) = Cluster::with_leader(3);
+    assert_eq!(cluster.execute(leader, put("g.a", "x", None)), put_at(1));
+    cluster.run(COMMIT_MS);
+    let follower = cluster.follower();
+    (cluster, leader, follower)
+}
+
+fn without_events(revision: u64) -> Option<Response> {
+    let events = Vec::new();
+    Some(Response::Events(GroupEvents { events, revision }))
+}
+
+fn events(response: Option<Response>) -> GroupEvents {
+    match response {
+        Some(Response::Events(found)) if !found.events.is_empty() => found,
+        other => panic!("no events: {other:?}"),
+    }
+}
+
+#[test]
+fn events_reach_the_watches_of_their_group_on_every_machine() {
+    let (mut cluster, leader, _) = cluster();
+    let tokens = [1, 2, 3].map(|id| cluster.watch(id, "g", 1, 10_000));
+    let others = [1, 2, 3].map(|id| cluster.watch(id, "h", 1, 10_000));
+    cluster.run(1_000);
+    assert_eq!(
+        tokens.map(|token| cluster.response(token)),
+        [None, None, None]
+    );
+    cluster.execute(leader, put("g.b", "y", None));
+    cluster.run(COMMIT_MS);
+    for token in tokens {
+        let found = events(cluster.response(token));
+        assert_eq!(listed(&found), [("g.b", "y", 2)]);
+        assert_eq!(found.revision, 2);
+    }
+    assert_eq!(
+        others.map(|token| cluster.response(token)),
+        [None, None, None]
+    );
+}
+
+#[test]
+fn events_that_exist_are_answered_at_once() {
+    let (mut cluster, leader, follower) = cluster();
+    cluster.execute(leader, put("g.b", "y", None));
+    cluster.execute(leader, put("g.a", "z", None));
+    cluster.run(COMMIT_MS);
+    let token = cluster.watch(follower, "g", 1, 10_000);
+    let found = events(cluster.response(token));
+    assert_eq!(listed(&found), [("g.b", "y", 2), ("g.a", "z", 3)]);
+}
+
+#[rstest]
+#[case::no_time(0)]
+#[case::less_than_a_confirmation_takes(10)]
+#[case::two_seconds(2_000)]
+fn a_watch_without_events_ends_in_time(#[case] wait_ms: u64) {
+    let (mut cluster, _, _) = cluster();
+    let started = cluster.now;
+    let tokens = [1, 2, 3].map(|id| cluster.watch(id, "g", 1, wait_ms));
+    if wait_ms > 0 {
+        cluster.run(wait_ms - STEP_MS);
+        assert_eq!(
+            tokens.map(|token| cluster.response(token)),
+            [None, None, None]
+        );
+    }
+    for token in tokens {
+        assert_eq!(cluster.await_response(token, COMMIT_MS), without_events(1));
+    }
+    assert!(cluster.now <= started + wait_ms + COMMIT_MS);
+}
+
+#[test]
+fn a_watch_from_0_asks_for_the_revision_only() {
+    let (mut cluster, leader, follower) = cluster();
+    cluster.execute(leader, put("g.b", "y", None));
+    for (group, revision) in [("g", 2), ("h", 0)] {
+        let token = cluster.watch(follower, group, 0, 10_000);
+        let response = cluster.await_response(token, COMMIT_MS);
+        assert_eq!(response, without_events(revision));
+    }
+}
+
+// A revision that was acknowledged before the watch came is never denied.
+#[test]
+fn a_watch_from_0_sees_what_was_acknowledged_elsewhere() {
+    let (mut cluster, leader, follower) = cluster();
+    for revision in 2..20 {
+        let value = revision.to_string();
+        assert_eq!(
+            cluster.execute(leader, put("g.a", &value, None)),
+            put_at(revision)
+        );
+        let token = cluster.watch(follower, "g", 0, 0);
+        let response = cluster.await_response(token, COMMIT_MS);
+        assert_eq!(response, without_events(revision));
+    }
+}
+
+#[rstest]
+#[case::from_0(0, 0)]
+#[case::at_its_end(1, 400)]
+fn an_isolated_machine_never_says_that_there_is_no_event(#[case] after: u64, #[case] wait_ms: u64) {
+    let (mut cluster, leader, follower) = cluster();
+    cluster.isolate(follower);
+    let token = cluster.watch(follower, "g", after, wait_ms);
+    let end = wait_ms + CONFIRMATION_TIMEOUT_MS + STEP_MS;
+    cluster.execute(leader, put("g.b", "y", None));
+    let response = cluster.await_response(token, end.max(1_000));
+    assert_eq!(response, Some(Response::NotExecuted));
+}
+
+#[test]
+fn a_machine_behind_the_revision_of_a_watch_waits() {
+    let (mut cluster, leader, follower) = cluster();
+    cluster.isolate(follower);
+    cluster.execute(leader, put("g.b", "y", None));
+    cluster.execute(leader, put("g.b", "z", None));
+    let token = cluster.watch(follower, "g", 2, 5_000);
+    cluster.run(500);
+    assert_eq!(cluster.response(token), None);
+    cluster.heal(follower);
+    let found = events(cluster.await_response(token, 1_000));
+    assert_eq!(listed(&found), [("g.b", "z", 3)]);
+}
+
+#[test]
+fn the_history_is_compacted_for_watches_that_come_too_late() {
+    let (mut cluster, leader, _) = cluster();
+    cluster.execute(leader, put("g.b", "y", None));
+    cluster.run(HISTORY_MS + 1);
+    cluster.execute(leader, next_number("n"));
+    cluster.execute(leader, put("g.a", "z", None));
+    cluster.run(COMMIT_MS);
+    for id in [1, 2, 3] {
+        let late = cluster.watch(id, "g", 1, 5_000);
+        assert_eq!(cluster.response(late), Some(Response::HistoryCompacted));
+        let in_time = cluster.watch(id, "g", 2, 5_000);
+        let found = events(cluster.response(in_time));
+        assert_eq!(listed(&found), [("g.a", "z", 3)]);
+    }
+}
+
+#[test]
+fn a_revision_that_was_never_given_is_not_confirmed() {
+    let (mut cluster, _, follower) = cluster();
+    let token = cluster.watch(follower, "g", 9, 1_000);
+    cluster.run(1_000 - STEP_MS);
+    assert_eq!(cluster.response(token), None);
+    let response = cluster.await_response(token, COMMIT_MS);
+    assert_eq!(response, Some(Response::HistoryCompacted));
+}
+
+#[test]
+fn the_number_of_watches_is_limited() {
+    let (mut cluster, leader, follower) = cluster();
+    for _ in 0..MAX_WATCHES {
+        let token = cluster.watch(follower, "g", 1, 20_000);
+        assert_eq!(cluster.response(token), None);
+    }
+    let surplus = cluster.watch(follower, "g", 1, 20_000);
+    assert_eq!(cluster.response(surplus), Some(Response::Overloaded));
+    cluster.execute(leader, put("g.b", "y", None));
+    cluster.run(COMMIT_MS);
+    assert_eq!(cluster.machine(follower).status().watches, 0);
+    let next = cluster.watch(follower, "g", 2, 20_000);
+    assert_eq!(cluster.response(next), None);
+}
+
+#[test]
+fn a_shutdown_answers_all_watches() {
+    let (mut cluster, _, follower) = cluster();
+    let tokens = [0, 1, 1].map(|after| cluster.watch(follower, "g", after, 20_000));
+    cluster.begin_shutdown(follower);
+    for token in tokens {
+        assert_eq!(cluster.response(token), Some(Response::NotExecuted));
+    }
+    assert_eq!(cluster.machine(follower).status().watches, 0);
+}
+
+#[test]
+fn a_change_of_leadership_skips_no_event() {
+    let (mut cluster, leader, follower) = cluster();
+    let token = cluster.watch(follower, "g", 1, 20_000);
+    cluster.stop(leader);
+    let next = cluster.await_leader();
+    cluster.execute(next, put("g.b", "y", None));
+    cluster.execute(next, put("g.b", "z", None));
+    let found = events(cluster.await_response(token, COMMIT_MS));
+    let mut after = found.revision;
+    let mut revisions: Vec<u64> = found.events.iter().map(|event| event.revision).collect();
+    while after < 3 {
+        let token = cluster.watch(follower, "g", after, 1_000);
+        let found = events(cluster.await_response(token, 1_000));
+        after = found.revision;
+        revisions.extend(found.events.iter().map(|event| event.revision));
+    }
+    assert_eq!(revisions, [2, 3]);
+}
+
+#[test]
+fn a_snapshot_wakes_the_watches_of_a_machine_that_was_behind() {
+    let (mut cluster, leader, follower) = cluster();
+    cluster.isolate(follower);
+    cluster.execute(leader, acquire("l", "a", 600_000));
+    let large = "v".repeat(60 << 10);
+    for round in 0..24 {
+        let value = format!("{round}{large}");
+        cluster.execute(leader, put("h.a", &value, None));
+    }
+    cluster.execute(leader, put("g.b", "y", None));
+    assert!(cluster.machine(leader).replica().log().snapshot().index > 1);
+    let token = cluster.watch(follower, "g", 1, 20_000);
+    cluster.run(100);
+    cluster.heal(follower);
+    let found = events(cluster.await_response(token, 3_000));
+    assert_eq!(listed(&found), [("g.b", "y", 2)]);
+    assert!(cluster.machine(follower).replica().log().snapshot().index > 1);
+}
--- a/crates/coordination/tests/properties.rs
+++ b/crates/coordination/tests/properties.rs
@@ -107,7 +107,9 @@
     }
 
     fn revision(&self, group: &str) -> u64 {
-        self.puts_of(group).last().map_or(0, |put| put.revision)
+        self.puts_of(group)
+            .next_back()
+            .map_or(0, |put| put.revision)
     }
 
     fn newest(&self, key: &str) -> Option<&ModelPut> {
@@ -220,8 +222,8 @@
         group: &'a str,
         after: u64,
     ) -> Result<Vec<(&'a str, &'a str, u64)>, u64> {
-        let forgotten = self.puts_of(group).filter(|put| !self.is_in_history(put));
-        let compacted = forgotten.last().map_or(0, |put| put.revision);
+        let mut forgotten = self.puts_of(group).filter(|put| !self.is_in_history(put));
+        let compacted = forgotten.next_back().map_or(0, |put| put.revision);
         if after < compacted {
             return Err(compacted);
         }
