Coordination: a machine far behind gives watches no events

A watch that found events in the local state was answered at once, however old that state was: on a machine that was cut off, or that had just read its disk after a restart. Its caller then holds a revision that it has only just received, and resumes with it at another machine, whose history may no longer reach back to the next event: 410 for a revision received less than history_s ago (LOST). With the history that a core machine keeps (twice the promised one and 10 s) that takes a state which is 30 s behind.

Events are now given only by a machine that has applied an entry of the current leader's term and all that this leader had committed at most 5 s ago, by the time at which it sent that; the leader itself by its contact with a quorum. Otherwise the watch waits, and ends with 503 like one whose confirmation fails. Ruled out: a confirmation for each answer with events, a round trip to the leader for every put and watcher; the quorum contact alone, which a restarted machine has before its log is complete.

--- a/crates/coordination/src/machine/mod.rs
+++ b/crates/coordination/src/machine/mod.rs
@@ -22,6 +22,7 @@
 mod queue;
 mod replication;
 mod settings;
+mod state_age;
 mod status;
 mod watches;
 
@@ -37,6 +38,7 @@
 use lease_clock::LeaseClock;
 use peers::{Peer, PeerTimers};
 use queue::CallQueue;
+use state_age::StateAge;
 use std::collections::{BTreeMap, BTreeSet};
 use watches::Watches;
 use woadstall_consensus::{DurableState, LeaderClock, Replica, Settings, Timing};
@@ -54,6 +56,7 @@
     state: CoordinationState,
     /// The position of the last entry that was applied.
     applied: u64,
+    state_age: StateAge,
     /// Bytes of commands in the log since its last snapshot.
     log_bytes: usize,
     leader_clock: LeaderClock,
@@ -87,6 +90,7 @@
             replica: Replica::new(durable, replica_settings, now, seed),
             state: CoordinationState::default(),
             applied: 0,
+            state_age: StateAge::default(),
             log_bytes: 0,
             leader_clock: LeaderClock::default(),
             lease_clock: None,
--- a/crates/coordination/src/machine/replication.rs
+++ b/crates/coordination/src/machine/replication.rs
@@ -2,6 +2,7 @@
 //! committed entries to the state.
 
 use super::lease_clock::LeaseClock;
+use super::state_age::leader_commit;
 use super::{Action, CoordinationMachine, LogEvent};
 use crate::batch::Batch;
 use crate::state::{AppliedBatch, CoordinationState};
@@ -27,11 +28,17 @@
     pub(super) fn on_consensus(&mut self, message: Message, clock: u64) {
         let (from, term) = (message.from, message.term);
         let is_from_leader = is_from_leader(&message);
+        let leader_commit = leader_commit(&message);
         self.replica.handle_message(self.now, message);
         if is_from_leader && self.replica.term() == term && self.replica.leader() == Some(from) {
             self.leader_clock.observe(self.now, term, clock);
         }
         self.process_replica_outputs();
+        if let Some(commit) = leader_commit
+            && self.replica.term() == term
+        {
+            self.observe_leader_commit(commit);
+        }
     }
 
     /// Carries out all that the replica asks for, until it asks for nothing more.
@@ -74,6 +81,7 @@
         match CoordinationState::decode(&snapshot.state) {
             Ok(state) => {
                 self.applied = snapshot.index;
+                self.state_age.applied_term = snapshot.term;
                 self.log_bytes = 0;
                 self.state = state;
                 self.answer_all_watches();
@@ -88,6 +96,7 @@
     fn apply_entry(&mut self, entry: Entry) {
         let index = entry.index;
         self.applied = index;
+        self.state_age.applied_term = entry.term;
         match entry.payload {
             EntryPayload::Command(bytes) => {
                 self.log_bytes += bytes.len();
--- a/crates/coordination/src/machine/watches.rs
+++ b/crates/coordination/src/machine/watches.rs
@@ -1,7 +1,8 @@
 //! Watches: callers that wait for events of a group. Any machine serves them from the feed of its
 //! own state.
 //!
-//! A watch that has seen an event needs no confirmation: its events are in order and without a gap.
+//! A watch that has seen an event needs no confirmation: its events are in order and without a gap,
+//! and the state here is not so old that the next ones may have left the history elsewhere.
 //! One that ends without events says that there are none, so the leader first confirms the revision
 //! of the group, and this machine must have applied it.
 
@@ -146,7 +147,9 @@
         if watch.after > 0 {
             match self.state.events_after(&watch.group, watch.after) {
                 Err(_) => return Some(Response::HistoryCompacted),
-                Ok(found) if !found.events.is_empty() => return Some(Response::Events(found)),
+                Ok(found) if !found.events.is_empty() && self.is_state_recent() => {
+                    return Some(Response::Events(found));
+                }
                 Ok(_) => {}
             }
         }
--- a/crates/coordination/tests/machine/watches.rs
+++ b/crates/coordination/tests/machine/watches.rs
@@ -236,3 +236,35 @@
     assert_eq!(listed(&found), [("g.b", "y", 2)]);
     assert!(cluster.machine(follower).replica().log().snapshot().index > 1);
 }
+
+/// A machine whose state is older than the history of the others: it was cut off, or was down.
+fn cluster_with_an_old_machine(is_restarted: bool) -> (Cluster, u64, u64) {
+    let (mut cluster, leader, follower) = cluster();
+    cluster.execute(leader, put("g.b", "y", None));
+    cluster.run(COMMIT_MS);
+    if is_restarted {
+        cluster.stop(follower);
+    } else {
+        cluster.isolate(follower);
+    }
+    cluster.execute(leader, put("g.a", "z", None));
+    cluster.run(HISTORY_MS + 1);
+    cluster.execute(leader, next_number("n"));
+    if is_restarted {
+        // Its disk is read; nothing has arrived from the others.
+        cluster.restart(follower);
+        cluster.isolate(follower);
+    }
+    (cluster, leader, follower)
+}
+
+// Its caller would resume elsewhere from a revision that is no longer in the history.
+#[rstest]
+#[case::isolated(false)]
+#[case::restarted(true)]
+fn a_machine_far_behind_gives_no_events(#[case] is_restarted: bool) {
+    let (mut cluster, _, follower) = cluster_with_an_old_machine(is_restarted);
+    let token = cluster.watch(follower, "g", 1, 1_000);
+    let response = cluster.await_response(token, 2_000);
+    assert_eq!(response, Some(Response::NotExecuted));
+}
