--- a/crates/coordination/src/command.rs
+++ b/crates/coordination/src/command.rs
@@ -1,5 +1,6 @@
 //! The calls of applications.
 
+use crate::outcome::Outcome;
 use nanoserde::{DeBin, SerBin};
 
 /// A call that may change the state; it takes effect as part of a [`Batch`](crate::batch::Batch).
@@ -51,6 +52,24 @@
 }
 
 impl Command {
+    /// Whether a caller that gets the outcome of a second execution is served as well as by that of
+    /// the first one. A lock that is acquired a second time gets another fencing token.
+    pub fn is_idempotent(&self) -> bool {
+        !matches!(self, Self::AcquireLock { .. })
+    }
+
+    /// Whether a second execution can't take effect any more where the first one had this outcome.
+    /// A put that did not fit, or that requires a revision to come, may still succeed.
+    pub fn is_settled_by(&self, outcome: &Outcome) -> bool {
+        match (self, outcome) {
+            (Self::Put { if_revision, .. }, Outcome::RevisionConflict { current }) => {
+                if_revision.is_some_and(|required| required < *current)
+            }
+            (_, Outcome::LimitReached) => false,
+            _ => true,
+        }
+    }
+
     /// About how many bytes the command takes in a batch.
     pub fn size(&self) -> usize {
         const HEADER_BYTES: usize = 40;
--- a/crates/coordination/src/machine/leadership.rs
+++ b/crates/coordination/src/machine/leadership.rs
@@ -39,11 +39,6 @@
         last_heard.is_some_and(|at| self.now <= at + patience)
     }
 
-    /// Whether this machine has applied everything that the leader has announced as committed.
-    pub(super) fn is_caught_up(&self) -> bool {
-        self.in_quorum() && self.applied >= self.announced_commit
-    }
-
     /// The leader of the current term, if it is known; it may be this machine.
     pub(super) fn leader(&self) -> Option<LeaderAddress> {
         let leader = self.replica.leader()?;
--- a/crates/coordination/src/machine/replication.rs
+++ b/crates/coordination/src/machine/replication.rs
@@ -2,13 +2,12 @@
 //! committed entries to the state.
 
 use super::lease_clock::LeaseClock;
+use super::state_age::leader_commit;
 use super::{Action, CoordinationMachine, LogEvent};
 use crate::batch::Batch;
 use crate::state::{AppliedBatch, CoordinationState};
 use crate::wire::Packet;
-use woadstall_consensus::{
-    Entry, EntryPayload, Message, MessageBody, Output, Snapshot, is_from_leader,
-};
+use woadstall_consensus::{Entry, EntryPayload, Message, Output, Snapshot, is_from_leader};
 
 /// Bytes of batches in the log since its last snapshot from which on a new one is taken.
 const COMPACT_BYTES: usize = 1 << 20;
@@ -29,13 +28,18 @@
     pub(super) fn on_consensus(&mut self, message: Message, clock: u64) {
         let (from, term) = (message.from, message.term);
         let is_from_leader = is_from_leader(&message);
-        let announced = announced_commit(&message);
+        let leader_commit = leader_commit(&message);
         self.replica.handle_message(self.now, message);
         if is_from_leader && self.replica.term() == term && self.replica.leader() == Some(from) {
             self.leader_clock.observe(self.now, term, clock);
-            self.announced_commit = self.announced_commit.max(announced);
         }
         self.process_replica_outputs();
+        if let Some(commit) = leader_commit
+            && self.replica.term() == term
+        {
+            self.observe_leader_commit(commit);
+        }
+        self.answer_held_back_watches();
     }
 
     /// Carries out all that the replica asks for, until it asks for nothing more.
@@ -78,6 +82,7 @@
         match CoordinationState::decode(&snapshot.state) {
             Ok(state) => {
                 self.applied = snapshot.index;
+                self.state_age.applied_term = snapshot.term;
                 self.log_bytes = 0;
                 self.state = state;
                 self.is_state_damaged = false;
@@ -96,6 +101,7 @@
     fn apply_entry(&mut self, entry: Entry) {
         let index = entry.index;
         self.applied = index;
+        self.state_age.applied_term = entry.term;
         match entry.payload {
             EntryPayload::Command(bytes) => {
                 self.log_bytes += bytes.len();
@@ -164,12 +170,3 @@
         }
     }
 }
-
-/// The position that a leader's message announces as committed, or 0.
-fn announced_commit(message: &Message) -> u64 {
-    match &message.body {
-        MessageBody::AppendEntriesRequest(request) => request.leader_commit,
-        MessageBody::InstallSnapshotRequest(request) => request.chunk.meta.last_log.index,
-        _ => 0,
-    }
-}
