--- a/crates/control-simulation/src/cluster/mod.rs
+++ b/crates/control-simulation/src/cluster/mod.rs
@@ -3,20 +3,21 @@
 mod actions;
 mod checks;
 mod clients;
-mod event_queue;
 mod lifecycle;
 mod node;
 mod observations;
+mod scheduled_event;
 mod time;
 
 use crate::NodeIndex;
 use crate::digest::EventDigest;
 use crate::disk::SimulatedDisk;
+use crate::event_queue::EventQueue;
 use crate::history::History;
 use crate::invariants::Invariants;
 use crate::network::{Network, NetworkConditions, STEADY};
-use event_queue::EventQueue;
 use node::Node;
+use scheduled_event::ScheduledEvent;
 use std::collections::BTreeMap;
 use woadstall_consensus::{DurableState, Member, Snapshot};
 use woadstall_control::machine::{CallResponse, ControlMachine, founding_snapshot};
@@ -81,7 +82,7 @@
     pub digest: Option<EventDigest>,
     topology: Topology,
     nodes: Vec<Node>,
-    events: EventQueue,
+    events: EventQueue<ScheduledEvent>,
     /// All packets that were sent, by their number.
     packets: Vec<Packet>,
     /// The upstreams whose draining was requested, by the token of the request.
--- a/crates/control-simulation/src/cluster/time.rs
+++ b/crates/control-simulation/src/cluster/time.rs
@@ -1,7 +1,7 @@
 //! The passing of time: events of the queue, ticks of processes, and connections that come up and
 //! time out.
 
-use super::event_queue::ScheduledEvent;
+use super::scheduled_event::ScheduledEvent;
 use super::{Cluster, address};
 use crate::NodeIndex;
 use crate::digest::Observation;
--- a/crates/control-simulation/src/lib.rs
+++ b/crates/control-simulation/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod cluster;
 pub mod digest;
 pub mod disk;
+pub mod event_queue;
 pub mod history;
 pub mod invariants;
 pub mod medium;
--- /dev/null
+++ b/crates/coordination-simulation/src/checks/refused.rs
@@ -0,0 +1,46 @@
+//! What was rejected has not taken effect and never does.
+
+use super::puts::sightings;
+use crate::history::History;
+use std::collections::BTreeMap;
+use thiserror::Error;
+use woadstall_coordination::command::Command;
+
+/// A value shows up although its put was rejected.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("key {key}: the value {value} shows up at revision {revision}, but its put was rejected")]
+pub struct RefusedViolation {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: String,
+    /// Its revision.
+    pub revision: u64,
+}
+
+/// Checks the rejected puts of a history. A put that was sent several times counts as rejected if
+/// each time it was.
+///
+/// # Errors
+///
+/// The first violation that is found.
+pub fn check(history: &History) -> Result<(), RefusedViolation> {
+    let mut is_rejected: BTreeMap<(&str, &str), bool> = BTreeMap::new();
+    for operation in &history.operations {
+        if let Some(Command::Put { key, value, .. }) = operation.command() {
+            let answered = operation.answered.as_ref();
+            let rejected = answered.is_some_and(|answered| answered.answer.is_rejection());
+            *is_rejected.entry((key, value)).or_insert(true) &= rejected;
+        }
+    }
+    for sighting in sightings(history) {
+        if is_rejected.get(&(sighting.key, sighting.value)) == Some(&true) {
+            return Err(RefusedViolation {
+                key: sighting.key.to_owned(),
+                value: sighting.value.to_owned(),
+                revision: sighting.revision,
+            });
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/coordination-simulation/src/clients/number_caller.rs
@@ -0,0 +1,43 @@
+//! A client that takes numbers of a sequence.
+
+use super::{Client, RETRY_MS};
+use crate::cluster::ClientContext;
+use crate::history::{Answer, OperationId, Request};
+use std::ops::Range;
+use woadstall_control_simulation::NodeIndex;
+use woadstall_coordination::command::{Call, Command};
+
+/// Between two numbers, in milliseconds.
+const PAUSE_MS: Range<u64> = 40..300;
+
+/// The client.
+#[derive(Clone, Debug)]
+pub struct NumberCaller {
+    sequence: String,
+    node: NodeIndex,
+}
+
+impl NumberCaller {
+    /// A client that calls this machine first.
+    pub fn new(sequence: String, node: NodeIndex) -> Self {
+        Self { sequence, node }
+    }
+}
+
+impl Client for NumberCaller {
+    fn on_wake(&mut self, context: &mut ClientContext<'_>) {
+        let sequence = self.sequence.clone();
+        let call = Call::Command(Command::NextNumber { sequence });
+        context.call(self.node, Request::Call(call));
+    }
+
+    fn on_answer(&mut self, context: &mut ClientContext<'_>, _: OperationId, answer: &Answer) {
+        if answer.outcome().is_some() {
+            let pause_ms = context.cluster.random.u64(PAUSE_MS);
+            context.wake_in(pause_ms);
+        } else {
+            self.node = context.another_node(self.node);
+            context.wake_in(RETRY_MS);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination-simulation/src/cluster/lifecycle.rs
@@ -0,0 +1,105 @@
+//! Processes start and end.
+
+use super::Cluster;
+use super::event::Event;
+use super::time::TICK_MS;
+use crate::history::{Answer, OperationId};
+use woadstall_consensus::Member;
+use woadstall_control_simulation::NodeIndex;
+use woadstall_control_simulation::network::Link;
+use woadstall_coordination::machine::{CoordinationMachine, MachineSettings};
+use woadstall_coordination::wire::MachineInfo;
+
+impl Cluster {
+    /// Starts a node's process on its disk, unless it runs or the node was removed.
+    pub fn start(&mut self, node: NodeIndex) {
+        if self.nodes[node].process.is_some() || !self.nodes[node].is_present {
+            return;
+        }
+        let (incarnation_id, seed) = (self.random.u64(1..), self.random.u64(..));
+        let settings = self.settings(node, incarnation_id);
+        let known = self.known_addresses();
+        let now_ms = self.now_ms;
+        let host = &mut self.nodes[node];
+        host.incarnation += 1;
+        host.started_ms = now_ms;
+        host.frozen_until_ms = 0;
+        host.is_shutting_down = false;
+        host.due_ms = None;
+        let durable = host.disk.durable().clone();
+        let mut process = CoordinationMachine::new(settings, durable, 0, seed);
+        process.set_known_addresses(known);
+        host.process = Some(process);
+        let incarnation = host.incarnation;
+        let phase_ms = self.random.u64(..TICK_MS);
+        self.schedule(phase_ms, Event::Tick { node, incarnation });
+        self.note(Some(node), format!("process started seed={seed}"));
+        self.carry_out_actions(node);
+    }
+
+    /// Starts all processes that do not run.
+    pub fn start_all(&mut self) {
+        (0..self.nodes.len()).for_each(|node| self.start(node));
+    }
+
+    fn settings(&self, node: NodeIndex, incarnation: u64) -> MachineSettings {
+        let host = &self.nodes[node];
+        let machine = MachineInfo {
+            member: Member {
+                id: host.disk.durable().id,
+                address: host.address.clone(),
+            },
+            zone: format!("zone-{}", host.zone),
+            region: format!("region-{}", host.region),
+        };
+        MachineSettings {
+            machine,
+            seeds: (0..self.topology.founders).map(super::address).collect(),
+            tolerated: self.topology.tolerated,
+            history_ms: super::KEPT_HISTORY_MS,
+            incarnation,
+        }
+    }
+
+    pub(super) fn known_addresses(&self) -> Vec<String> {
+        let present = self.present().into_iter();
+        present
+            .map(|node| self.nodes[node].address.clone())
+            .collect()
+    }
+
+    /// Ends a process. Of the writes that are queued the first `started_writes` were under way; a
+    /// random part of them is durable, perhaps torn.
+    pub(super) fn end(&mut self, node: NodeIndex, started_writes: usize) {
+        let host = &mut self.nodes[node];
+        host.process = None;
+        host.inbox.clear();
+        host.frozen_until_ms = 0;
+        host.connected.clear();
+        host.disk.lose_power(started_writes, &mut self.random);
+        for other in 0..self.nodes.len() {
+            for (from, to) in [(node, other), (other, node)] {
+                self.drop_connection(Link { from, to });
+            }
+        }
+        self.disconnect_clients(node);
+    }
+
+    /// A connection is lost with the packets that it holds back.
+    fn drop_connection(&mut self, link: Link) {
+        for packet in self.network.reset(self.now_ms, link) {
+            self.packets.remove(&packet);
+        }
+    }
+
+    /// The clients that wait for a node lose their connections.
+    fn disconnect_clients(&mut self, node: NodeIndex) {
+        let operations = self.history.operations.iter().enumerate();
+        let waiting = operations
+            .filter(|(_, operation)| operation.node == node && operation.answered.is_none());
+        let waiting: Vec<OperationId> = waiting.map(|(number, _)| number).collect();
+        for operation in waiting {
+            self.send_answer(operation, Answer::Disconnected);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination-simulation/src/scenario/faults.rs
@@ -0,0 +1,176 @@
+//! Faults that are drawn from a seed, and overlap.
+
+use crate::cluster::{Cluster, Direction};
+use std::ops::Range;
+use woadstall_control_simulation::NodeIndex;
+
+/// How many faults strike.
+const FAULTS: Range<usize> = 5..14;
+/// How long freezes, stalls and partitions last, in milliseconds.
+const DURATION_MS: Range<u64> = 100..6_000;
+/// How long a machine is down, in milliseconds.
+const DOWN_MS: Range<u64> = 200..2_500;
+
+/// The kinds of faults that may strike.
+#[derive(Clone, Copy, Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each field is a kind of its own"
+)]
+pub struct FaultKinds {
+    /// Processes are killed and shut down.
+    pub process_ends: bool,
+    /// Power is lost.
+    pub power_losses: bool,
+    /// Processes freeze.
+    pub freezes: bool,
+    /// Links are partitioned and connections reset.
+    pub network: bool,
+    /// Disks stall.
+    pub stalls: bool,
+    /// Disks are lost and machines replaced.
+    pub disk_losses: bool,
+}
+
+impl FaultKinds {
+    /// No fault.
+    pub const NONE: Self = Self {
+        process_ends: false,
+        power_losses: false,
+        freezes: false,
+        network: false,
+        stalls: false,
+        disk_losses: false,
+    };
+    /// All faults.
+    pub const ALL: Self = Self {
+        process_ends: true,
+        power_losses: true,
+        freezes: true,
+        network: true,
+        stalls: true,
+        disk_losses: true,
+    };
+
+    fn faults(self) -> Vec<Fault> {
+        let kinds = [
+            (
+                self.process_ends,
+                &[Fault::Kill, Fault::ShutDown, Fault::KillAll][..],
+            ),
+            (
+                self.power_losses,
+                &[Fault::LosePower, Fault::LosePower, Fault::LosePowerOfAll],
+            ),
+            (
+                self.freezes,
+                &[Fault::Freeze, Fault::FreezeLeader, Fault::FreezeLeader],
+            ),
+            (
+                self.network,
+                &[
+                    Fault::Isolate,
+                    Fault::IsolateLeader,
+                    Fault::PartRegion,
+                    Fault::PartPair,
+                    Fault::ResetConnections,
+                ],
+            ),
+            (self.stalls, &[Fault::StallDisk, Fault::StallDiskOfLeader]),
+            (self.disk_losses, &[Fault::LoseDisk, Fault::Replace]),
+        ];
+        let wanted = kinds.into_iter().filter(|(is_wanted, _)| *is_wanted);
+        wanted
+            .flat_map(|(_, faults)| faults.iter().copied())
+            .collect()
+    }
+}
+
+/// A fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[allow(missing_docs, reason = "the names say it")]
+pub enum Fault {
+    Kill,
+    KillAll,
+    ShutDown,
+    LosePower,
+    LosePowerOfAll,
+    Freeze,
+    FreezeLeader,
+    Isolate,
+    IsolateLeader,
+    PartRegion,
+    PartPair,
+    ResetConnections,
+    StallDisk,
+    StallDiskOfLeader,
+    LoseDisk,
+    Replace,
+}
+
+/// Lets some milliseconds pass in which faults strike.
+pub(super) fn strike(cluster: &mut Cluster, kinds: FaultKinds, duration_ms: u64) {
+    let end_ms = cluster.now_ms + duration_ms;
+    let faults = kinds.faults();
+    if !faults.is_empty() {
+        let number = cluster.random.usize(FAULTS);
+        let random = &mut cluster.random;
+        let mut times: Vec<u64> = (0..number).map(|_| random.u64(..duration_ms)).collect();
+        times.sort_unstable();
+        let start_ms = cluster.now_ms;
+        for time_ms in times {
+            let wait_ms = (start_ms + time_ms) - cluster.now_ms;
+            cluster.run(wait_ms);
+            if let Some(fault) = cluster.random.choice(&faults).copied() {
+                fault.strike(cluster);
+            }
+        }
+    }
+    cluster.run(end_ms - cluster.now_ms);
+}
+
+impl Fault {
+    fn strike(self, cluster: &mut Cluster) {
+        let present = cluster.present();
+        let node = cluster.random.choice(&present).copied().unwrap_or_default();
+        let leader = cluster.leader().unwrap_or(node);
+        let duration_ms = cluster.random.u64(DURATION_MS);
+        let down_ms = cluster.random.u64(DOWN_MS);
+        match self {
+            Self::Kill => cluster.kill(node, down_ms),
+            Self::KillAll => present.iter().for_each(|node| cluster.kill(*node, down_ms)),
+            Self::ShutDown => cluster.shut_down(node, down_ms),
+            Self::LosePower => cluster.lose_power(node, down_ms),
+            Self::LosePowerOfAll => {
+                let nodes = present.iter();
+                nodes.for_each(|node| cluster.lose_power(*node, down_ms));
+            }
+            Self::Freeze => cluster.freeze(node, duration_ms),
+            Self::FreezeLeader => cluster.freeze(leader, duration_ms),
+            Self::Isolate => part(cluster, &[node], duration_ms),
+            Self::IsolateLeader => part(cluster, &[leader], duration_ms),
+            Self::PartRegion => {
+                let region = cluster.region(node);
+                let in_region = |node: &NodeIndex| cluster.region(*node) == region;
+                let nodes: Vec<NodeIndex> = present.iter().copied().filter(in_region).collect();
+                part(cluster, &nodes, duration_ms);
+            }
+            Self::PartPair => {
+                let other = cluster.random.choice(&present).copied().unwrap_or(node);
+                part(cluster, &[node, other], duration_ms);
+            }
+            Self::ResetConnections => cluster.reset_connections(node),
+            Self::StallDisk => cluster.stall_disk(node, duration_ms),
+            Self::StallDiskOfLeader => cluster.stall_disk(leader, duration_ms),
+            Self::LoseDisk if cluster.may_lose_disks(&[node]) => cluster.lose_disk(node, down_ms),
+            Self::Replace if cluster.may_lose_disks(&[node]) => cluster.replace(node, down_ms),
+            Self::LoseDisk | Self::Replace => cluster.lose_power(node, down_ms),
+        }
+    }
+}
+
+fn part(cluster: &mut Cluster, nodes: &[NodeIndex], duration_ms: u64) {
+    let directions = [Direction::Inbound, Direction::Outbound, Direction::Both];
+    let direction = cluster.random.choice(directions).unwrap_or(Direction::Both);
+    cluster.partition(nodes, direction, duration_ms);
+}
