Coordination simulation: a resumed watch must not lag behind what was acknowledged

The check of the final phase only asked that they get there within 10 s.

The first answer of each resumed watch is checked now (a list cut off at its size limit is allowed).

--- a/crates/coordination-simulation/src/checks/lost.rs
+++ b/crates/coordination-simulation/src/checks/lost.rs
@@ -2,7 +2,7 @@
 //! acknowledged is still there is checked with ONE, ORDER and STALE, which cover the final calls.
 
 use crate::cluster::HISTORY_MS;
-use crate::history::History;
+use crate::history::{FinalCall, History, LaggingWatch};
 use thiserror::Error;
 use woadstall_coordination::machine::Response;
 
@@ -19,6 +19,14 @@
         /// How long ago it was received, in milliseconds.
         age_ms: u64,
     },
+    /// A watch that resumes at the end shows less than was acknowledged.
+    #[error("a watch was answered up to {}, not {}: {request}", lagging.revision, lagging.acknowledged)]
+    WatchLags {
+        /// What was asked.
+        request: String,
+        /// How far it lags.
+        lagging: LaggingWatch,
+    },
     /// A call at the end was not answered.
     #[error("no answer at the end: {request}")]
     NoAnswer {
@@ -48,11 +56,16 @@
             });
         }
     }
-    let mut final_calls = history.final_calls.iter();
-    match final_calls.find(|call| call.answered_ms.is_none()) {
-        Some(call) => Err(LostViolation::NoAnswer {
-            request: call.request.clone(),
-        }),
+    history.final_calls.iter().try_for_each(check_final_call)
+}
+
+fn check_final_call(call: &FinalCall) -> Result<(), LostViolation> {
+    let request = call.request.clone();
+    if call.answered_ms.is_none() {
+        return Err(LostViolation::NoAnswer { request });
+    }
+    match call.lagging {
+        Some(lagging) => Err(LostViolation::WatchLags { request, lagging }),
         None => Ok(()),
     }
 }
--- a/crates/coordination-simulation/src/clients/final_caller.rs
+++ b/crates/coordination-simulation/src/clients/final_caller.rs
@@ -2,10 +2,13 @@
 
 use super::{Client, RETRY_MS};
 use crate::cluster::ClientContext;
-use crate::history::{Answer, OperationId, Request};
+use crate::history::{Answer, LaggingWatch, OperationId, Request};
 use woadstall_control_simulation::NodeIndex;
 use woadstall_coordination::machine::Response;
 
+/// An answer with more bytes of values may be the first part of a long list of events.
+const PAGE_BYTES: usize = 200_000;
+
 /// What a client wants to hear.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FinalGoal {
@@ -36,6 +39,22 @@
         }
     }
 
+    /// How far an answer lags behind what was acknowledged, if it does.
+    fn lagging(&self, answer: &Answer) -> Option<LaggingWatch> {
+        let (FinalGoal::EventsUpTo(acknowledged), Answer::Response(Response::Events(found))) =
+            (self.goal, answer)
+        else {
+            return None;
+        };
+        let sizes = found.events.iter().map(|event| event.value.len());
+        let is_page = sizes.sum::<usize>() > PAGE_BYTES;
+        let revision = found.revision;
+        (revision < acknowledged && !is_page).then_some(LaggingWatch {
+            revision,
+            acknowledged,
+        })
+    }
+
     /// Whether an answer is what was wanted.
     fn is_done(&mut self, now_ms: u64, answer: &Answer) -> bool {
         let Answer::Response(response) = answer else {
@@ -66,8 +85,12 @@
 
     fn on_answer(&mut self, context: &mut ClientContext<'_>, _: OperationId, answer: &Answer) {
         let now_ms = context.now_ms();
-        if self.is_done(now_ms, answer) {
-            context.cluster.history.final_calls[self.number].answered_ms = Some(now_ms);
+        let lagging = self.lagging(answer);
+        let is_done = self.is_done(now_ms, answer);
+        let call = &mut context.cluster.history.final_calls[self.number];
+        call.lagging = call.lagging.or(lagging);
+        if is_done {
+            call.answered_ms = Some(now_ms);
             return;
         }
         let is_progress = matches!(answer, Answer::Response(Response::Events(_)));
--- a/crates/coordination-simulation/src/history.rs
+++ b/crates/coordination-simulation/src/history.rs
@@ -151,6 +151,17 @@
     pub request: String,
     /// When it was answered, in milliseconds.
     pub answered_ms: Option<u64>,
+    /// The first answer of a watch that lags behind what was acknowledged.
+    pub lagging: Option<LaggingWatch>,
+}
+
+/// A watch was answered with events up to a revision, although a greater one was acknowledged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LaggingWatch {
+    /// The revision of the answer.
+    pub revision: u64,
+    /// The revision that was acknowledged.
+    pub acknowledged: u64,
 }
 
 /// All that clients did.
--- a/crates/coordination-simulation/src/scenario/ending.rs
+++ b/crates/coordination-simulation/src/scenario/ending.rs
@@ -170,6 +170,7 @@
     cluster.history.final_calls.push(FinalCall {
         request: format!("{request:?} {goal:?}"),
         answered_ms: None,
+        lagging: None,
     });
     let present = cluster.present();
     let node = cluster.random.choice(present).unwrap_or_default();
