Consensus: a candidate learns from rejected pre-votes that its term is behind

The configuration's group has the same code.

Cause (class: a rejection that hides the term): a machine that was cut off after its pre-vote had raised its term. Of those left, the one with the greatest identity had a smaller term. Its pre-votes named a term that was not above that machine's, so they were rejected, and the response named the requested term, from which nothing is learned. As a candidate it never gave way, so the others, which need its vote, were rejected by it.

Ruled out: equal logs on all three (commit 293, last 297 each), no partition left, links up.

Change: a rejected pre-vote carries the responder's own term, and a candidate adopts a greater one; a granted one names the term of the election, as before. The frame is the same, and a former version ignores what is new.

--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -15,7 +15,8 @@
     pub from: ReplicaId,
     /// The receiver.
     pub to: ReplicaId,
-    /// The sender's term; in a pre-vote, the term in which it would be a candidate.
+    /// The sender's term; in a request for a pre-vote and where one is granted, the term in which the
+    /// candidate would be elected.
     pub term: Term,
     /// The request or the response.
     pub body: MessageBody,
--- a/crates/consensus/src/replica/dispatch.rs
+++ b/crates/consensus/src/replica/dispatch.rs
@@ -18,12 +18,15 @@
             self.handle_vote_request(message.from, message.term, request);
             return;
         }
-        // A pre-vote names the term of an election that has not begun.
-        let is_pre_vote_response = matches!(
+        // A granted pre-vote names the term of an election that has not begun.
+        let is_granted_pre_vote = matches!(
             message.body,
-            MessageBody::VoteResponse(VoteResponse { pre_vote: true, .. })
+            MessageBody::VoteResponse(VoteResponse {
+                pre_vote: true,
+                granted: true,
+            })
         );
-        if message.term > self.term && !is_pre_vote_response {
+        if message.term > self.term && !is_granted_pre_vote {
             self.adopt_term(message.term);
         }
         if message.term < self.term {
--- a/crates/consensus/src/replica/vote.rs
+++ b/crates/consensus/src/replica/vote.rs
@@ -62,7 +62,8 @@
         let message = Message {
             from: self.id,
             to: from,
-            term,
+            // A rejection names this replica's own term, so that a candidate that is behind catches up.
+            term: if granted { term } else { self.term },
             body,
         };
         self.outputs.push_back(Output::Send(message));
--- a/crates/consensus/tests/replica/elections.rs
+++ b/crates/consensus/tests/replica/elections.rs
@@ -1,8 +1,8 @@
 //! Votes, pre-votes and candidates.
 
 use super::builders::{
-    SETTINGS, append_entries, durable_state, flush, founding_snapshot, granted_vote, message,
-    pre_vote_request, replica, sent_immediately, vote_request,
+    SETTINGS, append_entries, durable_state, entry, flush, founding_snapshot, granted_vote,
+    message, pre_vote_request, replica, sent_immediately, vote_request,
 };
 use rstest::rstest;
 use woadstall_consensus::{
@@ -168,3 +168,35 @@
     replica.tick(100);
     assert_eq!(sent_immediately(&mut replica), []);
 }
+
+/// Replica `id` of the group 1, 2, 3, of which 1 is down for good, in a term.
+fn remaining_replica(id: ReplicaId, term: u64) -> Replica {
+    let mut state = DurableState::new(id, founding_snapshot(1..=3));
+    state.apply_record(&Record::Term { term, voted_for: 0 });
+    state.apply_record(&Record::Append(vec![entry(2, 2)]));
+    Replica::new(state, SETTINGS, 0, id)
+}
+
+#[test]
+fn lost_no_election_to_a_candidate_whose_term_is_behind_those_of_its_voters() {
+    let mut replicas = [remaining_replica(2, 6), remaining_replica(3, 5)];
+    // The greater identity is a candidate first, so that the other one gives way to it.
+    replicas[1].tick(700);
+    flush(&mut replicas[1]);
+    for now in (700..10_000).step_by(10) {
+        let mut messages = Vec::new();
+        for replica in &mut replicas {
+            replica.tick(now);
+            messages.extend(flush(replica));
+        }
+        for message in messages {
+            for replica in &mut replicas {
+                replica.handle_message(now, message.clone());
+            }
+        }
+        if replicas.iter().any(Replica::is_leader) {
+            return;
+        }
+    }
+    panic!("no leader in 10 s");
+}
