API: a path that is not UTF-8 is rejected instead of becoming another name

Callers saw: `POST /v1/numbers/%FF` and `/v1/numbers/%FE` counted in the same sequence, as both names were decoded lossily to the replacement character; likewise locks, keys and upstreams.

The request keeps its path only if it is UTF-8; otherwise the answer is 400 and names the path. `names_that_are_no_text_are_rejected` failed before (200 for %FF) and passes now.

--- a/crates/node/src/core/api/coordination.rs
+++ b/crates/node/src/core/api/coordination.rs
@@ -32,8 +32,10 @@
 /// # Errors
 ///
 /// The method is unknown, or names or body are invalid.
-pub(super) fn parse(request: &HttpRequest) -> Option<Result<CoordinationRequest, RequestError>> {
-    let path = &request.path;
+pub(super) fn parse(
+    request: &HttpRequest,
+    path: &str,
+) -> Option<Result<CoordinationRequest, RequestError>> {
     let method = request.method.as_str();
     if let Some(lock) = path.strip_prefix(LOCKS) {
         Some(parse_lock(request, method, lock).map(command))
--- a/crates/node/src/core/api/http.rs
+++ b/crates/node/src/core/api/http.rs
@@ -1,19 +1,21 @@
 //! HTTP requests and responses as the API sees them: a request is complete, with its body.
 
+use super::request::RequestError;
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use http::request::Parts;
 use http::{HeaderMap, Method, StatusCode};
 use http_body_util::Full;
 use percent_encoding::percent_decode_str;
+use std::borrow::Cow;
 use std::net::IpAddr;
 
 /// A request.
 #[derive(Clone, Debug)]
 pub(in crate::core) struct HttpRequest {
     pub method: Method,
-    /// The decoded path.
-    pub path: String,
+    /// The decoded path; `None` if it is not UTF-8.
+    path: Option<String>,
     /// The query as it was sent, without the question mark.
     query: String,
     headers: HeaderMap,
@@ -25,10 +27,10 @@
 impl HttpRequest {
     /// A request with its head and its body.
     pub fn new(head: Parts, body: Bytes, client: IpAddr) -> Self {
-        let path = percent_decode_str(head.uri.path()).decode_utf8_lossy();
+        let path = percent_decode_str(head.uri.path()).decode_utf8();
         Self {
             method: head.method,
-            path: path.into_owned(),
+            path: path.ok().map(Cow::into_owned),
             query: head.uri.query().unwrap_or_default().to_owned(),
             headers: head.headers,
             client,
@@ -36,6 +38,15 @@
         }
     }
 
+    /// The decoded path.
+    ///
+    /// # Errors
+    ///
+    /// The path is not UTF-8: different names must not become the same one.
+    pub fn path(&self) -> Result<&str, RequestError> {
+        self.path.as_deref().ok_or(RequestError::InvalidPath)
+    }
+
     /// The text of a header, if it is there.
     pub fn header(&self, name: &HeaderName) -> Option<&str> {
         self.headers.get(name)?.to_str().ok()
--- a/crates/node/src/core/api/request.rs
+++ b/crates/node/src/core/api/request.rs
@@ -43,6 +43,9 @@
     /// Nothing has this path.
     #[error("no such path\n")]
     UnknownPath,
+    /// The decoded path is not UTF-8.
+    #[error("(path): must be UTF-8\n")]
+    InvalidPath,
     /// The path has no such method.
     #[error("no such method here\n")]
     UnknownMethod,
@@ -75,10 +78,10 @@
 ///
 /// The path or method is unknown, or headers or body are invalid.
 pub(in crate::core) fn parse(request: &HttpRequest) -> Result<ApiRequest, RequestError> {
-    if let Some(coordination) = coordination::parse(request) {
+    if let Some(coordination) = coordination::parse(request, request.path()?) {
         return coordination.map(ApiRequest::Coordination);
     }
-    let segments: Vec<&str> = request.path.trim_start_matches('/').split('/').collect();
+    let segments: Vec<&str> = request.path()?.trim_start_matches('/').split('/').collect();
     match (request.method.as_str(), segments.as_slice()) {
         ("PUT", ["v1", "instances", id]) => {
             let body: Value = serde_json::from_slice(&request.body)?;
--- a/crates/node/src/core/api/response.rs
+++ b/crates/node/src/core/api/response.rs
@@ -80,7 +80,8 @@
         RequestError::BodyTimeout => 408,
         RequestError::BodyTooLarge => 413,
         RequestError::ParserEnded => 500,
-        RequestError::InvalidIfMatch
+        RequestError::InvalidPath
+        | RequestError::InvalidIfMatch
         | RequestError::BodyJson(_)
         | RequestError::ChangeJson(_)
         | RequestError::InvalidFields(_) => 400,
--- a/tests/coordination.rs
+++ b/tests/coordination.rs
@@ -3,6 +3,8 @@
 
 #[path = "common/program.rs"]
 mod program;
+#[path = "coordination/requests.rs"]
+mod requests;
 
 use program::program_path;
 use serde_json::{Value, json};
