Coordination service: a watch ends when its client leaves

Callers saw: a machine keeps up to 1,024 watches, and a watch whose client had closed the connection stayed until its time was over, up to 30 s. Clients that reconnect could fill the table; all others then get 429.

The task sees by the closed responder that nobody waits any more, and cancels such watches at each tick. Calls are left alone: they may have been proposed. `a_watch_ends_when_its_client_leaves` failed before (300 watches still there after 20 s) and passes now.

With it come tests that passed before too: 300 watches do not hinder calls and all get the event; watches are answered before a process that got SIGTERM ends; calls on open connections get 200 or 503 until the connection ends with the process.

--- a/crates/coordination/src/machine/watches.rs
+++ b/crates/coordination/src/machine/watches.rs
@@ -10,7 +10,7 @@
 use crate::command::{Call, Query};
 use crate::outcome::Outcome;
 use crate::state::GroupEvents;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Watches that may wait at a machine.
 const MAX_WATCHES: usize = 1_024;
@@ -95,6 +95,12 @@
         self.flush_queue();
     }
 
+    /// The applications that wait with these tokens have left.
+    pub fn cancel_watches(&mut self, tokens: &BTreeSet<u64>) {
+        let watches = &mut self.watches.by_number;
+        watches.retain(|_, watch| !tokens.contains(&watch.token));
+    }
+
     /// Events of a group were applied.
     pub(super) fn answer_watches_of(&mut self, group: &str) {
         for number in self.watches.numbers(|watch| watch.group == group) {
--- a/crates/node/src/core/coordination/process.rs
+++ b/crates/node/src/core/coordination/process.rs
@@ -7,7 +7,7 @@
 use crate::core::pending_requests::{Responder, respond};
 use crate::core::stall::StallDetector;
 use crate::time::millis;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -73,6 +73,7 @@
                 }
                 _ = ticks.tick() => {
                     self.stalls.record_iteration(Instant::now());
+                    self.cancel_abandoned_watches();
                     self.machine.tick(self.now());
                 }
                 () = sleep_until(due.into()) => self.machine.tick(self.now()),
@@ -147,6 +148,18 @@
         }
     }
 
+    /// Watches whose connections have ended make room for others. A call goes on: it may have been
+    /// proposed.
+    fn cancel_abandoned_watches(&mut self) {
+        let responders = self.responders.iter();
+        let abandoned = responders.filter(|(_, responder)| responder.is_closed());
+        let tokens: BTreeSet<u64> = abandoned.map(|(token, _)| *token).collect();
+        if !tokens.is_empty() {
+            self.responders.retain(|token, _| !tokens.contains(token));
+            self.machine.cancel_watches(&tokens);
+        }
+    }
+
     fn execute_actions(&mut self) {
         for action in self.machine.take_actions() {
             match action {
--- a/tests/coordination.rs
+++ b/tests/coordination.rs
@@ -5,6 +5,10 @@
 mod program;
 #[path = "coordination/requests.rs"]
 mod requests;
+#[path = "coordination/shutdown.rs"]
+mod shutdown;
+#[path = "coordination/waiting.rs"]
+mod waiting;
 
 use program::program_path;
 use serde_json::{Value, json};
