--- a/crates/node/src/core/api/coordination.rs
+++ b/crates/node/src/core/api/coordination.rs
@@ -32,8 +32,10 @@
 /// # Errors
 ///
 /// The method is unknown, or names or body are invalid.
-pub(super) fn parse(request: &HttpRequest) -> Option<Result<CoordinationRequest, RequestError>> {
-    let path = &request.path;
+pub(super) fn parse(
+    request: &HttpRequest,
+    path: &str,
+) -> Option<Result<CoordinationRequest, RequestError>> {
     let method = request.method.as_str();
     if let Some(lock) = path.strip_prefix(LOCKS) {
         Some(parse_lock(request, method, lock).map(command))
@@ -272,6 +274,7 @@
         "commit": replica.commit_index(),
         "last": replica.log().last_index(),
         "voters": replica.membership().all_voters().map(|voter| &voter.address).collect::<Vec<_>>(),
+        "is_voter": replica.membership().is_voter(replica.id()),
         "leases": status.state.leases,
         "sequences": status.state.sequences,
         "keys": status.state.keys,
