--- a/crates/coordination/tests/limits.rs
+++ b/crates/coordination/tests/limits.rs
@@ -19,7 +19,7 @@
     assert_eq!(service.execute(next_number("n")), number(1));
     assert_eq!(service.execute(put("g.a", "x", None)), put_at(1));
     for bytes in [VALUE_BYTES, 1_024, 1] {
-        for round in 0.. {
+        for round in 0..MAX_STATE_BYTES / 64 {
             let text = format!("{round:04}{}", "v".repeat(bytes));
             let outcome = service.execute(put(&format!("h.{bytes}"), &text, None));
             if outcome == Outcome::LimitReached {
--- a/crates/coordination/tests/machine/calls.rs
+++ b/crates/coordination/tests/machine/calls.rs
@@ -249,3 +249,63 @@
     let leases = cluster.machine(leader).state().size().leases as u64;
     assert_eq!(outcome, acquired(leases));
 }
+
+#[test]
+fn a_call_that_waited_too_long_in_the_queue_is_not_executed() {
+    let (mut cluster, leader) = Cluster::with_leader(3);
+    // The first call makes the second one wait for the next batch.
+    cluster.submit_command(leader, next_number("n"));
+    let token = cluster.submit_command(leader, acquire("l", "a", 60_000));
+    assert_eq!(cluster.machine(leader).status().queued_calls, 1);
+    cluster.freeze(leader);
+    cluster.run(CALL_TIMEOUT_MS + 2 * STEP_MS);
+    cluster.thaw(leader);
+    cluster.run(STEP_MS);
+    assert!(cluster.machine(leader).replica().is_leader());
+    assert!(cluster.response(token).is_some());
+    cluster.run(300);
+    assert_eq!(cluster.machine(leader).state().size().leases, 0);
+}
+
+#[test]
+fn a_call_that_arrives_twice_is_queued_once() {
+    let (mut cluster, leader) = Cluster::with_leader(3);
+    let follower = cluster.follower();
+    cluster.drop_packets(|_, _, packet| matches!(packet, Packet::Calls(_)));
+    let token = cluster.submit_command(follower, next_number("n"));
+    cluster.drop_nothing();
+    // A batch was just proposed, so that both copies wait.
+    cluster.submit_command(leader, next_number("m"));
+    let calls = cluster.forwarded_calls().remove(0);
+    cluster.hand_in(follower, leader, calls.clone());
+    cluster.hand_in(follower, leader, calls);
+    assert_eq!(cluster.await_response(token, 300), executed(number(1)));
+    assert_eq!(cluster.execute(leader, next_number("n")), number(2));
+}
+
+// Nothing has told it yet that the leader may be gone.
+#[test]
+fn a_machine_that_wakes_takes_no_calls_before_it_hears_from_the_leader() {
+    let (mut cluster, _) = Cluster::with_leader(3);
+    let follower = cluster.follower();
+    cluster.freeze(follower);
+    cluster.run(3_000);
+    cluster.thaw(follower);
+    let token = cluster.submit_command(follower, acquire("l", "a", 60_000));
+    assert_eq!(cluster.response(token), Some(Response::NotExecuted));
+    cluster.run(500);
+    let token = cluster.submit_command(follower, acquire("l", "a", 60_000));
+    assert_eq!(cluster.await_response(token, 300), executed(acquired(1)));
+}
+
+#[rstest]
+#[case::a_revision_that_is_gone(Outcome::RevisionConflict { current: 6 }, true)]
+#[case::a_revision_to_come(Outcome::RevisionConflict { current: 4 }, false)]
+#[case::no_room(Outcome::LimitReached, false)]
+#[case::success(put_at(6), true)]
+fn an_outcome_settles_a_put_unless_a_second_copy_may_succeed(
+    #[case] outcome: Outcome,
+    #[case] expected: bool,
+) {
+    assert_eq!(put("g.a", "x", Some(5)).is_settled_by(&outcome), expected);
+}
--- a/crates/coordination/tests/machine/watches.rs
+++ b/crates/coordination/tests/machine/watches.rs
@@ -3,8 +3,10 @@
 use crate::calls_support::{HISTORY_MS, acquire, listed, next_number, put, put_at};
 use crate::cluster::{Cluster, STEP_MS};
 use rstest::rstest;
+use woadstall_consensus::MessageBody;
 use woadstall_coordination::machine::Response;
 use woadstall_coordination::state::GroupEvents;
+use woadstall_coordination::wire::Packet;
 
 /// Watches that may wait at a machine.
 const MAX_WATCHES: u64 = 1_024;
@@ -268,3 +270,67 @@
     let response = cluster.await_response(token, 2_000);
     assert_eq!(response, Some(Response::NotExecuted));
 }
+
+fn is_consensus_with_entries(packet: &Packet) -> bool {
+    let Packet::Consensus { message, .. } = packet else {
+        return false;
+    };
+    matches!(&message.body, MessageBody::AppendEntriesRequest(request) if !request.entries.is_empty())
+}
+
+// It hears of the leader, but the entries that it lacks do not arrive.
+#[test]
+fn a_machine_that_catches_up_gives_no_events_before_it_has() {
+    let (mut cluster, _, follower) = cluster_with_an_old_machine(false);
+    cluster.drop_packets(move |_, to, packet| to == follower && is_consensus_with_entries(packet));
+    cluster.heal(follower);
+    cluster.run(300);
+    assert!(cluster.machine(follower).in_quorum());
+    let token = cluster.watch(follower, "g", 1, 20_000);
+    cluster.run(1_000);
+    assert_eq!(cluster.response(token), None);
+    cluster.drop_nothing();
+    cluster.reset_link(
+        follower,
+        cluster.machine(follower).replica().leader().unwrap(),
+    );
+    let response = cluster.await_response(token, 1_000);
+    assert_eq!(response, Some(Response::HistoryCompacted));
+}
+
+#[rstest]
+#[case::a_delayed_heartbeat(0)]
+#[case::a_leader_that_knows_no_better(1)]
+fn a_heartbeat_does_not_make_an_old_state_recent(#[case] later_terms: u64) {
+    let (mut cluster, leader, follower) = cluster_with_an_old_machine(false);
+    let heartbeat = cluster
+        .sent
+        .iter()
+        .rev()
+        .find_map(|(from, to, packet)| match packet {
+            Packet::Consensus { message, clock }
+                if (*from, *to) == (leader, follower)
+                    && !is_consensus_with_entries(packet)
+                    && matches!(message.body, MessageBody::AppendEntriesRequest(_)) =>
+            {
+                Some((message.clone(), *clock))
+            }
+            _ => None,
+        });
+    let (mut message, mut clock) = heartbeat.unwrap();
+    let commit = cluster.machine(follower).replica().commit_index();
+    let MessageBody::AppendEntriesRequest(request) = &mut message.body else {
+        unreachable!()
+    };
+    request.previous = cluster.machine(follower).replica().log().last_position();
+    request.leader_commit = commit;
+    let term = cluster.machine(follower).replica().term();
+    message.term = term + later_terms;
+    if later_terms == 0 {
+        // It was sent when the machine was cut off.
+        clock -= HISTORY_MS;
+    }
+    cluster.hand_in(leader, follower, Packet::Consensus { message, clock });
+    let token = cluster.watch(follower, "g", 1, 1_000);
+    assert_eq!(cluster.response(token), None);
+}
