Coordination soak: clients that hold to the end and read elsewhere, traces of silent machines

Clients now hold a lock for up to all of its time before they renew or leave it, and read a key at the next machine right after their put.

A machine that gives no answer in time is reported with the state of its main thread and with how long that wanted to run and got no time slice; members that do not become stable are reported with their statuses.

--- a/tests/coordination_soak.rs
+++ b/tests/coordination_soak.rs
@@ -112,7 +112,8 @@
     faults.play(Instant::now() + Duration::from_secs(seconds));
     let is_stable = faults.wait_until_stable();
     if !is_stable {
-        run.report("the members never became stable again".to_owned());
+        let statuses = faults.statuses();
+        run.report(format!("the members never became stable: {statuses:?}"));
     }
     let started = faults.lose_two_disks();
     run.is_over.store(true, Ordering::Relaxed);
--- a/tests/coordination_soak/caller.rs
+++ b/tests/coordination_soak/caller.rs
@@ -118,7 +118,7 @@
                 Attempt::Refused => refusals += 1,
                 Attempt::Unclear => is_unclear = true,
             }
-            self.core = (self.core + 1) % self.addresses.len();
+            self.go_on();
             if self.core == 0 {
                 self.run.wait_for_change();
             }
@@ -126,6 +126,12 @@
         Err(GivenUp { is_unclear })
     }
 
+    /// The next call goes to the next machine.
+    pub fn go_on(&mut self) {
+        self.core = (self.core + 1) % self.addresses.len();
+        self.connection = None;
+    }
+
     fn is_over(&self, until: Option<Instant>) -> bool {
         match until {
             Some(until) => Instant::now() > until,
@@ -184,13 +190,22 @@
         request: &Request,
         sent: Instant,
     ) -> bool {
+        let core = u8::try_from(self.core).expect("few machines");
+        let mut thread = self.run.main_thread(core);
+        let (mut starved, mut last_look) = (Duration::ZERO, Instant::now());
         loop {
             match connection.fill_buf() {
                 Ok(bytes) => return !bytes.is_empty(),
                 Err(error) if is_timeout(&error) => {}
                 Err(_) => return false,
             }
-            let core = u8::try_from(self.core).expect("few machines");
+            let latest = self.run.main_thread(core);
+            if let (Some(latest), Some(thread)) = (&latest, &thread)
+                && latest.has_starved_since(thread)
+            {
+                starved += last_look.elapsed();
+            }
+            (thread, last_look) = (latest, Instant::now());
             let Some(since) = self.run.undisturbed_since(core, sent) else {
                 if sent.elapsed() > request.wait + CALLER_TIMEOUT {
                     return false;
@@ -200,9 +215,9 @@
             if since.elapsed() > request.wait + ANSWER_TIMEOUT {
                 let Request { method, path, .. } = request;
                 self.run.report(format!(
-                    "LOST: no answer from core-{core} to {method} {path} within {:?}; {}",
-                    sent.elapsed(),
-                    self.run.describe_threads(core)
+                    "LOST: no answer from core-{core} to {method} {path} within {:?}, \
+                     of which its process had no processor for {starved:?}: {thread:?}",
+                    sent.elapsed()
                 ));
                 return false;
             }
--- a/tests/coordination_soak/client.rs
+++ b/tests/coordination_soak/client.rs
@@ -17,6 +17,8 @@
 pub const KEYS_IN_GROUP: u8 = 4;
 /// Refusals after which a call is given up.
 const MAX_REFUSALS: usize = 30;
+/// The part of a lock's time after which its holder renews it at the latest.
+const MAX_PART_BEFORE_RENEWAL: f64 = 0.95;
 /// How long a watch waits.
 const WATCH_WAIT: Duration = Duration::from_millis(500);
 /// A revision that was received so long ago may still be watched from.
@@ -236,13 +238,18 @@
             }
         };
         let received = self.run.now();
+        let is_read_elsewhere = self.random.bool();
         self.history.puts.push(Put {
-            key,
+            key: key.clone(),
             value,
             if_revision,
             span: Span { sent, received },
             fate,
         });
+        if is_read_elsewhere {
+            self.caller.go_on();
+            self.read(key, None);
+        }
     }
 
     fn watch_random(&mut self) {
@@ -288,7 +295,7 @@
     fn hold_lock(&mut self) {
         let lock = format!("l{}", self.random.u8(0..LOCKS));
         let path = format!("/v1/locks/{lock}");
-        let hold_ms = self.random.u64(300..3_000);
+        let hold_ms = self.random.u64(200..2_000);
         let body = json!({ "holder": self.name, "hold_ms": hold_ms });
         let request = Request::new("POST", path.clone(), &body);
         let Some(answer) = self.call(&request, None) else {
@@ -308,13 +315,16 @@
             until: answer.sent + Duration::from_millis(hold_ms),
         };
         let mut is_lost = false;
-        for _ in 0..self.random.u8(0..6) {
-            self.call_while_holding();
+        for _ in 0..self.random.u8(0..4) {
+            self.call_until_renewal(&hold);
             if !self.renew(&mut hold, &path, hold_ms) {
                 is_lost = true;
                 break;
             }
         }
+        if self.random.u8(0..4) == 0 {
+            self.call_until(hold.until);
+        }
         // A lock that is lost before its time counts as held until then.
         let ended = if is_lost { hold.until } else { self.run.now() };
         if !is_lost && self.random.u8(0..4) > 0 {
@@ -334,6 +344,19 @@
         }
     }
 
+    /// Makes other calls for a part of the time that a lock is held, up to nearly all of it.
+    fn call_until_renewal(&mut self, hold: &Hold) {
+        let left = hold.until.saturating_sub(self.run.now());
+        let part = left.mul_f64(self.random.f64() * MAX_PART_BEFORE_RENEWAL);
+        self.call_until(self.run.now() + part);
+    }
+
+    fn call_until(&mut self, time: Duration) {
+        while self.run.now() < time && !self.run.is_over.load(Ordering::Relaxed) {
+            self.call_while_holding();
+        }
+    }
+
     fn call_while_holding(&mut self) {
         if self.random.bool() {
             self.take_random_number();
--- a/tests/coordination_soak/cores.rs
+++ b/tests/coordination_soak/cores.rs
@@ -15,6 +15,36 @@
     last_ended: Option<Instant>,
 }
 
+/// What a thread does.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ThreadState {
+    /// `R` if it runs or waits for a processor.
+    state: String,
+    /// The processor time that it has used and waited for, and the number of its time slices.
+    schedule: String,
+    /// What it waits for in the kernel.
+    waits_for: String,
+}
+
+impl ThreadState {
+    /// The main thread of a process.
+    fn read(process: u32) -> Option<Self> {
+        let read = |file: &str| std::fs::read_to_string(format!("/proc/{process}/{file}")).ok();
+        let status = read("stat")?;
+        let state = status.rsplit(')').next()?.split_whitespace().next()?;
+        Some(Self {
+            state: state.to_owned(),
+            schedule: read("schedstat")?.trim().to_owned(),
+            waits_for: read("wchan").unwrap_or_default(),
+        })
+    }
+
+    /// Whether it wanted to run all the time since an earlier look, and got no time slice.
+    pub fn has_starved_since(&self, earlier: &Self) -> bool {
+        self.state == "R" && self == earlier
+    }
+}
+
 /// The shared state of a run.
 #[derive(Debug)]
 pub struct Run {
@@ -78,31 +108,13 @@
         processes[usize::from(core)] = process;
     }
 
-    /// The state of each thread of a core machine's process and the processor time that it has used:
-    /// whether a silent machine waits for something or only for a processor.
-    pub fn describe_threads(&self, core: u8) -> String {
+    /// What the main thread of a core machine's process does; `None` if the process is gone.
+    pub fn main_thread(&self, core: u8) -> Option<ThreadState> {
         let process = {
             let processes = self.processes.lock().expect("no thread panics with it");
             processes[usize::from(core)]
         };
-        let Ok(threads) = std::fs::read_dir(format!("/proc/{process}/task")) else {
-            return format!("process {process} is gone");
-        };
-        let describe = |thread: std::fs::DirEntry| {
-            let read = |file: &str| {
-                let text = std::fs::read_to_string(thread.path().join(file));
-                text.unwrap_or_default().trim().to_owned()
-            };
-            let state = read("stat");
-            let state = state.rsplit(')').next().unwrap_or_default();
-            let fields: Vec<&str> = state.split_whitespace().collect();
-            let field = |at: usize| fields.get(at).copied().unwrap_or("?");
-            let (state, user, system) = (field(0), field(11), field(12));
-            let (schedule, waits) = (read("schedstat"), read("wchan"));
-            format!("{state} user={user} system={system} schedstat={schedule:?} wchan={waits}")
-        };
-        let threads: Vec<String> = threads.flatten().map(describe).collect();
-        format!("process {process}: {}", threads.join("; "))
+        ThreadState::read(process)
     }
 
     /// A call was executed.
--- a/tests/coordination_soak/faults.rs
+++ b/tests/coordination_soak/faults.rs
@@ -228,7 +228,7 @@
         if !self.disturbed.is_empty() {
             return false;
         }
-        let statuses: Option<Vec<Value>> = (0..self.cores).map(|core| self.status(core)).collect();
+        let statuses: Option<Vec<Value>> = self.statuses().into_iter().collect();
         statuses.is_some_and(|statuses| {
             let voters = statuses.iter().filter(|status| status["is_voter"] == true);
             let count = voters.count();
@@ -244,6 +244,11 @@
         })
     }
 
+    /// What the machines say of the group.
+    pub fn statuses(&self) -> Vec<Option<Value>> {
+        (0..self.cores).map(|core| self.status(core)).collect()
+    }
+
     fn status(&self, core: u8) -> Option<Value> {
         let address = self.system.control(core);
         let answer = call(address, "GET", "/v1/status/coordination", "", b"")?;
