A watch resumed at a machine that lags waits until that machine is current

A watch is answered with events once the machine has applied what the leader of the current term knew to be committed after the watch came, or once the group's revision is confirmed. Ruled out: a query through the log for each watch, about 250 ms between regions for each poll.

Not covered: where the first message of a new term is itself delayed, the leader's clock is estimated late until the next message.

--- a/crates/coordination-simulation/src/clients/final_caller.rs
+++ b/crates/coordination-simulation/src/clients/final_caller.rs
@@ -1,8 +1,8 @@
 //! A client that repeats one call at the end of a simulation until it is answered.
 
 use super::{Client, RETRY_MS};
-use crate::cluster::ClientContext;
-use crate::history::{Answer, LaggingWatch, OperationId, Request};
+use crate::cluster::{ClientContext, Cluster};
+use crate::history::{Answer, FinalCall, LaggingWatch, OperationId, Request};
 use woadstall_control_simulation::NodeIndex;
 use woadstall_coordination::machine::Response;
 
@@ -29,14 +29,21 @@
 }
 
 impl FinalCaller {
-    /// A client that calls this machine first.
-    pub fn new(request: Request, goal: FinalGoal, node: NodeIndex, number: usize) -> Self {
-        Self {
+    /// Adds a client that calls this machine first, and its place in the history.
+    pub fn add(cluster: &mut Cluster, request: Request, goal: FinalGoal, node: NodeIndex) {
+        let number = cluster.history.final_calls.len();
+        cluster.history.final_calls.push(FinalCall {
+            request: format!("{request:?} {goal:?}"),
+            answered_ms: None,
+            lagging: None,
+        });
+        let client = Self {
             request,
             goal,
             node,
             number,
-        }
+        };
+        cluster.add_client(Box::new(client), 0);
     }
 
     /// How far an answer lags behind what was acknowledged, if it does.
--- a/crates/coordination-simulation/src/scenario/ending.rs
+++ b/crates/coordination-simulation/src/scenario/ending.rs
@@ -5,7 +5,7 @@
 use super::workload::{groups, keys, locks, sequences};
 use crate::clients::{FinalCaller, FinalGoal, SavedRevision};
 use crate::cluster::{Cluster, HISTORY_MS};
-use crate::history::{FinalCall, Request};
+use crate::history::Request;
 use std::collections::BTreeMap;
 use woadstall_control_simulation::NodeIndex;
 use woadstall_coordination::command::{Call, Command, Query, group_of};
@@ -166,14 +166,7 @@
 }
 
 fn add(cluster: &mut Cluster, request: Request, goal: FinalGoal) {
-    let number = cluster.history.final_calls.len();
-    cluster.history.final_calls.push(FinalCall {
-        request: format!("{request:?} {goal:?}"),
-        answered_ms: None,
-        lagging: None,
-    });
     let present = cluster.present();
     let node = cluster.random.choice(present).unwrap_or_default();
-    let client = FinalCaller::new(request, goal, node, number);
-    cluster.add_client(Box::new(client), 0);
+    FinalCaller::add(cluster, request, goal, node);
 }
--- a/crates/coordination/src/machine/leadership.rs
+++ b/crates/coordination/src/machine/leadership.rs
@@ -1,7 +1,7 @@
 //! Whether there is a leader with a quorum, and what a change of leadership means for calls.
 
 use super::{CoordinationMachine, LogEvent};
-use woadstall_consensus::{Term, Timing};
+use woadstall_consensus::{LogIndex, Term, Timing};
 
 /// The leader of a term, as other machines reach it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,7 +21,43 @@
     leader: Option<LeaderAddress>,
 }
 
+/// What leaders have told of their commit index.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct LeaderCommit {
+    /// The greatest index.
+    index: LogIndex,
+    /// The newest leader that has told one, and when it did, by this machine's clock.
+    told: Option<(Term, u64)>,
+}
+
 impl CoordinationMachine {
+    /// The leader of the current term has told its commit index with its newest message.
+    pub(super) fn observe_leader_commit(&mut self, index: LogIndex) {
+        let term = self.replica.term();
+        let sent = self.leader_clock.last_sent(term);
+        self.leader_commit = LeaderCommit {
+            index: self.leader_commit.index.max(index),
+            told: sent.map(|sent| (term, sent)),
+        };
+    }
+
+    /// Whether everything is applied here that the leader knew to be committed at a time or later. A
+    /// machine that has restarted or was cut off lags behind what was acknowledged; so does a leader
+    /// until an entry of its own term is committed.
+    pub(super) fn is_current_since(&self, time: u64) -> bool {
+        let term = self.replica.term();
+        let told = if self.replica.is_leader() {
+            self.replica.last_leader_contact()
+        } else {
+            let told = self.leader_commit.told;
+            told.filter(|(by, _)| *by == term).map(|(_, sent)| sent)
+        };
+        let committed = self.leader_commit.index.max(self.replica.commit_index());
+        told.is_some_and(|at| at >= time)
+            && self.applied >= committed
+            && self.replica.log().term_at(self.applied) == Some(term)
+    }
+
     /// Whether a leader with a quorum was heard of within the longest election time-out.
     pub fn in_quorum(&self) -> bool {
         let last_heard = if self.replica.is_leader() {
--- a/crates/coordination/src/machine/mod.rs
+++ b/crates/coordination/src/machine/mod.rs
@@ -33,7 +33,7 @@
 
 use crate::state::CoordinationState;
 use calls::PendingCalls;
-use leadership::LeadershipTracker;
+use leadership::{LeaderCommit, LeadershipTracker};
 use lease_clock::LeaseClock;
 use peers::{Peer, PeerTimers};
 use queue::CallQueue;
@@ -57,6 +57,8 @@
     /// Bytes of commands in the log since its last snapshot.
     log_bytes: usize,
     leader_clock: LeaderClock,
+    /// What leaders have told of their commit index.
+    leader_commit: LeaderCommit,
     /// While this machine leads: how it continues the state's clock.
     lease_clock: Option<LeaseClock>,
     leadership: LeadershipTracker,
@@ -89,6 +91,7 @@
             applied: 0,
             log_bytes: 0,
             leader_clock: LeaderClock::default(),
+            leader_commit: LeaderCommit::default(),
             lease_clock: None,
             leadership: LeadershipTracker::default(),
             peers: BTreeMap::new(),
--- a/crates/coordination/src/machine/replication.rs
+++ b/crates/coordination/src/machine/replication.rs
@@ -6,7 +6,9 @@
 use crate::batch::Batch;
 use crate::state::{AppliedBatch, CoordinationState};
 use crate::wire::Packet;
-use woadstall_consensus::{Entry, EntryPayload, Message, Output, Snapshot, is_from_leader};
+use woadstall_consensus::{
+    Entry, EntryPayload, LogIndex, Message, MessageBody, Output, Snapshot, is_from_leader,
+};
 
 /// Bytes of batches in the log since its last snapshot from which on a new one is taken.
 const COMPACT_BYTES: usize = 1 << 20;
@@ -27,11 +29,16 @@
     pub(super) fn on_consensus(&mut self, message: Message, clock: u64) {
         let (from, term) = (message.from, message.term);
         let is_from_leader = is_from_leader(&message);
+        let leader_commit = leader_commit(&message);
         self.replica.handle_message(self.now, message);
         if is_from_leader && self.replica.term() == term && self.replica.leader() == Some(from) {
             self.leader_clock.observe(self.now, term, clock);
+            if let Some(index) = leader_commit {
+                self.observe_leader_commit(index);
+            }
         }
         self.process_replica_outputs();
+        self.advance_watches();
     }
 
     /// Carries out all that the replica asks for, until it asks for nothing more.
@@ -153,3 +160,11 @@
         }
     }
 }
+
+/// The leader's commit index, where a message tells it.
+fn leader_commit(message: &Message) -> Option<LogIndex> {
+    match &message.body {
+        MessageBody::AppendEntriesRequest(request) => Some(request.leader_commit),
+        _ => None,
+    }
+}
--- a/crates/coordination/src/machine/watches.rs
+++ b/crates/coordination/src/machine/watches.rs
@@ -1,9 +1,10 @@
 //! Watches: callers that wait for events of a group. Any machine serves them from the feed of its
 //! own state.
 //!
-//! A watch that has seen an event needs no confirmation: its events are in order and without a gap.
-//! One that ends without events says that there are none, so the leader first confirms the revision
-//! of the group, and this machine must have applied it.
+//! A watch is answered with events once this machine has applied what a leader knew to be committed
+//! after the watch came: a machine that has restarted or was cut off would lag behind what was
+//! acknowledged. One that ends without events says that there are none, so the leader first confirms
+//! the revision of the group, and this machine must have applied it.
 
 use super::calls::{CallResult, Caller};
 use super::{CoordinationMachine, Response};
@@ -16,6 +17,9 @@
 const MAX_WATCHES: usize = 1_024;
 /// How long before the end of a watch its group's revision is confirmed, in milliseconds.
 const CONFIRMATION_LEAD_MS: u64 = 300;
+/// How long a message from the leader takes at most where nothing delays it, in milliseconds. The
+/// time at which one was sent is known only up to the shortest latency.
+const MAX_LATENCY_MS: u64 = 60;
 /// How long after its end a watch waits for the confirmation, in milliseconds.
 const CONFIRMATION_TIMEOUT_MS: u64 = 600;
 
@@ -45,6 +49,8 @@
     token: u64,
     group: String,
     after: u64,
+    /// When it came, by this machine's clock.
+    arrived: u64,
     deadline: u64,
     confirmation: Confirmation,
 }
@@ -87,6 +93,7 @@
             token,
             group: request.group,
             after: request.after,
+            arrived: self.now,
             deadline: self.now.saturating_add(wait_ms),
             confirmation: Confirmation::NotRequested,
         };
@@ -143,29 +150,35 @@
     /// The response to a watch, if there is one by now.
     fn response_to_watch(&self, number: u64) -> Option<Response> {
         let watch = self.watches.by_number.get(&number)?;
-        if watch.after > 0 {
+        let response = if watch.after > 0 {
             match self.state.events_after(&watch.group, watch.after) {
                 Err(_) => return Some(Response::HistoryCompacted),
-                Ok(found) if !found.events.is_empty() => return Some(Response::Events(found)),
-                Ok(_) => {}
+                Ok(found) if found.events.is_empty() => self.response_without_events(watch),
+                Ok(found) => {
+                    let is_current = self.is_current_since(watch.arrived + MAX_LATENCY_MS)
+                        || self.is_confirmed(watch);
+                    is_current.then_some(Response::Events(found))
+                }
             }
-        }
-        if let Some(response) = self.response_without_events(watch) {
-            return Some(response);
-        }
+        } else {
+            self.response_without_events(watch)
+        };
         let is_overdue = self.now >= watch.deadline.saturating_add(CONFIRMATION_TIMEOUT_MS);
-        is_overdue.then_some(Response::NotExecuted)
+        response.or_else(|| is_overdue.then_some(Response::NotExecuted))
+    }
+
+    /// Whether the group's revision is confirmed and applied here.
+    fn is_confirmed(&self, watch: &Watch) -> bool {
+        let revision = self.state.group_revision(&watch.group);
+        matches!(watch.confirmation, Confirmation::Confirmed(confirmed) if revision >= confirmed)
     }
 
     /// The response at the end of a watch, once its group's revision is confirmed and applied here.
     fn response_without_events(&self, watch: &Watch) -> Option<Response> {
-        let Confirmation::Confirmed(confirmed) = watch.confirmation else {
-            return None;
-        };
-        let revision = self.state.group_revision(&watch.group);
-        if self.now < watch.deadline || revision < confirmed {
+        if self.now < watch.deadline || !self.is_confirmed(watch) {
             return None;
         }
+        let revision = self.state.group_revision(&watch.group);
         if watch.after > revision {
             // A revision that this group never had.
             return Some(Response::HistoryCompacted);
