--- a/crates/coordination/src/machine/calls.rs
+++ b/crates/coordination/src/machine/calls.rs
@@ -14,6 +14,8 @@
 /// machine after a second.
 const CALL_TIMEOUT_MS: u64 = 900;
 
+/// Calls that may wait at a machine: more than are executed within [`CALL_TIMEOUT_MS`].
+const MAX_PENDING_CALLS: usize = 2_048;
 /// A call that takes so many milliseconds is logged.
 const SLOW_CALL_MS: u64 = 400;
 
@@ -33,6 +35,8 @@
     Executed(Outcome),
     /// It was not executed and never will be.
     NotExecuted,
+    /// The same, as too many calls wait here.
+    Overloaded,
     /// It may have been executed, or may still be.
     Unknown,
 }
@@ -48,6 +52,8 @@
     sent_to: Option<LeaderAddress>,
     /// Whether a former leader may have executed it, or may still do so.
     is_in_doubt: bool,
+    /// Whether the log may hold more than one copy of it.
+    is_repeated: bool,
 }
 
 impl PendingCall {
@@ -61,6 +67,22 @@
         }
     }
 
+    /// What is known of the call once a copy of it was executed.
+    fn result_of(&self, outcome: Outcome) -> CallResult {
+        match &self.call {
+            Call::Command(command) if self.is_repeated && !command.is_settled_by(&outcome) => {
+                CallResult::Unknown
+            }
+            _ => CallResult::Executed(outcome),
+        }
+    }
+
+    /// The call is given to a leader.
+    fn send_to(&mut self, leader: LeaderAddress) {
+        self.sent_to = Some(leader);
+        self.is_repeated |= self.is_in_doubt;
+    }
+
     /// The leader that has the call does not have it for certain any more.
     fn lose_leader(&mut self) {
         if self.sent_to.take().is_some() {
@@ -111,6 +133,10 @@
             self.answer(caller, CallResult::NotExecuted);
             return;
         }
+        if self.calls.len() >= MAX_PENDING_CALLS {
+            self.answer(caller, CallResult::Overloaded);
+            return;
+        }
         self.calls.last_number += 1;
         let number = self.calls.last_number;
         let pending = PendingCall {
@@ -120,6 +146,7 @@
             deadline: self.now + CALL_TIMEOUT_MS,
             sent_to: None,
             is_in_doubt: false,
+            is_repeated: false,
         };
         self.calls.by_number.insert(number, pending);
         self.dispatch([number].into_iter());
@@ -139,7 +166,7 @@
                 continue;
             }
             if self.replica.is_leader() {
-                self.enqueue_own(number);
+                self.enqueue_own(number, &leader);
             } else {
                 forwarded.extend(self.forwarded(number, &leader));
             }
@@ -162,14 +189,13 @@
         now < pending.deadline && pending.may_be_resent()
     }
 
-    fn enqueue_own(&mut self, number: u64) {
-        let leader = self.leader();
+    fn enqueue_own(&mut self, number: u64, leader: &LeaderAddress) {
         let taken_by = self.own_address().to_owned();
         let id = self.call_id(number);
         let Some(pending) = self.calls.by_number.get_mut(&number) else {
             return;
         };
-        pending.sent_to = leader;
+        pending.send_to(leader.clone());
         let queued = QueuedCall {
             call: pending.batched(id),
             taken_by,
@@ -194,7 +220,7 @@
         let expires = self
             .leader_clock
             .to_leader_time(leader.term, pending.deadline)?;
-        pending.sent_to = Some(leader.clone());
+        pending.send_to(leader.clone());
         let call = pending.batched(id);
         Some(ForwardedCall { call, expires })
     }
@@ -213,8 +239,12 @@
     /// Calls were executed; those that this process has taken are answered.
     pub(super) fn on_executed_calls(&mut self, outcomes: Vec<CallOutcome>) {
         for CallOutcome { id, outcome } in outcomes {
-            if id.incarnation == self.settings.incarnation {
-                self.finish(id.number, CallResult::Executed(outcome));
+            if id.incarnation != self.settings.incarnation {
+                continue;
+            }
+            if let Some(pending) = self.calls.by_number.get(&id.number) {
+                let result = pending.result_of(outcome);
+                self.finish(id.number, result);
             }
         }
     }
@@ -265,6 +295,7 @@
             result: match result {
                 CallResult::Executed(_) => "executed",
                 CallResult::NotExecuted => "not_executed",
+                CallResult::Overloaded => "overloaded",
                 CallResult::Unknown => "unknown",
             },
         });
@@ -287,6 +318,7 @@
     match result {
         CallResult::Executed(outcome) => Response::Executed(outcome),
         CallResult::NotExecuted => Response::NotExecuted,
+        CallResult::Overloaded => Response::Overloaded,
         CallResult::Unknown => Response::Unknown,
     }
 }
--- a/crates/coordination/src/machine/mod.rs
+++ b/crates/coordination/src/machine/mod.rs
@@ -22,6 +22,7 @@
 mod queue;
 mod replication;
 mod settings;
+mod state_age;
 mod status;
 mod watches;
 
@@ -33,10 +34,11 @@
 
 use crate::state::CoordinationState;
 use calls::PendingCalls;
-use leadership::{LeaderCommit, LeadershipTracker};
+use leadership::LeadershipTracker;
 use lease_clock::LeaseClock;
 use peers::{Peer, PeerTimers};
 use queue::CallQueue;
+use state_age::StateAge;
 use std::collections::{BTreeMap, BTreeSet};
 use watches::Watches;
 use woadstall_consensus::{DurableState, LeaderClock, Replica, Settings, Timing};
@@ -54,11 +56,12 @@
     state: CoordinationState,
     /// The position of the last entry that was applied.
     applied: u64,
+    state_age: StateAge,
+    /// Whether an entry or a snapshot could not be read, so that the state is not the group's.
+    is_state_damaged: bool,
     /// Bytes of commands in the log since its last snapshot.
     log_bytes: usize,
     leader_clock: LeaderClock,
-    /// What leaders have told of their commit index.
-    leader_commit: LeaderCommit,
     /// While this machine leads: how it continues the state's clock.
     lease_clock: Option<LeaseClock>,
     leadership: LeadershipTracker,
@@ -89,9 +92,10 @@
             replica: Replica::new(durable, replica_settings, now, seed),
             state: CoordinationState::default(),
             applied: 0,
+            state_age: StateAge::default(),
+            is_state_damaged: false,
             log_bytes: 0,
             leader_clock: LeaderClock::default(),
-            leader_commit: LeaderCommit::default(),
             lease_clock: None,
             leadership: LeadershipTracker::default(),
             peers: BTreeMap::new(),
--- a/crates/coordination/src/machine/replication.rs
+++ b/crates/coordination/src/machine/replication.rs
@@ -2,13 +2,12 @@
 //! committed entries to the state.
 
 use super::lease_clock::LeaseClock;
+use super::state_age::leader_commit;
 use super::{Action, CoordinationMachine, LogEvent};
 use crate::batch::Batch;
 use crate::state::{AppliedBatch, CoordinationState};
 use crate::wire::Packet;
-use woadstall_consensus::{
-    Entry, EntryPayload, LogIndex, Message, MessageBody, Output, Snapshot, is_from_leader,
-};
+use woadstall_consensus::{Entry, EntryPayload, Message, Output, Snapshot, is_from_leader};
 
 /// Bytes of batches in the log since its last snapshot from which on a new one is taken.
 const COMPACT_BYTES: usize = 1 << 20;
@@ -33,12 +32,14 @@
         self.replica.handle_message(self.now, message);
         if is_from_leader && self.replica.term() == term && self.replica.leader() == Some(from) {
             self.leader_clock.observe(self.now, term, clock);
-            if let Some(index) = leader_commit {
-                self.observe_leader_commit(index);
-            }
         }
         self.process_replica_outputs();
-        self.advance_watches();
+        if let Some(commit) = leader_commit
+            && self.replica.term() == term
+        {
+            self.observe_leader_commit(commit);
+        }
+        self.answer_held_back_watches();
     }
 
     /// Carries out all that the replica asks for, until it asks for nothing more.
@@ -81,29 +82,38 @@
         match CoordinationState::decode(&snapshot.state) {
             Ok(state) => {
                 self.applied = snapshot.index;
+                self.state_age.applied_term = snapshot.term;
                 self.log_bytes = 0;
                 self.state = state;
+                self.is_state_damaged = false;
                 self.answer_all_watches();
             }
-            Err(error) => self.log(LogEvent::SnapshotRejected {
-                index: snapshot.index,
-                error: error.to_string(),
-            }),
+            Err(error) => {
+                self.is_state_damaged = true;
+                self.log(LogEvent::SnapshotRejected {
+                    index: snapshot.index,
+                    error: error.to_string(),
+                });
+            }
         }
     }
 
     fn apply_entry(&mut self, entry: Entry) {
         let index = entry.index;
         self.applied = index;
+        self.state_age.applied_term = entry.term;
         match entry.payload {
             EntryPayload::Command(bytes) => {
                 self.log_bytes += bytes.len();
                 match Batch::decode(&bytes) {
                     Ok(batch) => self.apply_batch(index, batch),
-                    Err(error) => self.log(LogEvent::EntryRejected {
-                        index,
-                        error: error.to_string(),
-                    }),
+                    Err(error) => {
+                        self.is_state_damaged = true;
+                        self.log(LogEvent::EntryRejected {
+                            index,
+                            error: error.to_string(),
+                        });
+                    }
                 }
             }
             EntryPayload::Membership(membership) => {
@@ -160,11 +170,3 @@
         }
     }
 }
-
-/// The leader's commit index, where a message tells it.
-fn leader_commit(message: &Message) -> Option<LogIndex> {
-    match &message.body {
-        MessageBody::AppendEntriesRequest(request) => Some(request.leader_commit),
-        _ => None,
-    }
-}
