Consensus: a refused pre-vote tells the voter's term, so that a leader is always found

After a loss of power everywhere no call was answered any more, for ever: of five voters two disks were gone, so the three left had to agree, and one of them was a term ahead, from an election whose requests never arrived. The only replica with the whole log asked for a pre-vote for that same term and was refused for it; the one ahead was refused for its shorter log. A refusal named the term asked for, so the candidate never learned the greater one. Raft without pre-vote learns it from every response.

A pre-vote for a term that the voter is in or past is refused with a plain refusal of a vote in the voter's own term, which candidates adopt since ever: former texts understand it, and their refusals mean what they meant. Ruled out: the own term in refusals of pre-votes, which former candidates ignore and which from former voters would mean another thing. The group of the configuration had the same fault.

--- a/crates/consensus/src/replica/vote.rs
+++ b/crates/consensus/src/replica/vote.rs
@@ -49,8 +49,11 @@
     }
 
     fn handle_pre_vote(&mut self, from: ReplicaId, term: Term, request: VoteRequest) {
-        let granted = term > self.term
-            && self.is_up_to_date(request.last_log)
+        if term <= self.term {
+            self.tell_term(from);
+            return;
+        }
+        let granted = self.is_up_to_date(request.last_log)
             && !self.has_precedence_over(from, request.last_log);
         if granted {
             self.postpone_election();
@@ -68,6 +71,17 @@
         self.outputs.push_back(Output::Send(message));
     }
 
+    /// Refuses a pre-vote for a term that this replica is in or past. The candidate adopts the term
+    /// from the refusal: it may be the only one whose log is complete, and would never be granted a
+    /// term that it does not go beyond.
+    fn tell_term(&mut self, candidate: ReplicaId) {
+        let refusal = VoteResponse {
+            pre_vote: false,
+            granted: false,
+        };
+        self.send(candidate, MessageBody::VoteResponse(refusal));
+    }
+
     /// Handles the response to a request for a vote.
     pub(super) fn handle_vote_response(&mut self, from: ReplicaId, response: VoteResponse) {
         if response.granted {
--- a/crates/consensus/tests/replica/elections.rs
+++ b/crates/consensus/tests/replica/elections.rs
@@ -148,6 +148,35 @@
     assert_eq!(granted_vote(&flush(&mut replica)), Some(granted));
 }
 
+/// Incident LOST: a group whose only complete log was a term behind had no leader for ever.
+#[test]
+fn a_candidate_behind_in_its_term_is_elected_for_its_complete_log() {
+    let mut state = DurableState::new(2, founding_snapshot(1..=2));
+    state.apply_record(&Record::Term {
+        term: 4,
+        voted_for: 0,
+    });
+    state.apply_record(&Record::Append(durable_state().log.entries().to_vec()));
+    let mut complete = Replica::new(state, SETTINGS, 0, 1);
+    let mut state = DurableState::new(1, founding_snapshot(1..=2));
+    state.apply_record(&Record::Term {
+        term: 5,
+        voted_for: 1,
+    });
+    let mut ahead = Replica::new(state, SETTINGS, 0, 2);
+    for now in (0..20_000).step_by(50) {
+        complete.tick(now);
+        ahead.tick(now);
+        for message in flush(&mut complete) {
+            ahead.handle_message(now, message);
+        }
+        for message in flush(&mut ahead) {
+            complete.handle_message(now, message);
+        }
+    }
+    assert!(complete.is_leader());
+}
+
 #[test]
 fn a_message_for_another_identity_is_ignored() {
     let mut replica = replica();
