--- a/crates/consensus/src/replica/dispatch.rs
+++ b/crates/consensus/src/replica/dispatch.rs
@@ -18,15 +18,12 @@
             self.handle_vote_request(message.from, message.term, request);
             return;
         }
-        // A granted pre-vote names the term of an election that has not begun.
-        let is_granted_pre_vote = matches!(
+        // A pre-vote names the term of an election that has not begun.
+        let is_pre_vote_response = matches!(
             message.body,
-            MessageBody::VoteResponse(VoteResponse {
-                pre_vote: true,
-                granted: true,
-            })
+            MessageBody::VoteResponse(VoteResponse { pre_vote: true, .. })
         );
-        if message.term > self.term && !is_granted_pre_vote {
+        if message.term > self.term && !is_pre_vote_response {
             self.adopt_term(message.term);
         }
         if message.term < self.term {
