Consensus, coordination: voters commit by the leader's report of who holds the log durably

Need: a call at a machine in another region than the leader took four one-way delays (forward, append, acknowledgement, notice of the commit), 250 ms at 55 ms. With five voters as 2+2+1 the leader and its neighbour hold an entry after a few ms, and a remote voter that holds it too is the third; it could know two delays earlier.

Change: Replica::take_durable_report on the leader (one voter less than a quorum holds an uncommitted index of its term; once a rise; none in a joint membership), Replica::observe_durable_report on the follower, which commits min(reported index, own durable index) where that entry is of the current term and the holders and itself are a quorum by its log; looked at again whenever its records become durable. The coordination machine sends the report to the voters that are not holders, as a new last variant of wire::Packet. Control takes no reports and its frames are the same. A report counts only in its own term, so a new term forgets it.

(1) Who counts doesn't matter: an entry of term T that a majority holds durably while in term T is in the log of every later leader, since each is elected by a majority, one of whose voters held the entry when it voted, in a later term than T, and grants its vote only to a log that is as up-to-date. The leader reports acknowledgements of its own term, and the follower counts itself while in that term; an entry of T is durable only after the record of T. (2) The entry is of the current term, so this term's leader has created it, and by Log Matching the follower's whole log is a prefix of the leader's. Entries after it have terms of T at least, and no more than T. (3) The follower's membership, as of its log's end, suffices though the leader may have a newer one: a newer one takes a joint entry behind this prefix. Where that is committed, its quorum holds all before it, this entry too. Where it isn't, an election takes a majority of the follower's voters (old or joint membership), which shares a voter with the counted quorum. If the follower's membership is joint, both majorities are counted. Changes of former terms are committed before the entries of T.

Ruled out: a remembered index up to which the log matches the leader's, as first planned. With (2) it never decides anything: an entry of the current term is the leader's.

The model checker gets reports (any order, repeated, never; five voters from a reported command on) and a new invariant: what a replica applies is on the disks of a quorum.

Machines without a vote still wait for the notice.

--- a/crates/consensus/src/leader_state.rs
+++ b/crates/consensus/src/leader_state.rs
@@ -39,6 +39,8 @@
     pub first_index: LogIndex,
     /// Reads that wait, the oldest first.
     pub pending_reads: VecDeque<PendingRead>,
+    /// The index of the last report of durable entries; 0 before the first one.
+    pub reported_index: LogIndex,
     /// Until when commands are rejected because of a leadership transfer.
     pub transfer_deadline: Option<Milliseconds>,
 }
@@ -59,6 +61,7 @@
             heartbeat_due: now,
             first_index,
             pending_reads: VecDeque::new(),
+            reported_index: 0,
             transfer_deadline: None,
         }
     }
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -10,6 +10,7 @@
 //! "dissertation".
 
 mod config;
+mod durable_report;
 mod durable_state;
 mod entry;
 mod error;
@@ -29,6 +30,7 @@
 mod voter_selection;
 
 pub use config::{Milliseconds, Settings, Timing};
+pub use durable_report::DurableReport;
 pub use durable_state::{DurableState, Record};
 pub use entry::{Entry, EntryPayload};
 pub use error::{ChangeVotersError, ProposeError};
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -70,6 +70,18 @@
         }
     }
 
+    /// The greatest value that one voter less than a majority have reached; `None` in a joint
+    /// membership, and where a single voter is a majority.
+    pub fn value_below_quorum(&self, value: impl Fn(&Member) -> u64) -> Option<u64> {
+        if self.is_joint() {
+            return None;
+        }
+        let count = majority(&self.voters) - 1;
+        values_descending(&self.voters, value)
+            .get(count.checked_sub(1)?)
+            .copied()
+    }
+
     /// The membership after the change.
     pub fn completed(&self) -> Self {
         if self.is_joint() {
@@ -90,10 +102,14 @@
 }
 
 fn majority_value(voters: &[Member], value: impl Fn(&Member) -> u64) -> u64 {
-    let mut values: Vec<u64> = voters.iter().map(value).collect();
-    values.sort_unstable_by(|a, b| b.cmp(a));
-    values
+    values_descending(voters, value)
         .get(majority(voters) - 1)
         .copied()
         .unwrap_or_default()
 }
+
+fn values_descending(voters: &[Member], value: impl Fn(&Member) -> u64) -> Vec<u64> {
+    let mut values: Vec<u64> = voters.iter().map(value).collect();
+    values.sort_unstable_by(|a, b| b.cmp(a));
+    values
+}
--- a/crates/consensus/src/replica/commit.rs
+++ b/crates/consensus/src/replica/commit.rs
@@ -2,7 +2,9 @@
 
 use super::Replica;
 use crate::durable_state::Record;
-use crate::membership::Member;
+use crate::leader_state::LeaderState;
+use crate::log_position::LogIndex;
+use crate::membership::{Member, ReplicaId};
 use crate::output::Output;
 use crate::role::Role;
 
@@ -13,16 +15,7 @@
         let Role::Leader(leader) = &self.role else {
             return;
         };
-        let durable_index = |member: &Member| {
-            if member.id == self.id {
-                self.persistence.durable_index()
-            } else {
-                leader
-                    .progress
-                    .get(&member.id)
-                    .map_or(0, |progress| progress.match_index)
-            }
-        };
+        let durable_index = |member: &Member| self.durable_index_of(leader, member.id);
         let index = self.log.membership().quorum_value(durable_index);
         if index > self.commit_index && self.log.term_at(index) == Some(self.term) {
             self.commit_index = index;
@@ -33,6 +26,15 @@
         }
     }
 
+    /// The index up to which this leader knows that a replica holds its log durably.
+    pub(super) fn durable_index_of(&self, leader: &LeaderState, id: ReplicaId) -> LogIndex {
+        if id == self.id {
+            return self.persistence.durable_index();
+        }
+        let progress = leader.progress.get(&id);
+        progress.map_or(0, |progress| progress.match_index)
+    }
+
     /// Applies newly committed entries, and records the commit index for the next start.
     pub(super) fn persist_and_apply_committed(&mut self) {
         self.persist(Record::Commit(self.commit_index));
--- a/crates/consensus/src/replica/mod.rs
+++ b/crates/consensus/src/replica/mod.rs
@@ -4,6 +4,7 @@
 mod append_entries;
 mod commit;
 mod dispatch;
+mod durable_report;
 mod election;
 mod install_snapshot;
 mod leader;
@@ -17,6 +18,7 @@
 mod vote;
 
 use crate::config::{Milliseconds, Settings};
+use crate::durable_report::DurableReport;
 use crate::durable_state::{DurableState, Record};
 use crate::entry::{Entry, EntryPayload};
 use crate::log::Log;
@@ -54,6 +56,8 @@
     persistence: Persistence,
     /// The snapshot that a leader is sending.
     incoming_snapshot: Option<SnapshotReceiver>,
+    /// The last report of a leader; it counts only in its term.
+    durable_report: Option<DurableReport>,
 }
 
 impl Replica {
@@ -80,6 +84,7 @@
             outputs: VecDeque::new(),
             persistence: Persistence::new(last_index),
             incoming_snapshot: None,
+            durable_report: None,
         };
         if snapshot.index > 0 {
             replica.outputs.push_back(Output::Restore(snapshot));
@@ -161,7 +166,11 @@
             self.applied_index,
         );
         let pending_messages = self.persistence.pending_messages();
-        format!("{durable:?} {log:?} {:?} {pending_messages:?}", self.role)
+        let report = self.current_report();
+        format!(
+            "{durable:?} {log:?} {:?} {pending_messages:?} {report:?}",
+            self.role
+        )
     }
 
     /// Takes the outputs since the last call, in the order in which they are to be carried out.
--- a/crates/consensus/src/replica/persistence.rs
+++ b/crates/consensus/src/replica/persistence.rs
@@ -145,6 +145,7 @@
             self.count_vote(self.id, false);
         }
         self.advance_commit_index();
+        self.commit_reported();
     }
 
     /// Issues a record.
--- a/crates/consensus/tests/exhaustive.rs
+++ b/crates/consensus/tests/exhaustive.rs
@@ -1,7 +1,8 @@
 //! All reachable states of a small group, up to a limit: the replica under a model checker.
 //! Messages are delivered in any order and at any later time, or never; elections, commands, a
-//! change of members, reads and restarts happen at any moment. The time is constant, so that no
-//! timer changes a replica.
+//! change of members, reads and restarts happen at any moment. Reports of durable entries arrive in
+//! any order, at any later time, more than once or never. The time is constant, so that no timer
+//! changes a replica.
 
 use nanoserde::{DeBin, SerBin};
 use rstest::rstest;
@@ -9,8 +10,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
 use woadstall_consensus::{
-    DurableState, Entry, Member, Membership, Message, MessageBody, Output, Replica, ReplicaId,
-    Settings, Snapshot, Timing,
+    DurableReport, DurableState, Entry, Member, Membership, Message, MessageBody, Output, Replica,
+    ReplicaId, Settings, Snapshot, Timing,
 };
 
 const SETTINGS: Settings = Settings {
@@ -33,6 +34,7 @@
     changes: u8,
     reads: u8,
     restarts: u8,
+    reports: u8,
 }
 
 /// A small group: its voters, the voters after the change, and the limits on events.
@@ -41,6 +43,9 @@
     voters: Vec<ReplicaId>,
     next: Vec<ReplicaId>,
     limits: Events,
+    /// Whether the group begins with a command that only the leader and one more replica hold, and
+    /// with the leader's report of that.
+    begins_with_report: bool,
 }
 
 /// A replica and its durable state.
@@ -50,12 +55,23 @@
     disk: DurableState,
 }
 
+/// A report of durable entries on its way to a voter.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct SentReport {
+    from: ReplicaId,
+    to: ReplicaId,
+    /// The report, encoded.
+    bytes: Vec<u8>,
+}
+
 /// The state of the group.
 #[derive(Clone, Debug)]
 struct State {
     nodes: Vec<Node>,
     /// Messages in flight, encoded.
     network: BTreeSet<Vec<u8>>,
+    /// Reports that were sent. They stay, so that one may arrive twice.
+    reports: BTreeSet<SentReport>,
     remaining: Events,
     leaders: BTreeMap<u64, ReplicaId>,
     committed: BTreeMap<u64, Entry>,
@@ -82,6 +98,7 @@
 enum Action {
     Campaign(usize),
     Deliver(Vec<u8>),
+    DeliverReport(SentReport),
     Command(usize),
     Change(usize),
     Complete(usize),
@@ -105,6 +122,7 @@
 struct Key<'a> {
     nodes: Vec<String>,
     network: &'a BTreeSet<Vec<u8>>,
+    reports: &'a BTreeSet<SentReport>,
     remaining: Events,
     read_floors: &'a BTreeMap<u64, u64>,
 }
@@ -119,6 +137,7 @@
         Key {
             nodes,
             network: &self.network,
+            reports: &self.reports,
             remaining: self.remaining,
             read_floors: &self.read_floors,
         }
@@ -139,6 +158,7 @@
                 .into_iter()
                 .for_each(|output| self.execute(index, output));
         }
+        self.send_report(index);
         let replica = &self.nodes[index].replica;
         if replica.is_leader() {
             let (term, id) = (replica.term(), replica.id());
@@ -149,6 +169,24 @@
         }
     }
 
+    fn send_report(&mut self, index: usize) {
+        if self.remaining.reports == 0 {
+            return;
+        }
+        let replica = &mut self.nodes[index].replica;
+        let Some(report) = replica.take_durable_report() else {
+            return;
+        };
+        self.remaining.reports -= 1;
+        let voters = replica.membership().all_voters().map(|voter| voter.id);
+        let receivers = voters.filter(|voter| !report.holders.contains(voter));
+        self.reports.extend(receivers.map(|to| SentReport {
+            from: replica.id(),
+            to,
+            bytes: report.serialize_bin(),
+        }));
+    }
+
     fn execute(&mut self, index: usize, output: Output) {
         let node = &mut self.nodes[index];
         match output {
@@ -158,6 +196,7 @@
             }
             Output::Send(message) => drop(self.network.insert(message.serialize_bin())),
             Output::Apply(entry) => {
+                self.check_held_by_quorum(index, &entry);
                 let first = self
                     .committed
                     .entry(entry.index)
@@ -180,6 +219,25 @@
         }
     }
 
+    /// An entry that a replica applies must be on the disks of a quorum.
+    fn check_held_by_quorum(&mut self, index: usize, entry: &Entry) {
+        let holds = |member: &Member| {
+            let node = self.index_of(member.id).map(|index| &self.nodes[index]);
+            node.is_some_and(|node| {
+                let log = &node.disk.log;
+                log.snapshot().index >= entry.index || log.get(entry.index) == Some(entry)
+            })
+        };
+        let replica = &self.nodes[index].replica;
+        let membership = replica.log().membership_at(entry.index);
+        if !membership.is_quorum(holds) {
+            let (id, position) = (replica.id(), entry.position());
+            self.record_violation(format!(
+                "replica {id} applies {position:?} without a quorum"
+            ));
+        }
+    }
+
     fn newest_committed(&self) -> u64 {
         self.committed
             .keys()
@@ -217,7 +275,8 @@
         let mut state = State {
             nodes: self.ids().into_iter().map(node).collect(),
             network: BTreeSet::new(),
-            remaining: self.limits,
+            reports: BTreeSet::new(),
+            remaining: Events::default(),
             leaders: BTreeMap::new(),
             committed: BTreeMap::new(),
             read_floors: BTreeMap::new(),
@@ -230,10 +289,30 @@
             deliver(&mut state, &bytes);
         }
         assert!(state.nodes[0].replica.is_leader() && state.nodes[0].replica.commit_index() == 2);
+        state.remaining = self.limits;
+        if self.begins_with_report {
+            begin_with_report(&mut state);
+        }
         state
     }
 }
 
+/// The leader and replica 2 hold a command that the others have not received, and the leader has
+/// reported it.
+fn begin_with_report(state: &mut State) {
+    const HOLDERS: [ReplicaId; 2] = [1, 2];
+    let command = vec![u8::MAX];
+    state.nodes[0].replica.propose(command).expect("it leads");
+    state.process_outputs(0);
+    while let Some(bytes) = state.network.pop_first() {
+        let message = Message::deserialize_bin(&bytes).expect("a message that was sent");
+        if HOLDERS.contains(&message.to) {
+            deliver(state, &bytes);
+        }
+    }
+    assert!(!state.reports.is_empty());
+}
+
 fn campaign(state: &mut State, index: usize) {
     let replica = &mut state.nodes[index].replica;
     let (id, term) = (replica.id(), replica.term());
@@ -257,6 +336,15 @@
     }
 }
 
+fn deliver_report(state: &mut State, sent: &SentReport) {
+    let report = DurableReport::deserialize_bin(&sent.bytes).expect("a report that was sent");
+    if let Some(index) = state.index_of(sent.to) {
+        let replica = &mut state.nodes[index].replica;
+        replica.observe_durable_report(NOW, sent.from, report);
+        state.process_outputs(index);
+    }
+}
+
 impl Model for Group {
     type State = State;
     type Action = Action;
@@ -268,6 +356,7 @@
     fn actions(&self, state: &State, actions: &mut Vec<Action>) {
         let remaining = state.remaining;
         actions.extend(state.network.iter().cloned().map(Action::Deliver));
+        actions.extend(state.reports.iter().cloned().map(Action::DeliverReport));
         for (index, node) in state.nodes.iter().enumerate() {
             let replica = &node.replica;
             let is_leader = replica.is_leader();
@@ -300,6 +389,7 @@
                 state.network.remove(&bytes);
                 deliver(&mut state, &bytes);
             }
+            Action::DeliverReport(report) => deliver_report(&mut state, &report),
             Action::Campaign(index) => {
                 state.remaining.elections -= 1;
                 campaign(&mut state, index);
@@ -367,17 +457,37 @@
 #[case::two_of_three_are_replaced(&[1, 2, 3], &[1, 4, 5], Events { elections: 1, changes: 1, ..Events::default() })]
 #[case::the_leader_is_replaced(&[1, 2, 3], &[2, 3, 4], Events { elections: 1, changes: 1, ..Events::default() })]
 #[case::three_become_five(&[1, 2, 3], &[1, 2, 3, 4, 5], Events { elections: 1, changes: 1, ..Events::default() })]
+#[case::reports_and_reads_while_leaders_change(&[1, 2, 3], &[1, 2, 3], Events { elections: 1, commands: 1, reads: 1, reports: 1, ..Events::default() })]
+#[case::reports_while_one_of_three_is_replaced(&[1, 2, 3], &[1, 2, 4], Events { elections: 1, commands: 1, changes: 1, reports: 2, ..Events::default() })]
 fn safety_holds_in_all_reachable_states(
     #[case] voters: &[ReplicaId],
     #[case] next: &[ReplicaId],
     #[case] limits: Events,
 ) {
-    let group = Group {
+    assert_safe(&Group {
         voters: voters.to_vec(),
         next: next.to_vec(),
         limits,
-    };
+        begins_with_report: false,
+    });
+}
+
+#[rstest]
+#[case::one_election(Events { elections: 1, reports: 1, ..Events::default() })]
+#[case::a_restart(Events { elections: 1, restarts: 1, reports: 1, ..Events::default() })]
+fn safety_holds_after_a_report_of_two_of_five(#[case] limits: Events) {
+    const VOTERS: [ReplicaId; 5] = [1, 2, 3, 4, 5];
+    assert_safe(&Group {
+        voters: VOTERS.to_vec(),
+        next: VOTERS.to_vec(),
+        limits,
+        begins_with_report: true,
+    });
+}
+
+fn assert_safe(group: &Group) {
     let checker = group
+        .clone()
         .checker()
         .target_state_count(max_states())
         .threads(2)
--- a/crates/consensus/tests/membership.rs
+++ b/crates/consensus/tests/membership.rs
@@ -70,3 +70,19 @@
     let completed = changing.completed();
     assert!(!completed.is_joint() && !completed.is_voter(1));
 }
+
+#[rstest]
+#[case::one_of_three(&[1, 2, 3], &[], Some(9))]
+#[case::two_of_five(&[1, 2, 3, 4, 5], &[], Some(8))]
+#[case::two_of_four(&[1, 2, 3, 4], &[], Some(8))]
+#[case::nobody_of_one(&[1], &[], None)]
+#[case::nobody_has_a_vote(&[], &[], None)]
+#[case::a_joint_membership(&[1, 2, 3], &[1, 2, 4], None)]
+fn one_voter_less_than_a_majority_has_reached_a_value(
+    #[case] voters: &[ReplicaId],
+    #[case] next: &[ReplicaId],
+    #[case] expected: Option<u64>,
+) {
+    let value = membership(voters, next).value_below_quorum(|member| 10 - member.id);
+    assert_eq!(value, expected);
+}
--- a/crates/consensus/tests/replica/main.rs
+++ b/crates/consensus/tests/replica/main.rs
@@ -2,6 +2,7 @@
 
 mod append_entries;
 mod builders;
+mod durable_report;
 mod elections;
 mod install_snapshot;
 mod leader;
--- a/crates/consensus/tests/simulation.rs
+++ b/crates/consensus/tests/simulation.rs
@@ -112,11 +112,14 @@
     }
 }
 
-#[test]
-fn no_committed_command_is_lost_over_crashes_and_partitions() {
+#[rstest]
+#[case::without_reports(false)]
+#[case::with_reports(true)]
+fn no_committed_command_is_lost_over_crashes_and_partitions(#[case] sends_reports: bool) {
     for seed in 0..seeds() * 2 {
         println!("seed {seed}");
         let (mut group, mut accepted) = (Group::new(seed, 5, ADVERSE), AcceptedCommands::default());
+        group.sends_reports = sends_reports;
         for _ in 0..80 {
             match group.random.u8(..10) {
                 0 => {
@@ -147,13 +150,18 @@
     }
 }
 
-#[test]
-fn no_committed_command_is_lost_over_a_lost_disk_and_a_power_loss_everywhere() {
+#[rstest]
+#[case::without_reports(false)]
+#[case::with_reports(true)]
+fn no_committed_command_is_lost_over_a_lost_disk_and_a_power_loss_everywhere(
+    #[case] sends_reports: bool,
+) {
     for seed in 0..seeds() * 2 {
         println!("seed {seed}");
         let size = if seed % 2 == 0 { 3 } else { 5 };
         let (mut group, mut accepted) =
             (Group::new(seed, size, HEALTHY), AcceptedCommands::default());
+        group.sends_reports = sends_reports;
         group.run(6_000);
         for _ in 0..4 {
             for _ in 0..8 {
@@ -264,6 +272,26 @@
     assert!(group.leader().is_none());
 }
 
+#[rstest]
+#[case::without_reports(false)]
+#[case::with_reports(true)]
+fn followers_commit_ahead_of_their_leader_only_by_its_reports(#[case] sends_reports: bool) {
+    let mut early_commits = 0;
+    for seed in 0..seeds() {
+        println!("seed {seed}");
+        let (mut group, mut accepted) = (Group::new(seed, 5, HEALTHY), AcceptedCommands::default());
+        group.run(6_000);
+        group.sends_reports = sends_reports;
+        for _ in 0..20 {
+            accepted.propose(&mut group);
+            group.run(50);
+        }
+        early_commits += group.early_commits;
+        assert_recovers(&mut group, &mut accepted);
+    }
+    assert_eq!(early_commits > 0, sends_reports, "{early_commits}");
+}
+
 /// A run with every kind of fault, change and read; the checksum over all outputs of the replicas.
 fn run_trace(seed: u64) -> u32 {
     const SIZE: usize = 6;
--- a/crates/consensus/tests/support/mod.rs
+++ b/crates/consensus/tests/support/mod.rs
@@ -4,8 +4,8 @@
 use nanoserde::SerBin;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use woadstall_consensus::{
-    DurableState, Entry, EntryPayload, LogPosition, Member, Membership, Message, Output, Record,
-    Replica, ReplicaId, Settings, Snapshot, Timing,
+    DurableReport, DurableState, Entry, EntryPayload, LogPosition, Member, Membership, Message,
+    Output, Record, Replica, ReplicaId, Settings, Snapshot, Timing,
 };
 
 /// As in the shipped control plane.
@@ -49,6 +49,12 @@
         incarnation: u64,
         message: usize,
     },
+    /// The same for a report of durable entries.
+    DeliverReport {
+        host: usize,
+        incarnation: u64,
+        report: usize,
+    },
     /// A machine has synced its records up to a sequence number.
     Synced {
         host: usize,
@@ -78,6 +84,12 @@
     pub conditions: Conditions,
     machines: Vec<Machine>,
     messages: Vec<Message>,
+    /// Whether leaders send reports of durable entries.
+    pub sends_reports: bool,
+    /// The reports that were sent, with their senders.
+    reports: Vec<(ReplicaId, DurableReport)>,
+    /// Commits of a follower that were ahead of the leader's.
+    pub early_commits: usize,
     events: BinaryHeap<std::cmp::Reverse<(u64, u64, Event)>>,
     sequence: u64,
     /// Pairs of machines between which no messages pass, in this direction.
@@ -125,6 +137,9 @@
             conditions,
             machines: (0..machines).map(machine).collect(),
             messages: Vec::new(),
+            sends_reports: false,
+            reports: Vec::new(),
+            early_commits: 0,
             events: BinaryHeap::new(),
             sequence: 0,
             partitions: BTreeSet::new(),
@@ -284,6 +299,15 @@
                     self.process_outputs(host);
                 }
             }
+            Event::DeliverReport {
+                host,
+                incarnation,
+                report,
+            } => {
+                if self.machines[host].incarnation == incarnation {
+                    self.deliver_report(host, report);
+                }
+            }
             Event::Synced {
                 host,
                 incarnation,
@@ -309,6 +333,15 @@
         }
     }
 
+    fn deliver_report(&mut self, host: usize, report: usize) {
+        let now = self.now;
+        let (from, report) = self.reports[report].clone();
+        if let Some(replica) = self.machines[host].replica.as_mut() {
+            replica.observe_durable_report(now, from, report);
+            self.process_outputs(host);
+        }
+    }
+
     fn schedule(&mut self, after: u64, event: Event) {
         self.sequence += 1;
         self.events
@@ -323,6 +356,7 @@
             let outputs = replica.take_outputs();
             self.check_single_leader(host);
             if outputs.is_empty() {
+                self.send_report(host);
                 return;
             }
             outputs
@@ -434,6 +468,54 @@
         }
     }
 
+    /// Sends the report that is due at a leader, under the conditions of messages.
+    fn send_report(&mut self, host: usize) {
+        let replica = self.machines[host].replica.as_mut();
+        let sender = replica.filter(|_| self.sends_reports);
+        let Some((from, report)) =
+            sender.and_then(|replica| Some((replica.id(), replica.take_durable_report()?)))
+        else {
+            return;
+        };
+        self.reports.push((from, report));
+        let report = self.reports.len() - 1;
+        for to in (0..self.len()).filter(|to| *to != host) {
+            let percent = self.random.u8(..100);
+            let Conditions {
+                loss_percent,
+                duplication_percent,
+                max_delay,
+                ..
+            } = self.conditions;
+            if self.partitions.contains(&(host, to)) || percent < loss_percent {
+                continue;
+            }
+            let is_duplicated = percent < loss_percent + duplication_percent;
+            for _ in 0..1 + usize::from(is_duplicated) {
+                let after = self.random.u64(1..=max_delay);
+                let incarnation = self.machines[to].incarnation;
+                self.schedule(
+                    after,
+                    Event::DeliverReport {
+                        host: to,
+                        incarnation,
+                        report,
+                    },
+                );
+            }
+        }
+    }
+
+    /// Counts a commit that the leader does not know of yet.
+    fn count_early_commit(&mut self, host: usize, index: u64) {
+        let leader = self.leader().and_then(|leader| self.replica(leader));
+        let is_early = leader.is_some_and(|leader| leader.commit_index() < index);
+        let follows = self
+            .replica(host)
+            .is_some_and(|replica| replica.leader() == leader.map(Replica::id));
+        self.early_commits += usize::from(is_early && follows);
+    }
+
     fn apply(&mut self, host: usize, entry: Entry) {
         let first = self
             .committed
@@ -444,6 +526,7 @@
             "two replicas applied different entries at {}",
             entry.index
         );
+        self.count_early_commit(host, entry.index);
         let machine = &mut self.machines[host];
         assert_eq!(
             entry.index,
--- a/crates/coordination/src/machine/packets.rs
+++ b/crates/coordination/src/machine/packets.rs
@@ -20,6 +20,10 @@
             Packet::ReplicaStopping(replica) => self.replica.set_retiring(self.now, replica),
             Packet::Calls(calls) => self.on_forwarded_calls(from, calls),
             Packet::RejectedCalls(calls) => self.on_rejected_calls(calls),
+            Packet::DurableReport { from, report } => {
+                self.replica.observe_durable_report(self.now, from, report);
+                self.process_replica_outputs();
+            }
         }
     }
 }
--- a/crates/coordination/src/machine/replication.rs
+++ b/crates/coordination/src/machine/replication.rs
@@ -45,6 +45,7 @@
                 self.process_output(output);
             }
         }
+        self.send_durable_report();
         self.connect_members();
         self.track_leadership();
         self.compact();
@@ -70,6 +71,26 @@
         }
     }
 
+    /// Tells the voters that are not known to hold the newest entries durably which ones do, so that
+    /// they answer their calls without waiting for the notice of the commit.
+    fn send_durable_report(&mut self) {
+        let Some(report) = self.replica.take_durable_report() else {
+            return;
+        };
+        let voters = self.replica.membership().all_voters();
+        let others = voters.map(|voter| voter.id);
+        let others: Vec<_> = others
+            .filter(|voter| !report.holders.contains(voter) && *voter != self.replica.id())
+            .collect();
+        for voter in others {
+            if let Some(address) = self.address_of(voter) {
+                let from = self.replica.id();
+                let report = report.clone();
+                self.send(&address, Packet::DurableReport { from, report });
+            }
+        }
+    }
+
     fn restore_snapshot(&mut self, snapshot: &Snapshot) {
         match CoordinationState::decode(&snapshot.state) {
             Ok(state) => {
--- a/crates/coordination/src/wire.rs
+++ b/crates/coordination/src/wire.rs
@@ -3,7 +3,7 @@
 
 use crate::batch::{BatchedCall, CallId};
 use nanoserde::{DeBin, SerBin};
-use woadstall_consensus::{LeaderTime, Member, Message, ReplicaId};
+use woadstall_consensus::{DurableReport, LeaderTime, Member, Message, ReplicaId};
 
 /// A machine of the group.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
@@ -45,4 +45,11 @@
     Calls(Vec<ForwardedCall>),
     /// Calls that the sender has not proposed and never will.
     RejectedCalls(Vec<CallId>),
+    /// The leader's report to the voters that lack entries which others hold durably.
+    DurableReport {
+        /// The leader's replica.
+        from: ReplicaId,
+        /// The report.
+        report: DurableReport,
+    },
 }
