Core: a reload while a machine starts no longer ends it

The handlers were only installed after both storages were opened and replayed; until then the default action ends the process.

The handlers of SIGHUP and SIGTERM are the first thing that a core process installs; signals that come during the start are handled once the process runs. `a_reload_while_a_machine_starts_does_not_end_it` failed on the program before (the process logged nothing more after SIGHUP) and passes now, 8 starts in a row.

Between the start of a program and its first instructions no handler can be there: the soak reloads a machine only once its process answers, and notes where it did not.

--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -20,6 +20,7 @@
 mod pending_requests;
 mod process;
 mod registration_store;
+mod signals;
 mod stall;
 
 pub use error::CoreError;
@@ -31,6 +32,7 @@
 use disk::Disk;
 use process::Process;
 use registration_store::RegistrationStore;
+use signals::Signals;
 use std::net::SocketAddr;
 use std::path::Path;
 use tokio::net::{TcpListener, UdpSocket};
@@ -55,6 +57,7 @@
 }
 
 async fn serve(settings: &NodeSettings, watcher: SettingsWatcher) -> Result<(), CoreError> {
+    let signals = Signals::install()?;
     let control = settings
         .listen_address(Endpoint::Control)
         .ok_or(CoreError::MissingSetting("listen.control"))?;
@@ -95,7 +98,7 @@
     machine.restore_registrations(registrations);
     let disk = Disk::start(storage, store, events.clone());
     let process = Process::new(machine, disk, watcher, events, coordination);
-    process.run(event_queue).await
+    process.run(event_queue, signals).await
 }
 
 /// Opens the storage of the replicated log. An empty one is initialized.
--- a/crates/node/src/core/process.rs
+++ b/crates/node/src/core/process.rs
@@ -8,16 +8,15 @@
 use super::frame_queue::FrameSender;
 use super::peers::Peers;
 use super::pending_requests::{PendingRequests, Responder, respond};
+use super::signals::Signals;
 use super::stall::StallDetector;
 use super::{CoreError, addresses};
-use crate::error::SetupError;
 use crate::settings::{NodeSettings, SettingsWatcher};
 use crate::time::millis;
 use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{MissedTickBehavior, interval};
 use woadstall_control::machine::{Action, CallResponse, ControlMachine};
@@ -87,10 +86,11 @@
     }
 
     /// Runs until SIGTERM, and then for [`SHUTDOWN_PERIOD`] or [`REPLACEMENT_PERIOD`].
-    pub async fn run(mut self, mut events: UnboundedReceiver<Event>) -> Result<(), CoreError> {
-        let mut terminate =
-            signal(SignalKind::terminate()).map_err(SetupError::during("SIGTERM"))?;
-        let mut hangup = signal(SignalKind::hangup()).map_err(SetupError::during("SIGHUP"))?;
+    pub async fn run(
+        mut self,
+        mut events: UnboundedReceiver<Event>,
+        mut signals: Signals,
+    ) -> Result<(), CoreError> {
         let mut ticks = interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut shutdown_began: Option<Instant> = None;
@@ -106,11 +106,11 @@
                     self.stalls.record_iteration(Instant::now());
                     self.machine.tick(self.now());
                 }
-                _ = hangup.recv() => {
+                _ = signals.hangup.recv() => {
                     let settings = self.watcher.reload();
                     self.apply_settings(settings);
                 }
-                _ = terminate.recv() => {
+                _ = signals.terminate.recv() => {
                     log::info!("shutdown_started signal=SIGTERM");
                     self.machine.begin_shutdown(self.now());
                     self.tell_coordination(coordination::Event::ShutdownStarted);
--- a/tests/coordination/shutdown.rs
+++ b/tests/coordination/shutdown.rs
@@ -11,6 +11,8 @@
 
 /// Clients that call while the process ends.
 const CLIENTS: usize = 16;
+/// Starts that a reload interrupts.
+const STARTS: usize = 8;
 
 fn revision_after_put(system: &System) -> Value {
     let body = json!({ "value": "one" });
@@ -95,3 +97,20 @@
         assert!(answered.iter().all(is_allowed), "{answered:?}");
     }
 }
+
+#[test]
+fn a_reload_while_a_machine_starts_does_not_end_it() {
+    let mut system = System::start(&program_path(), 0);
+    for _ in 0..STARTS {
+        system.kill_core(0);
+        system.start_core(0, false);
+        system.core_process(0).wait_for("core_started");
+        system.rewrite_settings("core-0", |settings| {
+            if let Some(seeds) = settings["seeds"].as_array_mut() {
+                seeds.reverse();
+            }
+        });
+        system.core_process(0).signal("HUP");
+        system.core_process(0).wait_for("settings_reloaded");
+    }
+}
--- a/tests/coordination_soak/faults.rs
+++ b/tests/coordination_soak/faults.rs
@@ -158,6 +158,10 @@
 
     /// Rewrites the settings of a machine: other limits, and the seeds in another order.
     fn reload(&mut self, core: u8) {
+        if self.status(core).is_none() {
+            self.run.note_fault("no reload before a process is up");
+            return;
+        }
         self.run.note_fault(&format!("SIGHUP core-{core}"));
         let heartbeat_ms = self.random.u64(50_000..70_000);
         let name = format!("core-{core}");
