Coordination simulation: tests of the checks

A check that finds nothing proves nothing: each now has tests with a wrong history that it finds and a right one that it accepts. Claims in violations are boxed, as results with them were large.

--- a/crates/coordination-simulation/src/checks/one.rs
+++ b/crates/coordination-simulation/src/checks/one.rs
@@ -13,9 +13,9 @@
     #[error("two callers hold a lock at a time: {first:?} and {second:?}")]
     TwoHolders {
         /// The claim that began first.
-        first: Claim,
+        first: Box<Claim>,
         /// The other one.
-        second: Claim,
+        second: Box<Claim>,
     },
     /// A token is not greater than that of another holder, which was known before the call.
     #[error("lock {lock}: {holder} got token {token} after {former_holder} had {former_token}")]
@@ -83,8 +83,8 @@
                 .find(|second| second.holder != first.holder)
             {
                 return Err(OneViolation::TwoHolders {
-                    first: (*first).clone(),
-                    second: (*second).clone(),
+                    first: Box::new((*first).clone()),
+                    second: Box::new((*second).clone()),
                 });
             }
         }
--- /dev/null
+++ b/crates/coordination-simulation/tests/checks.rs
@@ -0,0 +1,377 @@
+//! Each check finds a wrong history and accepts a right one.
+
+use woadstall_control_simulation::NodeIndex;
+use woadstall_coordination::command::{Call, Command, Query};
+use woadstall_coordination::machine::{Response, WatchRequest};
+use woadstall_coordination::outcome::Outcome;
+use woadstall_coordination::state::{Event, GroupEvents};
+use woadstall_coordination_simulation::checks::{
+    LostViolation, MixedViolation, OneViolation, OrderViolation, Violation, check,
+};
+use woadstall_coordination_simulation::history::{
+    Answer, Claim, FinalCall, History, LaggingWatch, Request,
+};
+
+const NODE: NodeIndex = 0;
+const KEY: &str = "g.key";
+
+/// A history that is written call by call; each call and each answer takes a millisecond.
+#[derive(Default)]
+struct Script {
+    history: History,
+    now_ms: u64,
+}
+
+impl Script {
+    fn call(&mut self, request: Request) -> usize {
+        self.now_ms += 1;
+        self.history.call(self.now_ms, 0, NODE, request)
+    }
+
+    fn answer(&mut self, operation: usize, response: Response) {
+        self.now_ms += 1;
+        let answer = Answer::Response(response);
+        self.history.answer(self.now_ms, operation, answer);
+    }
+
+    fn command(&mut self, command: Command, outcome: Outcome) -> &mut Self {
+        let operation = self.call(Request::Call(Call::Command(command)));
+        self.answer(operation, Response::Executed(outcome));
+        self
+    }
+
+    fn put(&mut self, value: &str, revision: u64) -> &mut Self {
+        self.command(put(KEY, value, None), Outcome::Put { revision })
+    }
+
+    fn number(&mut self, value: u64) -> &mut Self {
+        self.command(next_number(), Outcome::Number { value })
+    }
+
+    fn acquire(&mut self, holder: &str, fencing_token: u64) -> &mut Self {
+        self.command(acquire(holder), Outcome::LockAcquired { fencing_token })
+    }
+
+    fn read(&mut self, outcome: Outcome) -> &mut Self {
+        let key = KEY.to_owned();
+        let operation = self.call(Request::Call(Call::Query(Query::Get { key })));
+        self.answer(operation, Response::Executed(outcome));
+        self
+    }
+
+    fn watch(&mut self, after: u64, received_ms: u64, response: Response) -> &mut Self {
+        let watch = WatchRequest {
+            group: "g".to_owned(),
+            after,
+            wait_ms: 100,
+        };
+        let operation = self.call(Request::Watch { watch, received_ms });
+        self.answer(operation, response);
+        self
+    }
+
+    fn claim(&mut self, holder: &str, from_ms: u64, until_ms: u64) -> &mut Self {
+        self.history.claims.push(Claim {
+            lock: "lock".to_owned(),
+            holder: holder.to_owned(),
+            fencing_token: from_ms,
+            from_ms,
+            until_ms,
+        });
+        self
+    }
+
+    fn violation(&self) -> Option<Violation> {
+        check(&self.history).err()
+    }
+}
+
+fn put(key: &str, value: &str, if_revision: Option<u64>) -> Command {
+    Command::Put {
+        key: key.to_owned(),
+        value: value.to_owned(),
+        if_revision,
+    }
+}
+
+fn next_number() -> Command {
+    let sequence = "s".to_owned();
+    Command::NextNumber { sequence }
+}
+
+fn acquire(holder: &str) -> Command {
+    Command::AcquireLock {
+        lock: "lock".to_owned(),
+        holder: holder.to_owned(),
+        hold_ms: 1_000,
+    }
+}
+
+fn value(value: &str, revision: u64) -> Outcome {
+    let value = value.to_owned();
+    Outcome::Value { value, revision }
+}
+
+fn events(revision: u64, events: &[(&str, u64)]) -> Response {
+    let event = |(value, revision): &(&str, u64)| Event {
+        key: KEY.into(),
+        value: (*value).into(),
+        revision: *revision,
+    };
+    Response::Events(GroupEvents {
+        events: events.iter().map(event).collect(),
+        revision,
+    })
+}
+
+#[test]
+fn a_right_history_is_accepted() {
+    let mut script = Script::default();
+    script.acquire("a", 1).acquire("b", 2).acquire("b", 3);
+    script
+        .claim("a", 0, 10)
+        .claim("b", 10, 20)
+        .claim("b", 15, 30);
+    script.number(1).number(3);
+    script.put("x", 1).put("y", 2).put("x", 1);
+    script.read(value("y", 2));
+    script.watch(1, 0, events(2, &[("y", 2)]));
+    script.command(
+        put(KEY, "z", Some(1)),
+        Outcome::RevisionConflict { current: 2 },
+    );
+    assert_eq!(script.violation(), None);
+}
+
+#[test]
+fn one_finds_two_holders_at_a_time() {
+    let mut script = Script::default();
+    script.claim("a", 0, 10).claim("b", 9, 20);
+    let violation = script.violation();
+    assert!(
+        matches!(
+            violation,
+            Some(Violation::One(OneViolation::TwoHolders { .. }))
+        ),
+        "{violation:?}"
+    );
+}
+
+#[test]
+fn one_finds_a_token_that_does_not_rise_and_one_given_twice() {
+    let mut script = Script::default();
+    script.acquire("a", 5).acquire("b", 4);
+    let violation = script.violation();
+    assert!(
+        matches!(
+            violation,
+            Some(Violation::One(OneViolation::TokenNotRising { .. }))
+        ),
+        "{violation:?}"
+    );
+    let mut script = Script::default();
+    script.acquire("a", 5).acquire("b", 5);
+    let violation = script.violation();
+    assert!(
+        matches!(
+            violation,
+            Some(Violation::One(OneViolation::SameToken { .. }))
+        ),
+        "{violation:?}"
+    );
+}
+
+#[test]
+fn order_finds_numbers_that_repeat_or_fall_but_accepts_crossing_calls() {
+    let mut script = Script::default();
+    script.number(2).number(1);
+    let violation = script.violation();
+    assert!(
+        matches!(
+            violation,
+            Some(Violation::Order(OrderViolation::NumberNotRising { .. }))
+        ),
+        "{violation:?}"
+    );
+    for (second, is_right) in [(1, true), (2, false)] {
+        let mut script = Script::default();
+        let operations = [0; 2].map(|_| script.call(Request::Call(Call::Command(next_number()))));
+        for (operation, value) in operations.into_iter().zip([2, second]) {
+            script.answer(operation, Response::Executed(Outcome::Number { value }));
+        }
+        assert_eq!(script.violation().is_none(), is_right);
+    }
+}
+
+#[test]
+fn order_finds_revisions_that_repeat_or_fall_and_conditions_that_are_ignored() {
+    let mut script = Script::default();
+    script.put("x", 1).put("y", 1);
+    let violation = script.violation();
+    assert!(
+        matches!(
+            violation,
+            Some(Violation::Order(OrderViolation::RevisionTwice { .. }))
+        ),
+        "{violation:?}"
+    );
+    let mut script = Script::default();
+    script.put("x", 2).put("y", 1);
+    let violation = script.violation();
+    assert!(
+        matches!(
+            violation,
+            Some(Violation::Order(OrderViolation::RevisionNotRising { .. }))
+        ),
+        "{violation:?}"
+    );
+    let mut script = Script::default();
+    script.put("x", 1).put("y", 2);
+    script.command(put(KEY, "z", Some(1)), Outcome::Put { revision: 3 });
+    let violation = script.violation();
+    assert!(
+        matches!(
+            violation,
+            Some(Violation::Order(OrderViolation::ConditionIgnored { .. }))
+        ),
+        "{violation:?}"
+    );
+}
+
+#[test]
+fn order_finds_watches_that_skip_or_do_not_rise() {
+    let mut script = Script::default();
+    script.put("x", 1).put("y", 2).put("z", 3);
+    script.watch(1, 0, events(3, &[("z", 3)]));
+    let violation = script.violation();
+    assert!(
+        matches!(
+            violation,
+            Some(Violation::Order(OrderViolation::EventSkipped {
+                revision: 2,
+                ..
+            }))
+        ),
+        "{violation:?}"
+    );
+    let mut script = Script::default();
+    script.put("x", 1).put("y", 2).put("z", 3);
+    script.watch(1, 0, events(3, &[("z", 3), ("y", 2)]));
+    let violation = script.violation();
+    assert!(
+        matches!(
+            violation,
+            Some(Violation::Order(OrderViolation::EventsNotRising { .. }))
+        ),
+        "{violation:?}"
+    );
+}
+
+#[test]
+fn stale_finds_an_old_value_and_a_missing_key() {
+    for outcome in [value("x", 1), Outcome::KeyNotFound] {
+        let mut script = Script::default();
+        script.put("x", 1).put("y", 2).read(outcome);
+        let violation = script.violation();
+        assert!(
+            matches!(violation, Some(Violation::Stale(_))),
+            "{violation:?}"
+        );
+    }
+}
+
+#[test]
+fn mixed_finds_values_nobody_put_and_revisions_nobody_got() {
+    let mut script = Script::default();
+    script.read(value("x", 1));
+    let violation = script.violation();
+    assert!(
+        matches!(
+            violation,
+            Some(Violation::Mixed(MixedViolation::UnknownValue { .. }))
+        ),
+        "{violation:?}"
+    );
+    let mut script = Script::default();
+    script.put("x", 1).put("x", 2);
+    let violation = script.violation();
+    assert!(
+        matches!(
+            violation,
+            Some(Violation::Mixed(MixedViolation::TwoRevisions { .. }))
+        ),
+        "{violation:?}"
+    );
+    let mut script = Script::default();
+    let conflict = Outcome::RevisionConflict { current: 7 };
+    script.command(put(KEY, "x", Some(0)), conflict);
+    let violation = script.violation();
+    assert!(
+        matches!(
+            violation,
+            Some(Violation::Mixed(MixedViolation::UnknownRevision { .. }))
+        ),
+        "{violation:?}"
+    );
+}
+
+#[test]
+fn refused_finds_a_value_whose_put_was_rejected_each_time_it_was_sent() {
+    for (unclear, is_right) in [(false, false), (true, true)] {
+        let mut script = Script::default();
+        let request = Request::Call(Call::Command(put(KEY, "x", None)));
+        let operation = script.call(request.clone());
+        script.answer(operation, Response::NotExecuted);
+        if unclear {
+            let operation = script.call(request);
+            script.answer(operation, Response::Unknown);
+        }
+        script.read(value("x", 1));
+        let violation = script.violation();
+        assert_eq!(violation.is_none(), is_right, "{violation:?}");
+        if let Some(violation) = violation {
+            assert!(matches!(violation, Violation::Refused(_)), "{violation:?}");
+        }
+    }
+}
+
+#[test]
+fn lost_finds_a_history_that_is_too_short_and_accepts_an_old_revision() {
+    for (now_ms, is_right) in [(1_000, false), (60_000, true)] {
+        let mut script = Script {
+            now_ms,
+            ..Script::default()
+        };
+        script.watch(1, 0, Response::HistoryCompacted);
+        assert_eq!(script.violation().is_none(), is_right);
+    }
+}
+
+#[test]
+fn lost_finds_final_calls_without_an_answer_and_watches_that_lag() {
+    let lagging = LaggingWatch {
+        revision: 1,
+        acknowledged: 2,
+    };
+    for (answered_ms, lagging) in [(None, None), (Some(1), Some(lagging)), (Some(1), None)] {
+        let mut script = Script::default();
+        script.history.final_calls.push(FinalCall {
+            request: String::new(),
+            answered_ms,
+            lagging,
+        });
+        let violation = script.violation();
+        let is_found = match lagging {
+            Some(_) => matches!(
+                violation,
+                Some(Violation::Lost(LostViolation::WatchLags { .. }))
+            ),
+            None if answered_ms.is_none() => matches!(
+                violation,
+                Some(Violation::Lost(LostViolation::NoAnswer { .. }))
+            ),
+            None => violation.is_none(),
+        };
+        assert!(is_found, "{violation:?}");
+    }
+}
