Coordination simulation: a seed repeats; long values are cut in violations

A failing seed is of use only if it fails again. Four seeds are run twice and compared, operation by operation and line by line of the logs. Violations name the first 60 characters of a value.

--- a/crates/coordination-simulation/src/checks/mixed.rs
+++ b/crates/coordination-simulation/src/checks/mixed.rs
@@ -11,7 +11,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum MixedViolation {
     /// Nobody put this value to this key.
-    #[error("key {key}: nobody put the value {value}")]
+    #[error("key {key}: nobody put the value {value:.60}")]
     UnknownValue {
         /// The key.
         key: String,
@@ -19,7 +19,7 @@
         value: String,
     },
     /// A value has two revisions.
-    #[error("key {key}: the value {value} has the revisions {first} and {second}")]
+    #[error("key {key}: the value {value:.60} has the revisions {first} and {second}")]
     TwoRevisions {
         /// The key.
         key: String,
--- a/crates/coordination-simulation/src/checks/order.rs
+++ b/crates/coordination-simulation/src/checks/order.rs
@@ -31,7 +31,7 @@
         former: u64,
     },
     /// A revision was given to two puts.
-    #[error("group {group}: revision {revision} was given to {first} and to {second}")]
+    #[error("group {group}: revision {revision} was given to {first:.60} and to {second:.60}")]
     RevisionTwice {
         /// The group.
         group: String,
--- a/crates/coordination-simulation/src/checks/refused.rs
+++ b/crates/coordination-simulation/src/checks/refused.rs
@@ -8,7 +8,9 @@
 
 /// A value shows up although its put was rejected.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
-#[error("key {key}: the value {value} shows up at revision {revision}, but its put was rejected")]
+#[error(
+    "key {key}: the value {value:.60} shows up at revision {revision}, but its put was rejected"
+)]
 pub struct RefusedViolation {
     /// The key.
     pub key: String,
--- a/crates/coordination-simulation/tests/random_scenarios.rs
+++ b/crates/coordination-simulation/tests/random_scenarios.rs
@@ -5,6 +5,8 @@
 
 /// Seeds of each test, unless `WOADSTALL_SEEDS` is set.
 const SEEDS: u64 = 40;
+/// Seeds that are run twice.
+const REPEATED_SEEDS: u64 = 4;
 /// Calls that must have been executed for each seed on average.
 const MIN_EXECUTED: usize = 300;
 
@@ -61,3 +63,19 @@
 fn promises_hold_when_two_disks_are_lost_and_all_others_lose_power() {
     assert_promises_hold(FaultKinds::NONE, Some(Ending::LoseTwoDisks));
 }
+
+/// One seed gives one run, however often it is run.
+#[test]
+fn a_seed_repeats() {
+    for seed in 0..REPEATED_SEEDS {
+        let scenario = Scenario {
+            seed,
+            kinds: FaultKinds::ALL,
+            ending: None,
+        };
+        let [first, second] = [(); 2].map(|()| scenario.run().cluster);
+        let is_same = first.history.operations == second.history.operations;
+        assert!(is_same, "seed {seed} gave two runs");
+        assert_eq!(first.describe(), second.describe(), "seed {seed}");
+    }
+}
