--- a/crates/coordination/tests/machine/watches.rs
+++ b/crates/coordination/tests/machine/watches.rs
@@ -334,3 +334,21 @@
     let token = cluster.watch(follower, "g", 1, 1_000);
     assert_eq!(cluster.response(token), None);
 }
+
+#[test]
+fn a_former_leader_gives_no_events_before_it_has_caught_up() {
+    let (mut cluster, former, _) = cluster();
+    cluster.execute(former, put("g.b", "y", None));
+    cluster.isolate(former);
+    let leader = cluster.await_leader();
+    cluster.execute(leader, put("g.a", "z", None));
+    cluster.run(HISTORY_MS + 1);
+    cluster.execute(leader, next_number("n"));
+    cluster.drop_packets(move |_, to, packet| to == former && is_consensus_with_entries(packet));
+    cluster.heal(former);
+    cluster.run(300);
+    assert!(cluster.machine(former).in_quorum());
+    let token = cluster.watch(former, "g", 1, 20_000);
+    cluster.run(1_000);
+    assert_eq!(cluster.response(token), None);
+}
