Coordination: a leader's first messages of a term don't date the state of a machine

Change: messages within a heartbeat interval of the first one of a term do not count for how old the state is.

All tests of the crate pass.

--- a/crates/coordination/src/machine/state_age.rs
+++ b/crates/coordination/src/machine/state_age.rs
@@ -5,7 +5,7 @@
 //! by then.
 
 use super::CoordinationMachine;
-use woadstall_consensus::{LogIndex, Message, MessageBody, Term};
+use woadstall_consensus::{LogIndex, Message, MessageBody, Term, Timing};
 
 /// The time in milliseconds by which a follower may date a leader's message too late: the leader's
 /// clock is known only up to the shortest way of a message.
@@ -16,6 +16,10 @@
 pub(super) struct StateAge {
     /// The term of the last entry that was applied.
     pub applied_term: Term,
+    /// The term whose leader was last heard from.
+    heard_term: Term,
+    /// When that leader was first heard from.
+    first_heard_at: u64,
     /// A time at which all that was committed then is applied by now.
     complete_at: Option<u64>,
 }
@@ -31,8 +35,18 @@
 impl CoordinationMachine {
     /// The leader of the current term has sent its commit index. Once an entry of its own term is
     /// applied, so are all that former leaders have committed.
+    ///
+    /// The first messages of a term may have been delayed together, and nothing tells by how much:
+    /// they count only for what comes later.
     pub(super) fn observe_leader_commit(&mut self, commit: LogIndex) {
         let term = self.replica.term();
+        if self.state_age.heard_term != term {
+            self.state_age.heard_term = term;
+            self.state_age.first_heard_at = self.now;
+        }
+        if self.now < self.state_age.first_heard_at + Timing::MULTI_REGION.heartbeat_interval {
+            return;
+        }
         if self.state_age.applied_term == term && self.applied >= commit {
             let sent = self.leader_clock.last_sent(term);
             self.state_age.complete_at = self.state_age.complete_at.max(sent);
