--- a/crates/coordination/src/machine/leadership.rs
+++ b/crates/coordination/src/machine/leadership.rs
@@ -22,8 +22,12 @@
 }
 
 impl CoordinationMachine {
-    /// Whether a leader with a quorum was heard of within the longest election time-out.
+    /// Whether a leader with a quorum was heard of within the longest election time-out, and this
+    /// machine's state is the group's.
     pub fn in_quorum(&self) -> bool {
+        if self.is_state_damaged {
+            return false;
+        }
         let last_heard = if self.replica.is_leader() {
             self.replica.last_leader_contact()
         } else {
--- a/crates/coordination/src/machine/replication.rs
+++ b/crates/coordination/src/machine/replication.rs
@@ -2,6 +2,7 @@
 //! committed entries to the state.
 
 use super::lease_clock::LeaseClock;
+use super::state_age::leader_commit;
 use super::{Action, CoordinationMachine, LogEvent};
 use crate::batch::Batch;
 use crate::state::{AppliedBatch, CoordinationState};
@@ -27,11 +28,18 @@
     pub(super) fn on_consensus(&mut self, message: Message, clock: u64) {
         let (from, term) = (message.from, message.term);
         let is_from_leader = is_from_leader(&message);
+        let leader_commit = leader_commit(&message);
         self.replica.handle_message(self.now, message);
         if is_from_leader && self.replica.term() == term && self.replica.leader() == Some(from) {
             self.leader_clock.observe(self.now, term, clock);
         }
         self.process_replica_outputs();
+        if let Some(commit) = leader_commit
+            && self.replica.term() == term
+        {
+            self.observe_leader_commit(commit);
+        }
+        self.answer_held_back_watches();
     }
 
     /// Carries out all that the replica asks for, until it asks for nothing more.
@@ -45,6 +53,7 @@
                 self.process_output(output);
             }
         }
+        self.send_durable_report();
         self.connect_members();
         self.track_leadership();
         self.compact();
@@ -70,33 +79,62 @@
         }
     }
 
+    /// Tells the voters that are not known to hold the newest entries durably which ones do, so that
+    /// they answer their calls without waiting for the notice of the commit.
+    fn send_durable_report(&mut self) {
+        let Some(report) = self.replica.take_durable_report() else {
+            return;
+        };
+        let voters = self.replica.membership().all_voters();
+        let others = voters.map(|voter| voter.id);
+        let others: Vec<_> = others
+            .filter(|voter| !report.holders.contains(voter) && *voter != self.replica.id())
+            .collect();
+        for voter in others {
+            if let Some(address) = self.address_of(voter) {
+                let from = self.replica.id();
+                let report = report.clone();
+                self.send(&address, Packet::DurableReport { from, report });
+            }
+        }
+    }
+
     fn restore_snapshot(&mut self, snapshot: &Snapshot) {
         match CoordinationState::decode(&snapshot.state) {
             Ok(state) => {
                 self.applied = snapshot.index;
+                self.state_age.applied_term = snapshot.term;
                 self.log_bytes = 0;
                 self.state = state;
+                self.is_state_damaged = false;
                 self.answer_all_watches();
             }
-            Err(error) => self.log(LogEvent::SnapshotRejected {
-                index: snapshot.index,
-                error: error.to_string(),
-            }),
+            Err(error) => {
+                self.is_state_damaged = true;
+                self.log(LogEvent::SnapshotRejected {
+                    index: snapshot.index,
+                    error: error.to_string(),
+                });
+            }
         }
     }
 
     fn apply_entry(&mut self, entry: Entry) {
         let index = entry.index;
         self.applied = index;
+        self.state_age.applied_term = entry.term;
         match entry.payload {
             EntryPayload::Command(bytes) => {
                 self.log_bytes += bytes.len();
                 match Batch::decode(&bytes) {
                     Ok(batch) => self.apply_batch(index, batch),
-                    Err(error) => self.log(LogEvent::EntryRejected {
-                        index,
-                        error: error.to_string(),
-                    }),
+                    Err(error) => {
+                        self.is_state_damaged = true;
+                        self.log(LogEvent::EntryRejected {
+                            index,
+                            error: error.to_string(),
+                        });
+                    }
                 }
             }
             EntryPayload::Membership(membership) => {
--- a/crates/coordination/src/machine/watches.rs
+++ b/crates/coordination/src/machine/watches.rs
@@ -1,7 +1,8 @@
 //! Watches: callers that wait for events of a group. Any machine serves them from the feed of its
 //! own state.
 //!
-//! A watch that has seen an event needs no confirmation: its events are in order and without a gap.
+//! A watch that has seen an event needs no confirmation: its events are in order and without a gap,
+//! and the state here is not so old that the next ones may have left the history elsewhere.
 //! One that ends without events says that there are none, so the leader first confirms the revision
 //! of the group, and this machine must have applied it.
 
@@ -9,8 +10,8 @@
 use super::{CoordinationMachine, Response};
 use crate::command::{Call, Query};
 use crate::outcome::Outcome;
-use crate::state::GroupEvents;
-use std::collections::BTreeMap;
+use crate::state::{GroupEvents, WatchError};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Watches that may wait at a machine.
 const MAX_WATCHES: usize = 1_024;
@@ -45,6 +46,7 @@
     token: u64,
     group: String,
     after: u64,
+    arrived: u64,
     deadline: u64,
     confirmation: Confirmation,
 }
@@ -54,6 +56,8 @@
 pub(super) struct Watches {
     last_number: u64,
     by_number: BTreeMap<u64, Watch>,
+    /// Whether there may be watches whose events wait until the state is complete.
+    has_held_back: bool,
 }
 
 impl Watches {
@@ -87,6 +91,7 @@
             token,
             group: request.group,
             after: request.after,
+            arrived: self.now,
             deadline: self.now.saturating_add(wait_ms),
             confirmation: Confirmation::NotRequested,
         };
@@ -95,6 +100,12 @@
         self.flush_queue();
     }
 
+    /// The applications that wait with these tokens have left.
+    pub fn cancel_watches(&mut self, tokens: &BTreeSet<u64>) {
+        let watches = &mut self.watches.by_number;
+        watches.retain(|_, watch| !tokens.contains(&watch.token));
+    }
+
     /// Events of a group were applied.
     pub(super) fn answer_watches_of(&mut self, group: &str) {
         for number in self.watches.numbers(|watch| watch.group == group) {
@@ -134,7 +145,10 @@
         let group = watch.group.clone();
         if let Some(response) = self.response_to_watch(number) {
             self.finish_watch(number, response);
-        } else if needs_confirmation {
+            return;
+        }
+        self.watches.has_held_back = true;
+        if needs_confirmation {
             let query = Query::GroupRevision { group };
             self.add_call(Caller::Watch(number), Call::Query(query));
         }
@@ -143,29 +157,21 @@
     /// The response to a watch, if there is one by now.
     fn response_to_watch(&self, number: u64) -> Option<Response> {
         let watch = self.watches.by_number.get(&number)?;
-        if watch.after > 0 {
-            match self.state.events_after(&watch.group, watch.after) {
-                Err(_) => return Some(Response::HistoryCompacted),
-                Ok(found) if !found.events.is_empty() => return Some(Response::Events(found)),
-                Ok(_) => {}
-            }
+        let is_confirmed = self.is_revision_confirmed(watch);
+        let events = match self.events_of(watch) {
+            Ok(events) => events,
+            Err(_) => return Some(Response::HistoryCompacted),
+        };
+        if !events.events.is_empty() {
+            let is_complete = is_confirmed || self.is_state_complete_since(watch.arrived);
+            return is_complete
+                .then_some(Response::Events(events))
+                .or_else(|| self.response_to_overdue(watch));
         }
-        if let Some(response) = self.response_without_events(watch) {
-            return Some(response);
+        if !is_confirmed || self.now < watch.deadline {
+            return self.response_to_overdue(watch);
         }
-        let is_overdue = self.now >= watch.deadline.saturating_add(CONFIRMATION_TIMEOUT_MS);
-        is_overdue.then_some(Response::NotExecuted)
-    }
-
-    /// The response at the end of a watch, once its group's revision is confirmed and applied here.
-    fn response_without_events(&self, watch: &Watch) -> Option<Response> {
-        let Confirmation::Confirmed(confirmed) = watch.confirmation else {
-            return None;
-        };
         let revision = self.state.group_revision(&watch.group);
-        if self.now < watch.deadline || revision < confirmed {
-            return None;
-        }
         if watch.after > revision {
             // A revision that this group never had.
             return Some(Response::HistoryCompacted);
@@ -174,6 +180,35 @@
         Some(Response::Events(GroupEvents { events, revision }))
     }
 
+    /// The events that a watch waits for. One that begins at 0 asks for the revision alone.
+    fn events_of(&self, watch: &Watch) -> Result<GroupEvents, WatchError> {
+        if watch.after == 0 {
+            return Ok(GroupEvents::default());
+        }
+        self.state.events_after(&watch.group, watch.after)
+    }
+
+    /// Whether this machine has applied the revision that the leader has confirmed for a watch.
+    fn is_revision_confirmed(&self, watch: &Watch) -> bool {
+        let Confirmation::Confirmed(confirmed) = watch.confirmation else {
+            return false;
+        };
+        self.state.group_revision(&watch.group) >= confirmed
+    }
+
+    /// The response to a watch that has waited for a confirmation in vain.
+    fn response_to_overdue(&self, watch: &Watch) -> Option<Response> {
+        let is_overdue = self.now >= watch.deadline.saturating_add(CONFIRMATION_TIMEOUT_MS);
+        is_overdue.then_some(Response::NotExecuted)
+    }
+
+    /// The leader has been heard from: events that wait until the state is complete may go out.
+    pub(super) fn answer_held_back_watches(&mut self) {
+        if std::mem::take(&mut self.watches.has_held_back) {
+            self.advance_watches();
+        }
+    }
+
     /// The leader has confirmed the revision of a watch's group, or could not.
     pub(super) fn on_revision_confirmed(&mut self, number: u64, result: &CallResult) {
         let Some(watch) = self.watches.by_number.get_mut(&number) else {
