Storage: what a process reads at its start is synced before it relies on it

A process killed between a write and its sync reads the bytes again at its restart and counts them as durable; an entry may be acknowledged on them, and a loss of power before the next sync takes them from a voter that was counted (LOST after two faults in short order). Class: durable by assumption.

Change: the newest segment is synced when it is loaded.

--- a/crates/storage/src/storage.rs
+++ b/crates/storage/src/storage.rs
@@ -50,7 +50,7 @@
     /// # Errors
     ///
     /// [`OpenError`] if a file can't be read or has the format of another version.
-    pub fn load(medium: M) -> Result<Self, OpenError> {
+    pub fn load(mut medium: M) -> Result<Self, OpenError> {
         let mut newest: Option<LoadedSegment> = None;
         for file in 0..SEGMENT_COUNT {
             let Some(segment) = load_segment(&medium, file)? else {
@@ -67,6 +67,12 @@
         // going on to the one after it could in the end reach the file of the only complete
         // checkpoint.
         let last_sequence = newest.as_ref().map_or(0, |segment| segment.sequence);
+        if newest.is_some() {
+            // A former process may have ended between a write and its sync.
+            let file = file_of(last_sequence);
+            let path = medium.path(file);
+            medium.sync(file).map_err(MediumError::at(&path))?;
+        }
         let state = newest.map(|segment| segment.state);
         Ok(Self {
             medium,
@@ -123,7 +129,7 @@
     fn write_checkpoint(&mut self) -> Result<(), WriteError> {
         let state = self.state.as_ref().ok_or(WriteError::Uninitialized)?;
         let sequence = self.last_sequence + 1;
-        let file = (sequence % SEGMENT_COUNT as u64) as usize;
+        let file = file_of(sequence);
         let mut segment = SegmentWriter::new(file, sequence);
         let bytes = segment.encode_checkpoint(state);
         let segment_bytes = self.medium.segment_bytes();
@@ -140,6 +146,11 @@
     }
 }
 
+/// The file of the ring in which a segment is.
+fn file_of(sequence: u64) -> usize {
+    (sequence % SEGMENT_COUNT as u64) as usize
+}
+
 /// Reads a file; `None` if it has no complete checkpoint.
 fn load_segment(
     medium: &impl StorageMedium,
