Storage: the folder of a ring is synced in its parent

Found by the review: the coordination group's folder is made after the process's folder was synced, and nothing syncs that again. Its name could be lost with the power of all machines, and with it the group.

--- a/crates/storage/src/medium/directory.rs
+++ b/crates/storage/src/medium/directory.rs
@@ -35,6 +35,9 @@
             })
             .collect::<Result<Vec<_>, _>>()?;
         sync_directory(directory).map_err(MediumError::at(directory))?;
+        if let Some(parent) = directory.parent().filter(|parent| parent.is_dir()) {
+            sync_directory(parent).map_err(MediumError::at(parent))?;
+        }
         Ok(Self {
             files,
             segment_bytes,
