--- a/crates/coordination/src/machine/replication.rs
+++ b/crates/coordination/src/machine/replication.rs
@@ -172,6 +172,9 @@
 
     /// Replaces the log's beginning by a snapshot of the state, where it has grown long.
     fn compact(&mut self) {
+        if self.is_state_damaged {
+            return;
+        }
         let entries = self.replica.log().entries().len();
         let most_entries = if self.replica.is_sending_snapshot() {
             COMPACT_ENTRIES_DURING_TRANSFER
