Coordination: a watch allows for voters that have committed before the leader

Found by the review: since followers learn commits from reports, a voter may acknowledge a put before the leader has committed it. The way of an acknowledgement is added to the margin. A leader that stands still meanwhile is not covered: open.

--- a/crates/coordination/src/machine/state_age.rs
+++ b/crates/coordination/src/machine/state_age.rs
@@ -10,6 +10,9 @@
 /// The time in milliseconds by which a follower may date a leader's message too late: the leader's
 /// clock is known only up to the shortest way of a message.
 const MAX_ONE_WAY_DELAY_MS: u64 = 60;
+/// The time in milliseconds by which a voter may have committed, and acknowledged, an entry before the
+/// leader has: the way of its acknowledgement.
+const MAX_COMMIT_LEAD_MS: u64 = 60;
 
 /// When the state was last known to be complete.
 #[derive(Clone, Copy, Debug, Default)]
@@ -59,7 +62,7 @@
             self.replica.last_leader_contact()
         } else {
             let sent = self.state_age.complete_at;
-            sent.map(|sent| sent.saturating_sub(MAX_ONE_WAY_DELAY_MS))
+            sent.map(|sent| sent.saturating_sub(MAX_ONE_WAY_DELAY_MS + MAX_COMMIT_LEAD_MS))
         };
         !self.is_state_damaged && complete_at.is_some_and(|at| at >= time)
     }
