Core: a second SIGTERM does not begin the shutdown anew

Found by the review: each SIGTERM set the beginning of the shutdown to now, so that repeated ones kept the process from ending, and handed leadership over again. Only the first one counts.

--- a/crates/node/src/core/process.rs
+++ b/crates/node/src/core/process.rs
@@ -111,10 +111,10 @@
                     self.apply_settings(settings);
                 }
                 _ = signals.terminate.recv() => {
-                    log::info!("shutdown_started signal=SIGTERM");
-                    self.machine.begin_shutdown(self.now());
-                    self.tell_coordination(coordination::Event::ShutdownStarted);
-                    shutdown_began = Some(Instant::now());
+                    if shutdown_began.is_none() {
+                        self.begin_shutdown();
+                        shutdown_began = Some(Instant::now());
+                    }
                 }
             }
             // Events that have arrived meanwhile are handled before anything is sent.
@@ -136,6 +136,12 @@
         }
     }
 
+    fn begin_shutdown(&mut self) {
+        log::info!("shutdown_started signal=SIGTERM");
+        self.machine.begin_shutdown(self.now());
+        self.tell_coordination(coordination::Event::ShutdownStarted);
+    }
+
     fn shutdown_period(&self) -> Duration {
         let coordination = self.coordination.as_ref();
         let is_being_replaced = self.machine.is_being_replaced()
