Coordination tests: each kind of call is executed at its first attempt in virtual time

Found by the review: the test on processes became less strict where commits wait for a disk that others use. What it asked is asked without a disk now, for each kind of call at each machine within 150 ms of virtual time; on processes a call gets three attempts instead of 20 s.

--- a/crates/coordination/tests/machine/calls.rs
+++ b/crates/coordination/tests/machine/calls.rs
@@ -9,6 +9,8 @@
 use woadstall_coordination::outcome::Outcome;
 use woadstall_coordination::wire::Packet;
 
+/// The time in milliseconds in which a call is executed where nothing is wrong.
+const FIRST_ATTEMPT_MS: u64 = 150;
 /// The time in milliseconds after which a call has its answer.
 const CALL_TIMEOUT_MS: u64 = 900;
 
@@ -47,6 +49,25 @@
     cluster.await_same_states();
 }
 
+#[test]
+fn short_calls_of_each_kind_are_executed_at_their_first_attempt_on_every_machine() {
+    let (mut cluster, _) = Cluster::with_leader(3);
+    for id in [1, 2, 3] {
+        let calls = [
+            Call::Command(acquire(&format!("l{id}"), "a", 3_000)),
+            Call::Command(next_number("n")),
+            Call::Command(put(&format!("g.{id}"), "x", None)),
+            Call::Query(get(&format!("g.{id}"))),
+        ];
+        for call in calls {
+            let token = cluster.submit(id, call.clone());
+            let response = cluster.await_response(token, FIRST_ATTEMPT_MS);
+            let is_executed = matches!(response, Some(Response::Executed(_)));
+            assert!(is_executed, "machine {id}, {call:?}: {response:?}");
+        }
+    }
+}
+
 #[test]
 fn calls_without_a_leader_are_not_executed() {
     let mut cluster = Cluster::new(3);
--- a/tests/coordination.rs
+++ b/tests/coordination.rs
@@ -19,6 +19,8 @@
 const CORES: u8 = 3;
 /// A caller goes to another machine after this time without a response.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(1);
+/// How often a call is made at one machine until it is executed in time.
+const MAX_ATTEMPTS: usize = 3;
 /// How long a group of machines that starts may take to answer.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -53,8 +55,7 @@
 
 /// Repeats a call at one machine until it is executed in a caller's time: a commit may wait for a disk that others use too.
 fn ask_until_executed_in_time(system: &System, core: u8, method: &str, path: &str, body: &Value) {
-    let first = Instant::now();
-    loop {
+    for _ in 0..MAX_ATTEMPTS {
         let begin = Instant::now();
         let answer = ask(system, core, method, path, body).expect("an answer");
         if answer.status == 200 && begin.elapsed() < CALLER_TIMEOUT {
@@ -62,11 +63,8 @@
         }
         let is_unclear = matches!(answer.status, 200 | 503 | 504);
         assert!(is_unclear, "{method} {path}: {answer:?}");
-        assert!(
-            first.elapsed() < START_TIMEOUT,
-            "{method} {path}: {answer:?}"
-        );
     }
+    panic!("{method} {path}: not executed in time in {MAX_ATTEMPTS} attempts");
 }
 
 #[test]
