--- a/crates/coordination/src/machine/mod.rs
+++ b/crates/coordination/src/machine/mod.rs
@@ -3,8 +3,8 @@
 //!
 //! # The way of a call
 //!
-//! Any machine takes calls ([`calls`]) and forwards them to the leader, each with the moment after
-//! which it must not be proposed. The leader queues them ([`queue`]) and proposes what has come
+//! Any machine takes calls (`calls`) and forwards them to the leader, each with the moment after
+//! which it must not be proposed. The leader queues them (`queue`) and proposes what has come
 //! together as one [`Batch`](crate::batch::Batch). Each machine applies the batch once it knows that
 //! it is committed, and answers the calls that it has taken itself. Queries stand in the batch too:
 //! they are answered from the state at their position, which was proposed after they came, so they
