Front: log each request that ends with its connection, and why

A front wrote nothing about a request that it cut, so the record of the incident could not tell its hypotheses apart. `client_request_aborted` now has the cause, the stage of the request, its id and age, and the time since SIGTERM.

For the stage, the connection state now follows the response to its end: `TrackedBody` reports when hyper has received the whole body or the body has failed. The daemon uses it instead of its own copy of this. Nothing decides by it yet. The phases of the shutdown stand in one module; at the end of the grace period connections are closed one by one and logged, instead of being dropped with the runtime.

--- a/crates/inbound/src/connection_state.rs
+++ b/crates/inbound/src/connection_state.rs
@@ -31,12 +31,45 @@
     Complete,
 }
 
-/// The progress of the most recent response on a connection.
-struct Response {
-    /// The client's deadline, after which the response has no value.
-    deadline: Instant,
-    /// Whether hyper has received the whole response.
-    is_complete: bool,
+/// Progress of the response to the current request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ResponseProgress {
+    /// No request has begun, or hyper has received the whole response.
+    NotDue,
+    /// A request has begun and has no response.
+    Awaited,
+    /// The head of the response exists, and hyper has not received the whole body.
+    Sending,
+    /// The body has failed, so that the response cannot be completed.
+    Truncated,
+}
+
+/// What a connection is doing, for logs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestStage {
+    /// No part of a request has been received.
+    Idle,
+    /// Part of a request head has been received.
+    ReceivingHead,
+    /// The rest of a request is awaited.
+    ReceivingBody,
+    /// A complete request has no response.
+    AwaitingResponse,
+    /// A response is being sent.
+    SendingResponse,
+}
+
+impl RequestStage {
+    /// The name of the stage in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::ReceivingHead => "receiving_head",
+            Self::ReceivingBody => "receiving_body",
+            Self::AwaitingResponse => "awaiting_response",
+            Self::SendingResponse => "sending_response",
+        }
+    }
 }
 
 /// The time of one or more reads from the socket.
@@ -80,7 +113,10 @@
     /// Whether the last write blocked because the client does not read the response.
     is_write_blocked: bool,
     last_write: Instant,
-    response: Option<Response>,
+    response: ResponseProgress,
+    /// The client's deadline for the most recent response, after which the response has no value; `None` without a
+    /// deadline.
+    response_deadline: Option<Instant>,
 }
 
 impl ConnectionState {
@@ -104,7 +140,20 @@
             left_unread: false,
             is_write_blocked: false,
             last_write: now,
-            response: None,
+            response: ResponseProgress::NotDue,
+            response_deadline: None,
+        }
+    }
+
+    /// Returns what the connection is doing.
+    pub fn stage(&self) -> RequestStage {
+        use ResponseProgress::{Sending, Truncated};
+        match self.phase {
+            _ if matches!(self.response, Sending | Truncated) => RequestStage::SendingResponse,
+            Phase::Head if self.buffered.is_empty() => RequestStage::Idle,
+            Phase::Head => RequestStage::ReceivingHead,
+            Phase::Passing(_) | Phase::Unbounded => RequestStage::ReceivingBody,
+            Phase::Complete => RequestStage::AwaitingResponse,
         }
     }
 
@@ -141,16 +190,24 @@
         self.phase == Phase::Unbounded
     }
 
-    /// Records progress of a response to a request with this deadline. `is_complete` tells whether hyper has received
-    /// the whole response.
-    pub fn response_progressed(&mut self, deadline: Instant, is_complete: bool) {
-        self.response = Some(Response {
-            deadline,
-            is_complete,
-        });
+    /// Records that the head of the response exists. `deadline` is the client's deadline for the response.
+    pub fn response_started(&mut self, deadline: Option<Instant>) {
+        self.response = ResponseProgress::Sending;
+        self.response_deadline = deadline;
         self.last_write = Instant::now();
     }
 
+    /// Records that hyper has received the whole response.
+    pub fn response_completed(&mut self) {
+        self.response = ResponseProgress::NotDue;
+        self.last_write = Instant::now();
+    }
+
+    /// Records that the body of the response has failed.
+    pub fn response_truncated(&mut self) {
+        self.response = ResponseProgress::Truncated;
+    }
+
     /// Records that hyper has read the current request to its end. Returns the arrival time of the request's last byte.
     pub fn request_completed(&mut self) -> Instant {
         if self.phase == Phase::Unbounded {
@@ -207,12 +264,12 @@
     /// Whether a response past its deadline has stalled, at the upstream or at the client. A late response that still
     /// makes progress is passed on, since aborting it would be the load balancer's fault.
     fn is_response_overdue(&self) -> bool {
-        let Some(response) = &self.response else {
+        let Some(deadline) = self.response_deadline else {
             return false;
         };
-        let is_outstanding = !response.is_complete || self.is_write_blocked;
+        let is_outstanding = self.response != ResponseProgress::NotDue || self.is_write_blocked;
         is_outstanding
-            && response.deadline.elapsed() > RESPONSE_GRACE
+            && deadline.elapsed() > RESPONSE_GRACE
             && self.last_write.elapsed() > STALL_TIMEOUT
     }
 
@@ -260,6 +317,8 @@
                 return;
             }
             ParsedHead::Incomplete | ParsedHead::Invalid => {
+                self.response = ResponseProgress::Awaited;
+                self.response_deadline = None;
                 self.phase = Phase::Unbounded;
                 return;
             }
@@ -267,7 +326,8 @@
         self.has_both_lengths = has_both_lengths;
         self.is_answered = false;
         self.received_bytes_at_head = self.received_bytes;
-        self.response = None;
+        self.response = ResponseProgress::Awaited;
+        self.response_deadline = None;
         self.phase = match length {
             RequestLength::Known(bytes) => Phase::Passing(bytes),
             RequestLength::Unknown => Phase::Unbounded,
--- a/crates/inbound/src/lib.rs
+++ b/crates/inbound/src/lib.rs
@@ -7,11 +7,13 @@
 mod listen;
 mod request_gate;
 mod request_head;
+mod tracked_body;
 
 pub use body_memory::BodyMemory;
-pub use connection_state::ConnectionState;
+pub use connection_state::{ConnectionState, RequestStage};
 pub use lingering::LingeringConnections;
 pub use listen::listen;
 pub use request_gate::RequestGate;
 pub use request_head::MAX_HEAD_BYTES;
+pub use tracked_body::TrackedBody;
 pub use woadstall_transport::lock;
--- a/crates/node/src/front/client_connection.rs
+++ b/crates/node/src/front/client_connection.rs
@@ -1,24 +1,27 @@
 //! Serves one client connection: reads requests, enforces time-outs and closes the connection.
 
+use super::attempt::REQUEST_ID;
+use super::connection_end::{AbortCause, AbortedRequest, ConnectionEnd};
 use super::forward::handle_request;
-use super::response::ClientResponse;
+use super::response::ResponseBody;
+use super::shutdown::ShutdownPhase;
 use super::state::Front;
-use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
 use std::io;
-use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
-use tokio::time::{interval, timeout};
+use tokio::time::{Instant, interval, timeout};
 use woadstall_control::configuration::Limits;
-use woadstall_inbound::{ConnectionState, LingeringConnections, RequestGate, lock};
+use woadstall_inbound::{
+    ConnectionState, LingeringConnections, RequestGate, RequestStage, TrackedBody, lock,
+};
 use woadstall_socket_options::enable_dead_peer_detection;
 use woadstall_transport::SharedStream;
 
@@ -35,38 +38,48 @@
 /// Maximum number of connections closed by this process that wait for the client's close.
 const MAX_LINGERING: usize = 64;
 
-/// How a connection has ended.
-enum ConnectionEnd {
-    /// All responses were sent completely.
-    Orderly,
-    /// The connection broke, or a response was truncated.
-    Aborted,
+/// The most recent request of a connection, for logs.
+struct CurrentRequest {
+    id: String,
+    received: Instant,
 }
 
 /// An accepted client connection and the state that it shares with other connections.
 pub(super) struct ClientConnection<'a> {
     front: &'a Arc<Front>,
     lingering: &'a Arc<LingeringConnections>,
+    current_request: Mutex<Option<CurrentRequest>>,
 }
 
 impl<'a> ClientConnection<'a> {
     pub fn new(front: &'a Arc<Front>, lingering: &'a Arc<LingeringConnections>) -> Self {
-        Self { front, lingering }
+        Self {
+            front,
+            lingering,
+            current_request: Mutex::default(),
+        }
     }
 
-    /// Serves requests until the connection ends. Once `closing` becomes true, the connection is
-    /// closed as soon as it is idle.
+    /// Serves requests until the connection ends. When the process shuts down, the connection is
+    /// closed as soon as it is idle, or when the grace period ends.
     ///
     /// # Errors
     ///
     /// Fails if a response was truncated and the kernel does not allow the connection to be reset.
-    pub async fn serve(&self, stream: TcpStream, closing: watch::Receiver<bool>) -> io::Result<()> {
+    pub async fn serve(&self, stream: TcpStream) -> io::Result<()> {
         enable_dead_peer_detection(&stream, USER_TIMEOUT);
         let stream = SharedStream::new(stream);
         let (gate, state) = RequestGate::new(stream.clone());
-        match self.drive(gate, &state, &stream, closing).await {
+        let end = tokio::select! {
+            biased;
+            end = self.drive(gate, &state, &stream) => end,
+            () = self.front.shutdown.reached(ShutdownPhase::GracePeriodEnded) => {
+                self.aborted(AbortCause::GracePeriodEnded, &state)
+            }
+        };
+        match end {
             // The reset tells the client that a truncated response is not complete.
-            ConnectionEnd::Aborted => stream.reset_on_close()?,
+            ConnectionEnd::Aborted(_) => stream.reset_on_close()?,
             ConnectionEnd::Orderly if lock(&state).has_ended() => {}
             ConnectionEnd::Orderly => {
                 self.lingering.close(stream);
@@ -81,7 +94,6 @@
         gate: RequestGate,
         state: &Arc<Mutex<ConnectionState>>,
         stream: &SharedStream,
-        mut closing: watch::Receiver<bool>,
     ) -> ConnectionEnd {
         let service =
             service_fn(|request| async { Ok::<_, Infallible>(self.respond(request, state).await) });
@@ -90,6 +102,8 @@
             .max_buf_size(READ_BUFFER_BYTES)
             .serve_connection(TokioIo::new(gate), service);
         let mut connection = std::pin::pin!(connection);
+        let closing = self.front.shutdown.reached(ShutdownPhase::ClosingIdle);
+        let mut closing = std::pin::pin!(closing);
         let mut checks = interval(TIMEOUT_CHECK_INTERVAL);
         let mut is_closing = false;
         while !is_closing {
@@ -97,21 +111,61 @@
                 // The connection is polled first, so that a request that has already arrived is read
                 // before the connection is closed as idle.
                 biased;
-                result = connection.as_mut() => return ConnectionEnd::of(&result),
-                _ = closing.wait_for(|close| *close) => is_closing = true,
+                result = connection.as_mut() => return self.ended(&result, state),
+                () = closing.as_mut() => is_closing = true,
                 _ = checks.tick() => is_closing = self.has_timed_out(state),
             }
         }
         while !(lock(state).is_idle() && stream.has_no_pending_input()) {
             if self.has_stalled(state) {
-                return ConnectionEnd::Aborted;
+                return self.aborted(AbortCause::RequestTimeout, state);
             }
             if let Ok(result) = timeout(IDLE_CHECK_INTERVAL, connection.as_mut()).await {
-                return ConnectionEnd::of(&result);
+                return self.ended(&result, state);
             }
         }
         connection.as_mut().graceful_shutdown();
-        ConnectionEnd::of(&connection.await)
+        let result = connection.as_mut().await;
+        self.ended(&result, state)
+    }
+
+    /// Logs the request that ends with its connection, if there is one. Must be called before hyper's
+    /// connection is dropped.
+    fn ended(
+        &self,
+        result: &hyper::Result<()>,
+        state: &Arc<Mutex<ConnectionState>>,
+    ) -> ConnectionEnd {
+        match ConnectionEnd::of(result) {
+            ConnectionEnd::Aborted(cause) => self.aborted(cause, state),
+            ConnectionEnd::Orderly => ConnectionEnd::Orderly,
+        }
+    }
+
+    fn aborted(&self, cause: AbortCause, state: &Arc<Mutex<ConnectionState>>) -> ConnectionEnd {
+        let stage = lock(state).stage();
+        if stage != RequestStage::Idle {
+            self.log_abort(cause, stage);
+        }
+        ConnectionEnd::Aborted(cause)
+    }
+
+    fn log_abort(&self, cause: AbortCause, stage: RequestStage) {
+        let current = lock(&self.current_request);
+        let request = AbortedRequest {
+            cause,
+            stage,
+            id: current
+                .as_ref()
+                .map(|request| request.id.clone())
+                .unwrap_or_default(),
+            age: current
+                .as_ref()
+                .map(|request| request.received.elapsed())
+                .unwrap_or_default(),
+            since_shutdown: self.front.shutdown.elapsed(),
+        };
+        request.log();
     }
 
     /// Returns whether the connection has exceeded the idle time-out or the time-out for receiving
@@ -141,29 +195,32 @@
     async fn respond(
         &self,
         request: Request<Incoming>,
-        state: &Arc<Mutex<ConnectionState>>,
-    ) -> ClientResponse {
+        connection: &Arc<Mutex<ConnectionState>>,
+    ) -> Response<TrackedBody<ResponseBody>> {
+        self.record_request(&request);
         let mut response = handle_request(self.front, request).await;
-        let mut state = lock(state);
-        let shutting_down = self.front.shutting_down.load(Ordering::Relaxed);
+        let mut state = lock(connection);
+        let is_shutting_down = self.front.shutdown.has_reached(ShutdownPhase::Draining);
         if state.is_last_request()
             || state.has_both_lengths()
-            || shutting_down && !state.has_pipelined_bytes()
+            || is_shutting_down && !state.has_pipelined_bytes()
         {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
         state.request_completed();
         state.request_answered();
-        response
+        state.response_started(None);
+        drop(state);
+        response.map(|body| TrackedBody::new(body, connection.clone()))
     }
-}
 
-impl ConnectionEnd {
-    fn of(result: &hyper::Result<()>) -> Self {
-        match result {
-            Ok(()) => Self::Orderly,
-            Err(_) => Self::Aborted,
-        }
+    fn record_request(&self, request: &Request<Incoming>) {
+        let id = request.headers().get(REQUEST_ID);
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        *lock(&self.current_request) = Some(CurrentRequest {
+            id: id.to_owned(),
+            received: Instant::now(),
+        });
     }
 }
--- a/crates/node/src/front/clients.rs
+++ b/crates/node/src/front/clients.rs
@@ -1,21 +1,16 @@
 //! Accepts client connections and closes them gracefully at shutdown.
 
 use super::client_connection::ClientConnection;
+use super::shutdown::ShutdownPhase;
 use super::state::Front;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 use tokio::time::sleep;
 use woadstall_inbound::LingeringConnections;
 
-/// Time after SIGTERM for which connections are still accepted. Clients cache the directory's
-/// response for some seconds, and a refused connection costs a client one of its attempts.
-const ACCEPT_PERIOD_AFTER_SIGTERM: Duration = Duration::from_millis(3_000);
-/// Time after SIGTERM for which idle connections stay open, so that a client does not send a
-/// request on a connection that is being closed.
-const IDLE_PERIOD_AFTER_SIGTERM: Duration = Duration::from_millis(1_200);
 /// Pause after a failed accept, for example when no file descriptors are left.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(5);
 /// Fraction of the process's file descriptors that client connections may use.
@@ -30,26 +25,18 @@
     lingering: Arc<LingeringConnections>,
 }
 
-/// Serves clients until `stopping` becomes true, then until all accepted requests are answered and
-/// all connections are closed.
-pub(super) async fn serve(
-    front: Arc<Front>,
-    listener: TcpListener,
-    mut stopping: watch::Receiver<bool>,
-) {
+/// Serves clients until the shutdown ends the accepting of connections, then until all accepted
+/// requests are answered and all connections are closed.
+pub(super) async fn serve(front: Arc<Front>, listener: TcpListener) {
+    let accept_ended = front.shutdown.reached(ShutdownPhase::NotAccepting);
     let clients = Arc::new(Clients {
         front,
         open_connections: AtomicUsize::new(0),
         connection_ended: Notify::new(),
         lingering: Arc::default(),
     });
-    let closing = close_after(stopping.clone());
-    let accept_ended = async {
-        stopping.wait_for(|stop| *stop).await.ok();
-        sleep(ACCEPT_PERIOD_AFTER_SIGTERM).await;
-    };
     tokio::select! {
-        () = accept(&clients, &listener, &closing) => {}
+        () = accept(&clients, &listener) => {}
         () = accept_ended => {}
     }
     drop(listener);
@@ -59,19 +46,7 @@
     clients.lingering.all_closed().await;
 }
 
-/// Returns a receiver that becomes true [`IDLE_PERIOD_AFTER_SIGTERM`] after `stopping`; idle
-/// connections are then closed.
-fn close_after(mut stopping: watch::Receiver<bool>) -> watch::Receiver<bool> {
-    let (close, closing) = watch::channel(false);
-    tokio::spawn(async move {
-        stopping.wait_for(|stop| *stop).await.ok();
-        sleep(IDLE_PERIOD_AFTER_SIGTERM).await;
-        close.send_replace(true);
-    });
-    closing
-}
-
-async fn accept(clients: &Arc<Clients>, listener: &TcpListener, closing: &watch::Receiver<bool>) {
+async fn accept(clients: &Arc<Clients>, listener: &TcpListener) {
     let max_connections =
         (clients.front.settings.max_fds as f64 * CLIENT_DESCRIPTOR_RATIO) as usize;
     loop {
@@ -82,7 +57,7 @@
                     continue;
                 }
                 clients.open_connections.fetch_add(1, Ordering::Relaxed);
-                tokio::spawn(serve_connection(clients.clone(), stream, closing.clone()));
+                tokio::spawn(serve_connection(clients.clone(), stream));
             }
             Err(error) => {
                 log::warn!("accept_failed error={error}");
@@ -92,13 +67,9 @@
     }
 }
 
-async fn serve_connection(
-    clients: Arc<Clients>,
-    stream: TcpStream,
-    closing: watch::Receiver<bool>,
-) {
+async fn serve_connection(clients: Arc<Clients>, stream: TcpStream) {
     let connection = ClientConnection::new(&clients.front, &clients.lingering);
-    if let Err(error) = connection.serve(stream, closing).await {
+    if let Err(error) = connection.serve(stream).await {
         log::debug!("client_connection_failed error={error}");
     }
     clients.open_connections.fetch_sub(1, Ordering::Relaxed);
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -12,6 +12,7 @@
 mod attempt;
 mod client_connection;
 mod clients;
+mod connection_end;
 mod datagrams;
 mod error;
 mod event_buffer;
@@ -26,6 +27,7 @@
 mod request_reports;
 mod response;
 mod retry;
+mod shutdown;
 mod state;
 mod stream;
 
@@ -35,18 +37,14 @@
 use crate::settings::{Endpoint, NodeSettings, SettingsWatcher};
 use state::Front;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::{MissedTickBehavior, interval};
 use woadstall_inbound::listen;
 
 /// Interval at which expired state is removed and the settings file is checked for changes.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
-/// The process exits this long before the grace period ends, so that it is not killed first.
-const GRACE_MARGIN: Duration = Duration::from_millis(400);
 
 /// Runs the front until SIGTERM, then until all accepted requests are answered or the grace period
 /// ends. Logs at most `reports_per_second` reports of requests that were late, rejected, failed or
@@ -93,8 +91,7 @@
     feeds::start(&front);
     heartbeat::start(&front);
     load_reports::start(&front);
-    let (stop, stopping) = watch::channel(false);
-    let clients = tokio::spawn(clients::serve(front.clone(), listener, stopping));
+    let clients = tokio::spawn(clients::serve(front.clone(), listener));
     let mut sweeps = interval(SWEEP_INTERVAL);
     sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -107,24 +104,20 @@
             _ = terminate.recv() => break,
         }
     }
-    shut_down(&front, &stop, clients).await;
+    shut_down(&front, clients).await;
     Ok(())
 }
 
 /// Reports the balancer as not ready to core machines and waits until all accepted requests are
 /// answered or the grace period ends.
-async fn shut_down(front: &Front, stop: &watch::Sender<bool>, clients: JoinHandle<()>) {
-    front.shutting_down.store(true, Ordering::Relaxed);
+async fn shut_down(front: &Front, clients: JoinHandle<()>) {
+    front.shutdown.start();
     log::info!("shutdown_started signal=SIGTERM");
     front.heartbeat_due.notify_one();
-    stop.send_replace(true);
-    let grace_period = front.settings.grace_period.saturating_sub(GRACE_MARGIN);
-    tokio::select! {
-        _ = clients => log::info!("shutdown_complete"),
-        () = sleep(grace_period) => {
-            log::warn!("shutdown_timed_out grace_period_ms={}", grace_period.as_millis());
-        }
-    }
+    front
+        .shutdown
+        .run(front.settings.grace_period, clients)
+        .await;
 }
 
 #[cfg(test)]
--- a/crates/node/src/front/state.rs
+++ b/crates/node/src/front/state.rs
@@ -2,11 +2,12 @@
 
 use super::pool::ConnectionPool;
 use super::request_reports::ReportLog;
+use super::shutdown::{Shutdown, ShutdownPhase};
 use crate::settings::NodeSettings;
 use crate::time::millis;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -36,8 +37,7 @@
     balancers: Mutex<BTreeMap<u32, ListedBalancer>>,
     /// Notified when the readiness of this balancer changes, so that a heartbeat is sent at once.
     pub heartbeat_due: Notify,
-    /// Set when SIGTERM is received.
-    pub shutting_down: AtomicBool,
+    pub shutdown: Shutdown,
     /// Total size of the request bodies that are held in memory, in bytes.
     pub body_bytes: AtomicUsize,
     /// Log of reports on requests that were late, rejected, failed or retried.
@@ -68,7 +68,7 @@
             seeds: Mutex::new(settings.internal_seeds()),
             balancers: Mutex::default(),
             heartbeat_due: Notify::new(),
-            shutting_down: AtomicBool::new(false),
+            shutdown: Shutdown::new(),
             body_bytes: AtomicUsize::new(0),
             reports: Arc::new(ReportLog::new(settings.zone.clone(), reports_per_second)),
             settings,
@@ -92,7 +92,7 @@
 
     /// Returns whether clients may connect: a configuration is applied and no shutdown has begun.
     pub fn is_ready(&self) -> bool {
-        !self.shutting_down.load(Ordering::Relaxed)
+        !self.shutdown.has_reached(ShutdownPhase::Draining)
             && lock(&self.control_state).configuration.is_some()
     }
 
--- a/src/net/server/connection.rs
+++ b/src/net/server/connection.rs
@@ -2,13 +2,13 @@
 
 use super::Server;
 use super::request::class_in_path;
-use super::response::{CallerResponse, rejection};
+use super::response::{CallerResponse, ResponseBody, rejection};
 use crate::net::metrics::StreamingRequest;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Version};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -16,7 +16,7 @@
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep};
-use woadstall_inbound::{ConnectionState, MAX_HEAD_BYTES, RequestGate, lock};
+use woadstall_inbound::{ConnectionState, MAX_HEAD_BYTES, RequestGate, TrackedBody, lock};
 use woadstall_transport::SharedStream;
 
 /// Interval at which a connection that should close, but has an open or partly received request, is checked for
@@ -153,7 +153,7 @@
     }
 
     /// Returns the response to a request, counts the response, and decides whether the connection closes after it.
-    async fn respond(&self, request: Request<Incoming>) -> CallerResponse {
+    async fn respond(&self, request: Request<Incoming>) -> Response<TrackedBody<ResponseBody>> {
         let (class, version) = (
             self.server.known_class(class_in_path(&request)),
             request.version(),
@@ -170,12 +170,10 @@
                 .store(is_unframed, Ordering::Relaxed);
         }
         if let Some(class) = class {
-            self.count_response(class, &mut response, deadline);
+            self.count_response(class, &mut response);
         }
         let mut state = lock(&self.connection.state);
-        if let Some(deadline) = deadline {
-            state.response_progressed(deadline, response.body().is_complete());
-        }
+        state.response_started(deadline);
         if state.is_last_request()
             || state.has_both_lengths()
             || self.is_draining() && !state.has_pipelined_bytes()
@@ -185,7 +183,8 @@
                 .insert(CONNECTION, HeaderValue::from_static("close"));
         }
         state.request_answered();
-        response
+        drop(state);
+        response.map(|body| TrackedBody::new(body, self.connection.state.clone()))
     }
 
     fn is_draining(&self) -> bool {
@@ -193,21 +192,13 @@
     }
 
     /// Counts a response: immediately if it is complete, otherwise when its stream ends.
-    fn count_response(
-        &self,
-        class: String,
-        response: &mut CallerResponse,
-        deadline: Option<Instant>,
-    ) {
+    fn count_response(&self, class: String, response: &mut CallerResponse) {
         let metrics = &self.server.metrics;
-        match deadline.filter(|_| !response.body().is_complete()) {
-            Some(deadline) => {
-                let request = StreamingRequest::new(metrics.clone(), class);
-                response
-                    .body_mut()
-                    .track_stream(request, deadline, self.connection.state.clone());
-            }
-            None => metrics.count_response(&class, response.status()),
+        if response.body().is_complete() {
+            metrics.count_response(&class, response.status());
+        } else {
+            let request = StreamingRequest::new(metrics.clone(), class);
+            response.body_mut().track_stream(request);
         }
     }
 }
--- a/src/net/server/response.rs
+++ b/src/net/server/response.rs
@@ -7,11 +7,8 @@
 use hyper::{Response, StatusCode};
 use std::io;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::time::Instant;
-use woadstall_inbound::{ConnectionState, lock};
 use woadstall_transport::Http1Body;
 
 /// A response to a caller, in the form that hyper writes.
@@ -20,14 +17,8 @@
 /// The body of a response, complete or streamed.
 pub struct ResponseBody {
     body: Http1Body,
-    stream: Option<StreamState>,
-}
-
-/// State updated at the end of a streamed response.
-struct StreamState {
-    request: StreamingRequest,
-    deadline: Instant,
-    connection: Arc<Mutex<ConnectionState>>,
+    /// The request of a streamed response, completed at the end of the stream.
+    stream: Option<StreamingRequest>,
 }
 
 impl From<Bytes> for ResponseBody {
@@ -51,18 +42,9 @@
         self.body.is_complete()
     }
 
-    /// Registers a request and a connection whose state is updated when this streamed body ends.
-    pub fn track_stream(
-        &mut self,
-        request: StreamingRequest,
-        deadline: Instant,
-        connection: Arc<Mutex<ConnectionState>>,
-    ) {
-        self.stream = Some(StreamState {
-            request,
-            deadline,
-            connection,
-        });
+    /// Registers a request that is completed when this streamed body ends.
+    pub fn track_stream(&mut self, request: StreamingRequest) {
+        self.stream = Some(request);
     }
 }
 
@@ -77,8 +59,7 @@
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
         let has_ended = frame.is_none() || self.body.is_end_stream();
         if let Some(stream) = self.stream.as_mut().filter(|_| has_ended) {
-            stream.request.complete();
-            lock(&stream.connection).response_progressed(stream.deadline, true);
+            stream.complete();
         }
         Poll::Ready(frame)
     }
