Tests of a front's connections that the time-outs cut: nine cases, all red

Real processes; the crossings are forced and no test sleeps: that a time-out has passed shows at another connection, which the front closes for the same reason.

- a chunked request whose upstream is silent is reset, in service and during a shutdown;
- an empty line or the beginning of the next request during a stream resets the stream, in both;
- a whole request sent during a stream, after idle connections are closed, gets no answer;
- a connection accepted while idle ones are closed is closed before its first request;
- an empty line after a response resets an idle connection.

--- a/crates/mock-servers/src/http1.rs
+++ b/crates/mock-servers/src/http1.rs
@@ -69,10 +69,31 @@
     RespondAndClose(String),
     /// Writes a response (the first text), and then surplus bytes that belong to no request (the second text).
     RespondWithSurplus(String, String),
+    /// Writes each of these texts as soon as the test sends it, and keeps the connection open.
+    RespondInParts(ResponseParts),
     /// Writes no response.
     Stall,
 }
 
+/// The parts of a response that a test sends one by one. The response ends when the sender is dropped.
+#[derive(Clone)]
+pub struct ResponseParts(Arc<Mutex<Receiver<String>>>);
+
+impl ResponseParts {
+    /// Creates the parts of one response, and the sender for them.
+    pub fn new() -> (Sender<String>, Self) {
+        let (sender, parts) = channel();
+        (sender, Self(Arc::new(Mutex::new(parts))))
+    }
+
+    fn write_to(&self, output: &mut impl Write) {
+        let parts = self.0.lock().unwrap();
+        while let Ok(part) = parts.recv_timeout(TEST_TIMEOUT) {
+            output.write_all(part.as_bytes()).unwrap_or(());
+        }
+    }
+}
+
 /// Returns the text of a 200 response with a body.
 pub fn ok_response(body: &str) -> String {
     format!(
@@ -178,6 +199,7 @@
                 output.write_all(surplus.as_bytes()).unwrap_or(());
                 event_sender.send(UpstreamEvent::SurplusWritten).ok();
             }
+            Reaction::RespondInParts(parts) => parts.write_to(&mut output),
             Reaction::Stall => {}
         }
     }
@@ -391,6 +413,12 @@
         self.write(&request(class, budget, body));
     }
 
+    /// Waits until the peer has closed or reset the connection; the bytes before that are discarded.
+    pub fn wait_until_closed(&mut self) {
+        let mut buffer = [0; 1024];
+        while self.input.read(&mut buffer).is_ok_and(|bytes| bytes > 0) {}
+    }
+
     /// Reads the next response; `None` if the connection ends first.
     pub fn read_response(&mut self) -> Option<Message> {
         Message::read(&mut self.input)
--- a/crates/mock-servers/src/system.rs
+++ b/crates/mock-servers/src/system.rs
@@ -434,19 +434,30 @@
 /// Returns the text of an upstream's event stream, one chunk per event. The stream ends properly if `is_complete`, and
 /// is truncated otherwise.
 pub fn events(request: &Message, events: &[&str], is_complete: bool) -> String {
-    let mut text = format!(
-        "{}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-        head(request)
-    );
-    for event in events {
-        text += &format!("{:x}\r\n{event}\r\n", event.len());
-    }
+    let mut text = stream_head(request);
+    events.iter().for_each(|event| text += &chunk(event));
     if is_complete {
-        text += "0\r\n\r\n";
+        text += LAST_CHUNK;
     }
     text
 }
 
+/// The last chunk of a body with chunked transfer coding.
+pub const LAST_CHUNK: &str = "0\r\n\r\n";
+
+/// Returns the head of an upstream's event stream.
+pub fn stream_head(request: &Message) -> String {
+    format!(
+        "{}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+        head(request)
+    )
+}
+
+/// Returns a chunk of a body with chunked transfer coding.
+pub fn chunk(data: &str) -> String {
+    format!("{:x}\r\n{data}\r\n", data.len())
+}
+
 fn head(request: &Message) -> String {
     let id = request.headers.get("request-id").map_or("", String::as_str);
     format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: stamp-{id}\r\n")
--- /dev/null
+++ b/tests/front_connections.rs
@@ -0,0 +1,209 @@
+//! Tests of client connections of a front while a response is awaited or under way, with and without SIGTERM. Time-outs
+//! are observed at other connections, which the front closes for the same reason.
+
+#[path = "common/program.rs"]
+mod program;
+
+use program::program_path;
+use rstest::rstest;
+use serde_json::{Value, json};
+use std::sync::mpsc::Sender;
+use std::sync::{Arc, Mutex};
+use woadstall_mock_servers::http1::{Caller, Reaction, ResponseParts, Upstream};
+use woadstall_mock_servers::system::{LAST_CHUNK, System, chunk, response, stream_head};
+
+/// Time-out for receiving a request, in milliseconds.
+const HEADER_TIMEOUT_MS: u64 = 200;
+/// Bytes that are no complete request head.
+const PARTIAL_HEAD: &str = "POST /stream/2 HTTP/1.1\r\n";
+
+/// A system with one front and one upstream whose responses the test sends part by part.
+struct Fixture {
+    system: System,
+    upstream: Upstream,
+    /// Senders of the parts of the responses, by the order of the requests.
+    responses: Arc<Mutex<Vec<Sender<String>>>>,
+}
+
+fn configuration() -> Value {
+    json!({
+        "generation": 1,
+        "routes": [{
+            "name": "stream", "host": "shop.example", "path_prefix": "/stream/", "route_type": "streaming",
+            "timeout_ms": 20_000, "target_latency_ms": 500, "priority": 1, "service": "s", "max_attempts": 1,
+        }],
+        "services": [{ "name": "s", "max_connections": 100 }],
+        "limits": {
+            "max_header_bytes": 16_384, "max_body_bytes": 4_194_304, "header_timeout_ms": HEADER_TIMEOUT_MS,
+            "idle_timeout_ms": 15_000,
+        },
+    })
+}
+
+impl Fixture {
+    fn start() -> Self {
+        let system = System::start(&program_path(), 1);
+        system.configure(0, 0, &configuration());
+        let responses: Arc<Mutex<Vec<Sender<String>>>> = Arc::default();
+        let senders = responses.clone();
+        let upstream = Upstream::start(move |request| {
+            if request.start_line.contains("/stream/now") {
+                return Reaction::Respond(response(request, "now"));
+            }
+            let (sender, parts) = ResponseParts::new();
+            senders.lock().unwrap().push(sender);
+            Reaction::RespondInParts(parts)
+        });
+        system.register(0, "i-1", "s", upstream.address, 0);
+        Self {
+            system,
+            upstream,
+            responses,
+        }
+    }
+
+    fn connect(&self) -> Caller {
+        Caller::connect(self.system.front(0)).expect("a connection")
+    }
+
+    /// Sends a part of the response to the request with this number.
+    fn send(&self, request: usize, part: &str) {
+        let responses = self.responses.lock().unwrap();
+        responses[request].send(part.to_owned()).unwrap();
+    }
+
+    /// Completes the response to the request with this number.
+    fn complete(&self, request: usize) {
+        self.send(request, &chunk("id: 2\ndata: b\n\n"));
+        self.send(request, LAST_CHUNK);
+    }
+
+    /// Begins the first stream, and returns after the client has received the beginning.
+    fn begin_stream(&self) -> Caller {
+        let mut caller = self.connect();
+        caller.write(&request("/stream/1", "r-1"));
+        let forwarded = self.upstream.request();
+        self.send(0, &(stream_head(&forwarded) + &chunk("id: 1\ndata: a\n\n")));
+        caller.await_data();
+        caller
+    }
+
+    fn terminate(&self) {
+        let front = self.system.front_process(0);
+        front.signal("TERM");
+        front.wait_for("shutdown_started");
+    }
+
+    /// Waits until the front has closed connections that sent their bytes later than all bytes so far and have exceeded
+    /// the time-out for receiving a request. One is not enough, as each connection checks its time-outs at times of its
+    /// own.
+    fn wait_for_request_timeout(&self) {
+        for _ in 0..2 {
+            let mut witness = self.connect();
+            witness.write(PARTIAL_HEAD);
+            witness.wait_until_closed();
+        }
+    }
+
+    /// Terminates the front and waits until it closes idle connections.
+    fn terminate_until_idle_connections_close(&self) {
+        let mut idle = self.connect();
+        idle.write(&request("/stream/now", "r-idle"));
+        idle.read_response().expect("an answer");
+        self.upstream.request();
+        self.terminate();
+        idle.wait_until_closed();
+    }
+}
+
+fn request(path: &str, id: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nContent-Length: 2\r\n\r\n{{}}"
+    )
+}
+
+fn chunked_request(path: &str, id: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n\
+         2\r\n{{}}\r\n0\r\n\r\n"
+    )
+}
+
+fn assert_complete_stream(caller: &mut Caller) {
+    let body = caller.read_chunked_body().expect("a complete stream");
+    assert_eq!(
+        String::from_utf8_lossy(&body),
+        "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+    );
+}
+
+#[rstest]
+#[case::in_service(false)]
+#[case::during_shutdown(true)]
+fn a_chunked_request_is_not_aborted_while_its_upstream_is_silent(#[case] during_shutdown: bool) {
+    let fixture = Fixture::start();
+    let mut caller = fixture.connect();
+    caller.write(&chunked_request("/stream/1", "r-1"));
+    let forwarded = fixture.upstream.request();
+    if during_shutdown {
+        fixture.terminate();
+    }
+    fixture.wait_for_request_timeout();
+    fixture.send(0, &(stream_head(&forwarded) + &chunk("id: 1\ndata: a\n\n")));
+    fixture.complete(0);
+    assert_complete_stream(&mut caller);
+}
+
+#[rstest]
+fn bytes_after_a_request_do_not_abort_its_stream(
+    #[values("\r\n", PARTIAL_HEAD)] bytes: &str,
+    #[values(false, true)] during_shutdown: bool,
+) {
+    let fixture = Fixture::start();
+    let mut caller = fixture.begin_stream();
+    caller.write(bytes);
+    if during_shutdown {
+        fixture.terminate();
+    }
+    fixture.wait_for_request_timeout();
+    fixture.complete(0);
+    assert_complete_stream(&mut caller);
+}
+
+#[test]
+fn a_request_that_is_sent_during_a_stream_is_answered_though_idle_connections_are_closed() {
+    let fixture = Fixture::start();
+    let mut caller = fixture.begin_stream();
+    fixture.terminate_until_idle_connections_close();
+    caller.write(&request("/stream/now", "r-2"));
+    fixture.complete(0);
+    assert_complete_stream(&mut caller);
+    let answer = caller.read_response().expect("an answer");
+    assert_eq!((answer.status(), &answer.body[..]), (200, &b"now"[..]));
+    assert_eq!(answer.headers["connection"], "close");
+}
+
+#[test]
+fn a_connection_accepted_while_idle_ones_are_closed_gets_the_answer_to_its_first_request() {
+    let fixture = Fixture::start();
+    fixture.terminate_until_idle_connections_close();
+    let mut first = fixture.connect();
+    // The front accepts connections in order, so it has accepted the first one when the second one is answered.
+    let mut second = fixture.connect();
+    second.write(&request("/stream/now", "r-2"));
+    assert_eq!(second.read_response().expect("an answer").status(), 200);
+    first.write(&request("/stream/now", "r-3"));
+    assert_eq!(first.read_response().expect("an answer").status(), 200);
+}
+
+#[test]
+fn an_empty_line_after_a_response_does_not_reset_an_idle_connection() {
+    let fixture = Fixture::start();
+    let mut caller = fixture.connect();
+    caller.write(&request("/stream/now", "r-1"));
+    assert_eq!(caller.read_response().expect("an answer").status(), 200);
+    caller.write("\r\n");
+    fixture.wait_for_request_timeout();
+    caller.write(&request("/stream/now", "r-2"));
+    assert_eq!(caller.read_response().expect("an answer").status(), 200);
+}
