Front: the end of the grace period is logged with the stage of each request

The loop that serves a connection now waits for the end of the grace period itself, and one function checks all time-outs of a connection.

--- a/crates/node/src/front/client_connection.rs
+++ b/crates/node/src/front/client_connection.rs
@@ -17,7 +17,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, interval, timeout};
+use tokio::time::{Instant, interval};
 use woadstall_control::configuration::Limits;
 use woadstall_inbound::{
     ConnectionState, LingeringConnections, RequestGate, RequestStage, TrackedBody, lock,
@@ -38,6 +38,15 @@
 /// Maximum number of connections closed by this process that wait for the client's close.
 const MAX_LINGERING: usize = 64;
 
+/// The result of checking a connection's time-outs.
+enum Check {
+    KeepOpen,
+    /// The connection is idle and should be closed.
+    Close,
+    /// The client has not completed its request in time.
+    Abort,
+}
+
 /// The most recent request of a connection, for logs.
 struct CurrentRequest {
     id: String,
@@ -70,14 +79,7 @@
         enable_dead_peer_detection(&stream, USER_TIMEOUT);
         let stream = SharedStream::new(stream);
         let (gate, state) = RequestGate::new(stream.clone());
-        let end = tokio::select! {
-            biased;
-            end = self.drive(gate, &state, &stream) => end,
-            () = self.front.shutdown.reached(ShutdownPhase::GracePeriodEnded) => {
-                self.aborted(AbortCause::GracePeriodEnded, &state)
-            }
-        };
-        match end {
+        match self.drive(gate, &state, &stream).await {
             // The reset tells the client that a truncated response is not complete.
             ConnectionEnd::Aborted(_) => stream.reset_on_close()?,
             ConnectionEnd::Orderly if lock(&state).has_ended() => {}
@@ -102,31 +104,67 @@
             .max_buf_size(READ_BUFFER_BYTES)
             .serve_connection(TokioIo::new(gate), service);
         let mut connection = std::pin::pin!(connection);
-        let closing = self.front.shutdown.reached(ShutdownPhase::ClosingIdle);
-        let mut closing = std::pin::pin!(closing);
+        let shutdown = &self.front.shutdown;
+        let mut closing = std::pin::pin!(shutdown.reached(ShutdownPhase::ClosingIdle));
+        let mut grace_period_ended =
+            std::pin::pin!(shutdown.reached(ShutdownPhase::GracePeriodEnded));
         let mut checks = interval(TIMEOUT_CHECK_INTERVAL);
         let mut is_closing = false;
-        while !is_closing {
+        loop {
             tokio::select! {
                 // The connection is polled first, so that a request that has already arrived is read
                 // before the connection is closed as idle.
                 biased;
                 result = connection.as_mut() => return self.ended(&result, state),
-                () = closing.as_mut() => is_closing = true,
-                _ = checks.tick() => is_closing = self.has_timed_out(state),
-            }
-        }
-        while !(lock(state).is_idle() && stream.has_no_pending_input()) {
-            if self.has_stalled(state) {
-                return self.aborted(AbortCause::RequestTimeout, state);
+                () = grace_period_ended.as_mut() => {
+                    return self.aborted(AbortCause::GracePeriodEnded, state);
+                }
+                () = closing.as_mut(), if !is_closing => {
+                    is_closing = true;
+                    checks = interval(IDLE_CHECK_INTERVAL);
+                }
+                _ = checks.tick() => {}
             }
-            if let Ok(result) = timeout(IDLE_CHECK_INTERVAL, connection.as_mut()).await {
-                return self.ended(&result, state);
+            match self.check(state, stream, is_closing) {
+                Check::KeepOpen => {}
+                Check::Close => break,
+                Check::Abort => return self.aborted(AbortCause::RequestTimeout, state),
             }
         }
         connection.as_mut().graceful_shutdown();
-        let result = connection.as_mut().await;
-        self.ended(&result, state)
+        tokio::select! {
+            biased;
+            result = connection.as_mut() => self.ended(&result, state),
+            () = grace_period_ended.as_mut() => self.aborted(AbortCause::GracePeriodEnded, state),
+        }
+    }
+
+    /// Checks the time-outs of the connection. `is_closing` tells whether idle connections are closed.
+    fn check(
+        &self,
+        state: &Mutex<ConnectionState>,
+        stream: &SharedStream,
+        is_closing: bool,
+    ) -> Check {
+        let limits = self.limits();
+        let state = lock(state);
+        let (idle_timeout, request_timeout) = if is_closing {
+            (Duration::ZERO, limits.header_timeout)
+        } else {
+            (
+                limits.idle_timeout + TIMEOUT_MARGIN,
+                limits.header_timeout + TIMEOUT_MARGIN,
+            )
+        };
+        match state.idle() {
+            Some((_, since))
+                if since.elapsed() >= idle_timeout && stream.has_no_pending_input() =>
+            {
+                Check::Close
+            }
+            None if state.is_overdue(request_timeout) => Check::Abort,
+            _ => Check::KeepOpen,
+        }
     }
 
     /// Logs the request that ends with its connection, if there is one. Must be called before hyper's
@@ -168,23 +206,6 @@
         request.log();
     }
 
-    /// Returns whether the connection has exceeded the idle time-out or the time-out for receiving
-    /// the head of a request.
-    fn has_timed_out(&self, state: &Arc<Mutex<ConnectionState>>) -> bool {
-        let limits = self.limits();
-        let state = lock(state);
-        match state.idle() {
-            Some((_, since)) => since.elapsed() > limits.idle_timeout + TIMEOUT_MARGIN,
-            None => state.is_overdue(limits.header_timeout + TIMEOUT_MARGIN),
-        }
-    }
-
-    /// Returns whether a connection that is being closed has exceeded the time-out for receiving
-    /// the head of a request.
-    fn has_stalled(&self, state: &Arc<Mutex<ConnectionState>>) -> bool {
-        lock(state).is_overdue(self.limits().header_timeout)
-    }
-
     fn limits(&self) -> Limits {
         self.front
             .configuration()
