Front: a chunked request is complete once its body has been read

Callers saw: a request with a chunked body was reset without an answer, or around a SIGTERM, once its upstream had been silent for the time-out of receiving a request (3 s; a second more without a shutdown), though it had been passed on.

Cause: the connection state learns the end of a chunked body only from the front, and the front told it when the response existed. Until then the body counted as stalled, as no byte came for a second.

The end of the body is now recorded where the body is read. Whether the connection ends after the response is decided by the form of the request, as before, and therefore before that.

--- a/crates/mock-servers/src/http1.rs
+++ b/crates/mock-servers/src/http1.rs
@@ -60,6 +60,22 @@
     }
 }
 
+/// Reads a body with chunked transfer coding; `None` if it is truncated.
+pub(crate) fn read_chunks(input: &mut impl BufRead) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut line = String::new();
+        input.read_line(&mut line).ok()?;
+        let length = usize::from_str_radix(line.trim(), 16).ok()?;
+        let mut chunk = vec![0; length + 2];
+        input.read_exact(&mut chunk).ok()?;
+        if length == 0 {
+            return Some(body);
+        }
+        body.extend_from_slice(&chunk[..length]);
+    }
+}
+
 /// An upstream's reaction to a request.
 #[derive(Clone)]
 pub enum Reaction {
@@ -432,32 +448,16 @@
             .expect("the beginning of a response");
     }
 
+    /// Reads a response with chunked transfer coding; `None` if the response is truncated.
+    pub fn read_chunked_response(&mut self) -> Option<Message> {
+        let mut response = self.read_response()?;
+        response.body = read_chunks(&mut self.input)?;
+        Some(response)
+    }
+
     /// Reads a response with chunked transfer coding and returns its body; `None` if the response is truncated.
     pub fn read_chunked_body(&mut self) -> Option<Vec<u8>> {
-        let mut line = String::new();
-        while line != "\r\n" {
-            line.clear();
-            self.input
-                .read_line(&mut line)
-                .ok()
-                .filter(|&bytes| bytes > 0)?;
-        }
-        let mut body = Vec::new();
-        loop {
-            line.clear();
-            self.input
-                .read_line(&mut line)
-                .ok()
-                .filter(|&bytes| bytes > 0)?;
-            let length = usize::from_str_radix(line.trim_end(), 16).ok()?;
-            let start = body.len();
-            body.resize(start + length, 0);
-            self.input.read_exact(&mut body[start..]).ok()?;
-            self.input.read_line(&mut line).ok()?;
-            if length == 0 {
-                return Some(body);
-            }
-        }
+        Some(self.read_chunked_response()?.body)
     }
 
     /// Sends a request and reads its response; `None` if the connection has ended.
--- a/crates/mock-servers/src/system.rs
+++ b/crates/mock-servers/src/system.rs
@@ -1,7 +1,7 @@
 //! The processes of the serving system on loopback addresses: core machines and fronts, with their settings files and
 //! logs, and an operator's calls.
 
-use crate::http1::{Message, TEST_TIMEOUT};
+use crate::http1::{Message, TEST_TIMEOUT, read_chunks};
 use serde_json::{Map, Value, json};
 use std::fs::{File, OpenOptions};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -406,22 +406,6 @@
     Some(response)
 }
 
-/// Reads a body with chunked transfer coding; `None` if it is truncated.
-fn read_chunks(input: &mut impl BufRead) -> Option<Vec<u8>> {
-    let mut body = Vec::new();
-    loop {
-        let mut line = String::new();
-        input.read_line(&mut line).ok()?;
-        let length = usize::from_str_radix(line.trim(), 16).ok()?;
-        let mut chunk = vec![0; length + 2];
-        input.read_exact(&mut chunk).ok()?;
-        if length == 0 {
-            return Some(body);
-        }
-        body.extend_from_slice(&chunk[..length]);
-    }
-}
-
 /// Returns the text of an upstream's complete response, with the request's id and a stamp derived from the id.
 pub fn response(request: &Message, body: &str) -> String {
     format!(
--- a/crates/node/src/front/client_connection.rs
+++ b/crates/node/src/front/client_connection.rs
@@ -219,13 +219,14 @@
         connection: &Arc<Mutex<ConnectionState>>,
     ) -> Response<TrackedBody<ResponseBody>> {
         self.record_request(&request);
-        let mut response = handle_request(self.front, request).await;
+        let is_last_request = {
+            let state = lock(connection);
+            state.is_last_request() || state.has_both_lengths()
+        };
+        let mut response = handle_request(self.front, request, connection).await;
         let mut state = lock(connection);
         let is_shutting_down = self.front.shutdown.has_reached(ShutdownPhase::Draining);
-        if state.is_last_request()
-            || state.has_both_lengths()
-            || is_shutting_down && !state.has_pipelined_bytes()
-        {
+        if is_last_request || is_shutting_down && !state.has_pipelined_bytes() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
--- a/crates/node/src/front/forward.rs
+++ b/crates/node/src/front/forward.rs
@@ -14,12 +14,12 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{HOST, HeaderMap};
 use hyper::{Request, Response, StatusCode};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use thiserror::Error;
 use tokio::time::Instant;
 use woadstall_control::configuration::{Configuration, Route, RouteType, Service};
-use woadstall_inbound::{BodyMemory, lock};
+use woadstall_inbound::{BodyMemory, ConnectionState, lock};
 use woadstall_request_reports::Cause;
 use woadstall_routing::Prompt;
 use woadstall_transport::remove_hop_by_hop_headers;
@@ -59,10 +59,12 @@
     }
 }
 
-/// Forwards a client request and returns the response of an upstream or an error response.
+/// Forwards a client request and returns the response of an upstream or an error response. Records at
+/// `connection` that the request has been received completely.
 pub(super) async fn handle_request(
     front: &Arc<Front>,
     request: Request<Incoming>,
+    connection: &Mutex<ConnectionState>,
 ) -> ClientResponse {
     let arrived = Instant::now();
     let Some(configuration) = front.configuration() else {
@@ -87,6 +89,7 @@
         Ok(body) => body,
         Err(error) => return error.into_response(),
     };
+    lock(connection).request_completed();
     let prompt = if route.session_affinity {
         prompt_of(&head.headers)
     } else {
--- a/tests/front_connections.rs
+++ b/tests/front_connections.rs
@@ -21,8 +21,8 @@
 struct Fixture {
     system: System,
     upstream: Upstream,
-    /// Senders of the parts of the responses, by the order of the requests.
-    responses: Arc<Mutex<Vec<Sender<String>>>>,
+    /// Senders of the parts of the responses, by the order of the requests; `None` after the end of a response.
+    responses: Arc<Mutex<Vec<Option<Sender<String>>>>>,
 }
 
 fn configuration() -> Value {
@@ -44,14 +44,14 @@
     fn start() -> Self {
         let system = System::start(&program_path(), 1);
         system.configure(0, 0, &configuration());
-        let responses: Arc<Mutex<Vec<Sender<String>>>> = Arc::default();
+        let responses: Arc<Mutex<Vec<Option<Sender<String>>>>> = Arc::default();
         let senders = responses.clone();
         let upstream = Upstream::start(move |request| {
             if request.start_line.contains("/stream/now") {
                 return Reaction::Respond(response(request, "now"));
             }
             let (sender, parts) = ResponseParts::new();
-            senders.lock().unwrap().push(sender);
+            senders.lock().unwrap().push(Some(sender));
             Reaction::RespondInParts(parts)
         });
         system.register(0, "i-1", "s", upstream.address, 0);
@@ -69,13 +69,15 @@
     /// Sends a part of the response to the request with this number.
     fn send(&self, request: usize, part: &str) {
         let responses = self.responses.lock().unwrap();
-        responses[request].send(part.to_owned()).unwrap();
+        let sender = responses[request].as_ref().expect("an open response");
+        sender.send(part.to_owned()).unwrap();
     }
 
     /// Completes the response to the request with this number.
     fn complete(&self, request: usize) {
         self.send(request, &chunk("id: 2\ndata: b\n\n"));
         self.send(request, LAST_CHUNK);
+        self.responses.lock().unwrap()[request] = None;
     }
 
     /// Begins the first stream, and returns after the client has received the beginning.
@@ -178,7 +180,7 @@
     caller.write(&request("/stream/now", "r-2"));
     fixture.complete(0);
     assert_complete_stream(&mut caller);
-    let answer = caller.read_response().expect("an answer");
+    let answer = caller.read_chunked_response().expect("an answer");
     assert_eq!((answer.status(), &answer.body[..]), (200, &b"now"[..]));
     assert_eq!(answer.headers["connection"], "close");
 }
