Connections: a request lasts until hyper has received its whole response

Callers saw: a stream was reset in its middle once the time-out of receiving a request had passed since its head, where the client had sent an empty line or the beginning of its next request; and a whole request sent during a stream after SIGTERM got no answer.

Cause: the connection state began to wait for the next request when the head of the response existed, not when its body had been sent. With a stream in flight the connection was idle for each check that closes, and a single byte made it overdue for each check that aborts. The daemon had the same fault in its own time limit and in the choice of an idle connection to close.

Evidence, failing on: four cases of `bytes_after_a_request_do_not_abort_its_stream` and `a_request_that_is_sent_during_a_stream_is_answered_though_idle_connections_are_closed` at the front, and the daemon's test of the same name as the first. All pass now.

Why this works: the state returns to the wait for a request in one place, when the request is complete and `TrackedBody` has reported the end of its response; `is_idle` also asks whether the socket has accepted all bytes. Each path that closes, times out or evicts asks this state.

--- a/crates/inbound/src/connection_state.rs
+++ b/crates/inbound/src/connection_state.rs
@@ -18,7 +18,7 @@
 /// Reads within this interval share one timestamp.
 const READ_RESOLUTION: Duration = Duration::from_millis(2);
 
-/// Phase of the current request on a connection.
+/// Phase of the current request on a connection. It lasts until the request is complete and its response has been sent.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Phase {
     /// The head is incomplete, or no request has begun.
@@ -27,7 +27,8 @@
     Passing(u64),
     /// Only hyper can determine the end of the request. No further request is accepted on the connection.
     Unbounded,
-    /// The whole request has been passed to hyper. No further bytes are passed until the response has been sent.
+    /// The whole request has been passed to hyper. No further bytes are passed until hyper has received the whole
+    /// response.
     Complete,
 }
 
@@ -98,8 +99,6 @@
     waiting_since: Instant,
     /// Whether an earlier request on the connection has completed.
     had_request: bool,
-    /// Whether the current request has its response.
-    is_answered: bool,
     /// Whether the current request has both a `Content-Length` and a `Transfer-Encoding`. hyper exposes only one of
     /// them.
     has_both_lengths: bool,
@@ -132,7 +131,6 @@
             request_received_at: now,
             waiting_since: now,
             had_request: false,
-            is_answered: false,
             has_both_lengths: false,
             received_bytes_at_head: 0,
             last_read: now,
@@ -147,13 +145,14 @@
 
     /// Returns what the connection is doing.
     pub fn stage(&self) -> RequestStage {
-        use ResponseProgress::{Sending, Truncated};
+        use ResponseProgress::{Awaited, Sending, Truncated};
         match self.phase {
             _ if matches!(self.response, Sending | Truncated) => RequestStage::SendingResponse,
-            Phase::Head if self.buffered.is_empty() => RequestStage::Idle,
-            Phase::Head => RequestStage::ReceivingHead,
             Phase::Passing(_) | Phase::Unbounded => RequestStage::ReceivingBody,
-            Phase::Complete => RequestStage::AwaitingResponse,
+            _ if self.response == Awaited => RequestStage::AwaitingResponse,
+            _ if self.is_idle() => RequestStage::Idle,
+            Phase::Head if !self.buffered.is_empty() => RequestStage::ReceivingHead,
+            Phase::Head | Phase::Complete => RequestStage::SendingResponse,
         }
     }
 
@@ -164,9 +163,13 @@
             .then_some((self.had_request, self.waiting_since))
     }
 
-    /// Whether no request is open and no part of a request has been read.
+    /// Whether the connection can be closed without a loss: no part of a request has been read, and the socket has
+    /// accepted all responses.
     pub fn is_idle(&self) -> bool {
-        self.phase == Phase::Head && self.buffered.is_empty()
+        self.phase == Phase::Head
+            && self.buffered.is_empty()
+            && self.response == ResponseProgress::NotDue
+            && !self.is_write_blocked
     }
 
     /// Whether bytes of a later request than the current one are buffered.
@@ -190,6 +193,11 @@
         self.phase == Phase::Unbounded
     }
 
+    /// Records that hyper has begun to handle a request.
+    pub fn request_started(&mut self) {
+        self.response = ResponseProgress::Awaited;
+    }
+
     /// Records that the head of the response exists. `deadline` is the client's deadline for the response.
     pub fn response_started(&mut self, deadline: Option<Instant>) {
         self.response = ResponseProgress::Sending;
@@ -201,6 +209,7 @@
     pub fn response_completed(&mut self) {
         self.response = ResponseProgress::NotDue;
         self.last_write = Instant::now();
+        self.advance_to_next_request();
     }
 
     /// Records that the body of the response has failed.
@@ -217,16 +226,10 @@
         self.request_received_at
     }
 
-    /// Records that the current request has its response, so that the next request may be passed to hyper.
-    pub fn request_answered(&mut self) {
-        self.is_answered = true;
-        self.advance_to_next_request();
-    }
-
-    /// Begins the wait for the next request, if the current one has been passed to hyper completely and has its
-    /// response.
+    /// Begins the wait for the next request, if the current one has been passed to hyper completely and hyper has
+    /// received the whole response.
     fn advance_to_next_request(&mut self) {
-        if self.phase == Phase::Complete && self.is_answered {
+        if self.phase == Phase::Complete && self.response == ResponseProgress::NotDue {
             self.phase = Phase::Head;
             self.had_request = true;
             self.waiting_since = Instant::now();
@@ -324,7 +327,6 @@
             }
         };
         self.has_both_lengths = has_both_lengths;
-        self.is_answered = false;
         self.received_bytes_at_head = self.received_bytes;
         self.response = ResponseProgress::Awaited;
         self.response_deadline = None;
@@ -370,3 +372,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/front/client_connection.rs
+++ b/crates/node/src/front/client_connection.rs
@@ -220,7 +220,8 @@
     ) -> Response<TrackedBody<ResponseBody>> {
         self.record_request(&request);
         let is_last_request = {
-            let state = lock(connection);
+            let mut state = lock(connection);
+            state.request_started();
             state.is_last_request() || state.has_both_lengths()
         };
         let mut response = handle_request(self.front, request, connection).await;
@@ -230,8 +231,6 @@
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
-        state.request_completed();
-        state.request_answered();
         state.response_started(None);
         drop(state);
         response.map(|body| TrackedBody::new(body, connection.clone()))
--- a/src/net/server/connection.rs
+++ b/src/net/server/connection.rs
@@ -154,6 +154,7 @@
 
     /// Returns the response to a request, counts the response, and decides whether the connection closes after it.
     async fn respond(&self, request: Request<Incoming>) -> Response<TrackedBody<ResponseBody>> {
+        lock(&self.connection.state).request_started();
         let (class, version) = (
             self.server.known_class(class_in_path(&request)),
             request.version(),
@@ -182,7 +183,6 @@
                 .headers_mut()
                 .insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        state.request_answered();
         drop(state);
         response.map(|body| TrackedBody::new(body, self.connection.state.clone()))
     }
