Connections: empty lines between requests are no request

Callers saw: a kept connection was reset after the time-out of receiving a request, where the client had sent an empty line behind a request. RFC 9112, section 2.2, lets a server expect one.

Cause: any received byte counted as the beginning of a request.

Empty lines are now discarded where the beginning of a request is awaited; they extend no idle time, and do not keep a response during a shutdown from carrying `Connection: close` (tests in virtual time).

--- a/crates/inbound/src/connection_state.rs
+++ b/crates/inbound/src/connection_state.rs
@@ -80,6 +80,12 @@
     time: Instant,
 }
 
+/// Returns the number of bytes at the beginning that belong to empty lines.
+fn empty_lines_length(bytes: &[u8]) -> usize {
+    let is_line_end = |byte: &&u8| matches!(byte, b'\r' | b'\n');
+    bytes.iter().take_while(is_line_end).count()
+}
+
 /// The state of a client's connection: the phase of the current request, buffered bytes and timestamps.
 pub struct ConnectionState {
     phase: Phase,
@@ -174,7 +180,8 @@
 
     /// Whether bytes of a later request than the current one are buffered.
     pub fn has_pipelined_bytes(&self) -> bool {
-        !self.buffered.is_empty() && matches!(self.phase, Phase::Head | Phase::Complete)
+        let has_request_bytes = empty_lines_length(&self.buffered) < self.buffered.len();
+        has_request_bytes && matches!(self.phase, Phase::Head | Phase::Complete)
     }
 
     /// Whether the client has closed its sending side.
@@ -233,6 +240,7 @@
             self.phase = Phase::Head;
             self.had_request = true;
             self.waiting_since = Instant::now();
+            self.skip_empty_lines();
             self.reader.take().into_iter().for_each(Waker::wake);
         }
     }
@@ -287,13 +295,14 @@
     /// Records a read of `bytes` into the buffer. Zero means that the client has closed its sending side.
     pub(crate) fn on_read(&mut self, bytes: usize) {
         let now = Instant::now();
-        if bytes == 0 {
-            self.has_ended = true;
-        } else if self.phase == Phase::Head && self.buffered.len() == bytes && self.had_request {
-            self.waiting_since = now;
-        }
+        let is_beginning = self.phase == Phase::Head && self.buffered.len() == bytes;
+        self.has_ended |= bytes == 0;
         self.received_bytes += bytes as u64;
         self.last_read = now;
+        self.skip_empty_lines();
+        if is_beginning && !self.buffered.is_empty() && self.had_request {
+            self.waiting_since = now;
+        }
         match self.read_times.back_mut() {
             Some(read) if now - read.time < READ_RESOLUTION => {
                 read.received_bytes = self.received_bytes;
@@ -305,6 +314,16 @@
         }
     }
 
+    /// Discards empty lines before a request (RFC 9112, section 2.2).
+    fn skip_empty_lines(&mut self) {
+        if self.phase != Phase::Head {
+            return;
+        }
+        let bytes = empty_lines_length(&self.buffered);
+        self.buffered.advance(bytes);
+        self.passed_bytes += bytes as u64;
+    }
+
     /// Parses the head of the next request from the buffer. An invalid or oversized head is passed to hyper unchanged,
     /// which rejects it.
     fn read_head(&mut self) {
--- a/crates/inbound/src/connection_state/tests.rs
+++ b/crates/inbound/src/connection_state/tests.rs
@@ -127,6 +127,31 @@
     assert_eq!(state.stage(), RequestStage::ReceivingBody);
 }
 
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn empty_lines_between_requests_are_no_request(
+    #[values("\r", "\r\n", "\n\r\n")] lines: &str,
+) {
+    let mut state = ConnectionState::new();
+    begin_request(&mut state, REQUEST);
+    state.response_started(None);
+    receive(&mut state, lines.as_bytes());
+    assert!(!state.has_pipelined_bytes());
+    state.response_completed();
+    let idle_since = state.idle();
+    advance(LONG_AFTER_TIMEOUT).await;
+    receive(&mut state, lines.as_bytes());
+    assert!(!state.is_overdue(TIMEOUT));
+    assert_eq!(
+        state.idle(),
+        idle_since,
+        "an empty line does not extend the idle time"
+    );
+    let received_at = tokio::time::Instant::now();
+    begin_request(&mut state, REQUEST);
+    assert_eq!(state.request_completed(), received_at);
+}
+
 /// A client that pipelines requests in pieces, and a server that handles them one after the other.
 struct Schedule {
     random: fastrand::Rng,
@@ -144,7 +169,7 @@
         Self {
             random: fastrand::Rng::with_seed(seed),
             state: ConnectionState::new(),
-            unsent: REQUEST.repeat(REQUESTS),
+            unsent: [REQUEST, b"\r\n"].concat().repeat(REQUESTS),
             open_requests: REQUESTS,
             passed: 0,
         }
--- a/tests/front_connections.rs
+++ b/tests/front_connections.rs
@@ -7,9 +7,11 @@
 use program::program_path;
 use rstest::rstest;
 use serde_json::{Value, json};
-use std::sync::mpsc::Sender;
-use std::sync::{Arc, Mutex};
-use woadstall_mock_servers::http1::{Caller, Reaction, ResponseParts, Upstream};
+use std::sync::Mutex;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use woadstall_mock_servers::http1::{
+    Caller, Message, Reaction, ResponseParts, TEST_TIMEOUT, Upstream,
+};
 use woadstall_mock_servers::system::{LAST_CHUNK, System, chunk, response, stream_head};
 
 /// Time-out for receiving a request, in milliseconds.
@@ -21,8 +23,8 @@
 struct Fixture {
     system: System,
     upstream: Upstream,
-    /// Senders of the parts of the responses, by the order of the requests; `None` after the end of a response.
-    responses: Arc<Mutex<Vec<Option<Sender<String>>>>>,
+    /// Receives the sender of the parts of each response.
+    responses: Receiver<Sender<String>>,
 }
 
 fn configuration() -> Value {
@@ -44,14 +46,14 @@
     fn start() -> Self {
         let system = System::start(&program_path(), 1);
         system.configure(0, 0, &configuration());
-        let responses: Arc<Mutex<Vec<Option<Sender<String>>>>> = Arc::default();
-        let senders = responses.clone();
+        let (response_sender, responses) = channel();
+        let response_sender = Mutex::new(response_sender);
         let upstream = Upstream::start(move |request| {
             if request.start_line.contains("/stream/now") {
                 return Reaction::Respond(response(request, "now"));
             }
             let (sender, parts) = ResponseParts::new();
-            senders.lock().unwrap().push(Some(sender));
+            response_sender.lock().unwrap().send(sender).unwrap();
             Reaction::RespondInParts(parts)
         });
         system.register(0, "i-1", "s", upstream.address, 0);
@@ -66,28 +68,29 @@
         Caller::connect(self.system.front(0)).expect("a connection")
     }
 
-    /// Sends a part of the response to the request with this number.
-    fn send(&self, request: usize, part: &str) {
-        let responses = self.responses.lock().unwrap();
-        let sender = responses[request].as_ref().expect("an open response");
-        sender.send(part.to_owned()).unwrap();
+    /// Waits until a request has reached the upstream, and begins the response.
+    fn begin_response(&self) -> Sender<String> {
+        self.begin_response_to(&self.upstream.request())
     }
 
-    /// Completes the response to the request with this number.
-    fn complete(&self, request: usize) {
-        self.send(request, &chunk("id: 2\ndata: b\n\n"));
-        self.send(request, LAST_CHUNK);
-        self.responses.lock().unwrap()[request] = None;
+    /// Begins the response to a request that has reached the upstream.
+    fn begin_response_to(&self, request: &Message) -> Sender<String> {
+        let response = self
+            .responses
+            .recv_timeout(TEST_TIMEOUT)
+            .expect("a request");
+        let first_event = chunk("id: 1\ndata: a\n\n");
+        response.send(stream_head(request) + &first_event).unwrap();
+        response
     }
 
-    /// Begins the first stream, and returns after the client has received the beginning.
-    fn begin_stream(&self) -> Caller {
+    /// Begins a stream, and returns after the client has received the beginning.
+    fn begin_stream(&self) -> (Caller, Sender<String>) {
         let mut caller = self.connect();
         caller.write(&request("/stream/1", "r-1"));
-        let forwarded = self.upstream.request();
-        self.send(0, &(stream_head(&forwarded) + &chunk("id: 1\ndata: a\n\n")));
+        let response = self.begin_response();
         caller.await_data();
-        caller
+        (caller, response)
     }
 
     fn terminate(&self) {
@@ -131,6 +134,12 @@
     )
 }
 
+/// Sends the rest of a response.
+fn complete(response: Sender<String>) {
+    let last_event = chunk("id: 2\ndata: b\n\n");
+    response.send(last_event + LAST_CHUNK).unwrap();
+}
+
 fn assert_complete_stream(caller: &mut Caller) {
     let body = caller.read_chunked_body().expect("a complete stream");
     assert_eq!(
@@ -146,13 +155,12 @@
     let fixture = Fixture::start();
     let mut caller = fixture.connect();
     caller.write(&chunked_request("/stream/1", "r-1"));
-    let forwarded = fixture.upstream.request();
+    let request = fixture.upstream.request();
     if during_shutdown {
         fixture.terminate();
     }
     fixture.wait_for_request_timeout();
-    fixture.send(0, &(stream_head(&forwarded) + &chunk("id: 1\ndata: a\n\n")));
-    fixture.complete(0);
+    complete(fixture.begin_response_to(&request));
     assert_complete_stream(&mut caller);
 }
 
@@ -162,23 +170,23 @@
     #[values(false, true)] during_shutdown: bool,
 ) {
     let fixture = Fixture::start();
-    let mut caller = fixture.begin_stream();
+    let (mut caller, response) = fixture.begin_stream();
     caller.write(bytes);
     if during_shutdown {
         fixture.terminate();
     }
     fixture.wait_for_request_timeout();
-    fixture.complete(0);
+    complete(response);
     assert_complete_stream(&mut caller);
 }
 
 #[test]
 fn a_request_that_is_sent_during_a_stream_is_answered_though_idle_connections_are_closed() {
     let fixture = Fixture::start();
-    let mut caller = fixture.begin_stream();
+    let (mut caller, response) = fixture.begin_stream();
     fixture.terminate_until_idle_connections_close();
     caller.write(&request("/stream/now", "r-2"));
-    fixture.complete(0);
+    complete(response);
     assert_complete_stream(&mut caller);
     let answer = caller.read_chunked_response().expect("an answer");
     assert_eq!((answer.status(), &answer.body[..]), (200, &b"now"[..]));
@@ -203,9 +211,11 @@
     let fixture = Fixture::start();
     let mut caller = fixture.connect();
     caller.write(&request("/stream/now", "r-1"));
-    assert_eq!(caller.read_response().expect("an answer").status(), 200);
+    let answer = caller.read_chunked_response().expect("an answer");
+    assert_eq!(answer.status(), 200);
     caller.write("\r\n");
     fixture.wait_for_request_timeout();
     caller.write(&request("/stream/now", "r-2"));
-    assert_eq!(caller.read_response().expect("an answer").status(), 200);
+    let answer = caller.read_chunked_response().expect("an answer");
+    assert_eq!(answer.status(), 200);
 }
