Front: a connection is closed in a shutdown only after half a second without a request

In the same way a connection was closed within 20 ms of the end of a stream that had begun before SIGTERM, while the next request was on its way.

Cause: from 1.2 s on each idle connection was closed at once, new ones as well.

The idle time runs from the accept, or from the end of the last response. An exit comes at most half a second later.

--- a/crates/node/src/front/client_connection.rs
+++ b/crates/node/src/front/client_connection.rs
@@ -29,6 +29,9 @@
 const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval at which a connection that is being closed is checked for being idle.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for which a connection must be idle before it is closed during a shutdown. The next request
+/// may be on its way, and the client of a new connection has not sent its first one.
+const MIN_IDLE_TIME: Duration = Duration::from_millis(500);
 /// A connection is closed this long after the configured time-out has passed.
 const TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
 /// Maximum time for which data sent to a client may stay unacknowledged.
@@ -149,7 +152,7 @@
         let limits = self.limits();
         let state = lock(state);
         let (idle_timeout, request_timeout) = if is_closing {
-            (Duration::ZERO, limits.header_timeout)
+            (MIN_IDLE_TIME, limits.header_timeout)
         } else {
             (
                 limits.idle_timeout + TIMEOUT_MARGIN,
