Front: only a truncated response resets its connection

Callers saw: a response that had been sent completely ended in a reset and lost its tail, where the client read slowly and its next request was invalid.

Cause: each error of hyper and each time-out reset the connection, which discards what the kernel has not delivered. A reset is needed only where a response has begun and is incomplete, so that it doesn't look complete.

Evidence: `an_invalid_request_does_not_destroy_the_response_before_it` fails on ("a complete response") and passes now, the rejection included. All other ends go through the lingering close.

--- a/crates/node/src/front/client_connection.rs
+++ b/crates/node/src/front/client_connection.rs
@@ -84,7 +84,7 @@
         let (gate, state) = RequestGate::new(stream.clone());
         match self.drive(gate, &state, &stream).await {
             // The reset tells the client that a truncated response is not complete.
-            ConnectionEnd::Aborted(_) => stream.reset_on_close()?,
+            ConnectionEnd::Truncated => stream.reset_on_close()?,
             ConnectionEnd::Orderly if lock(&state).has_ended() => {}
             ConnectionEnd::Orderly => {
                 self.lingering.close(stream);
@@ -177,9 +177,9 @@
         result: &hyper::Result<()>,
         state: &Arc<Mutex<ConnectionState>>,
     ) -> ConnectionEnd {
-        match ConnectionEnd::of(result) {
-            ConnectionEnd::Aborted(cause) => self.aborted(cause, state),
-            ConnectionEnd::Orderly => ConnectionEnd::Orderly,
+        match result {
+            Ok(()) => ConnectionEnd::Orderly,
+            Err(error) => self.aborted(AbortCause::of(error), state),
         }
     }
 
@@ -188,7 +188,10 @@
         if stage != RequestStage::Idle {
             self.log_abort(cause, stage);
         }
-        ConnectionEnd::Aborted(cause)
+        match stage {
+            RequestStage::SendingResponse => ConnectionEnd::Truncated,
+            _ => ConnectionEnd::Orderly,
+        }
     }
 
     fn log_abort(&self, cause: AbortCause, stage: RequestStage) {
--- a/crates/node/src/front/connection_end.rs
+++ b/crates/node/src/front/connection_end.rs
@@ -7,10 +7,10 @@
 /// How a connection has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionEnd {
-    /// All responses were sent completely.
+    /// Each response that was begun has been passed to the socket completely.
     Orderly,
-    /// The connection broke, or a response was truncated.
-    Aborted(AbortCause),
+    /// A response was begun and is incomplete.
+    Truncated,
 }
 
 /// Why a connection has ended before all responses were sent.
@@ -29,6 +29,17 @@
 }
 
 impl AbortCause {
+    /// Classifies an error of hyper's connection.
+    pub fn of(error: &hyper::Error) -> Self {
+        if error.is_user() {
+            Self::ResponseTruncated
+        } else if error.is_parse() {
+            Self::InvalidRequest
+        } else {
+            Self::ClientDisconnected
+        }
+    }
+
     /// The name of the cause in logs.
     pub fn name(self) -> &'static str {
         match self {
@@ -41,18 +52,6 @@
     }
 }
 
-impl ConnectionEnd {
-    /// Classifies the end of hyper's connection.
-    pub fn of(result: &hyper::Result<()>) -> Self {
-        match result {
-            Ok(()) => Self::Orderly,
-            Err(error) if error.is_user() => Self::Aborted(AbortCause::ResponseTruncated),
-            Err(error) if error.is_parse() => Self::Aborted(AbortCause::InvalidRequest),
-            Err(_) => Self::Aborted(AbortCause::ClientDisconnected),
-        }
-    }
-}
-
 /// A request whose connection has ended before its response was sent.
 pub(super) struct AbortedRequest {
     pub cause: AbortCause,
--- a/tests/front_connections.rs
+++ b/tests/front_connections.rs
@@ -16,6 +16,8 @@
 
 /// Time-out for receiving a request, in milliseconds.
 const HEADER_TIMEOUT_MS: u64 = 200;
+/// Size of a response body that fits into the kernel's buffers, but not into the client's receive window.
+const LARGE_BODY_BYTES: usize = 1 << 20;
 /// Bytes that are no complete request head.
 const PARTIAL_HEAD: &str = "POST /stream/2 HTTP/1.1\r\n";
 
@@ -52,6 +54,9 @@
             if request.start_line.contains("/stream/now") {
                 return Reaction::Respond(response(request, "now"));
             }
+            if request.start_line.contains("/stream/large") {
+                return Reaction::Respond(response(request, &"l".repeat(LARGE_BODY_BYTES)));
+            }
             let (sender, parts) = ResponseParts::new();
             response_sender.lock().unwrap().send(sender).unwrap();
             Reaction::RespondInParts(parts)
@@ -219,3 +224,16 @@
     let answer = caller.read_chunked_response().expect("an answer");
     assert_eq!(answer.status(), 200);
 }
+
+#[test]
+fn an_invalid_request_does_not_destroy_the_response_before_it() {
+    let fixture = Fixture::start();
+    let mut caller = fixture.connect();
+    caller.write(&request("/stream/large", "r-1"));
+    caller.await_data();
+    caller.write("no request\r\n\r\n");
+    fixture.wait_for_request_timeout();
+    let response = caller.read_chunked_response().expect("a complete response");
+    assert_eq!(response.body.len(), LARGE_BODY_BYTES);
+    assert_eq!(caller.read_response().expect("a rejection").status(), 400);
+}
