Front: connections in lingering close may use all descriptors that clients leave

Callers saw: where more than 64 connections were closed together, as after SIGTERM, the oldest were closed at once; bytes that a client sent then made the kernel reset the connection, and the unread rest of the last response was lost.

Cause: a fixed limit of 64 on lingering connections. The limit is now what the open connections leave of the clients' descriptors, and 64 more, as the daemon has it.

Evidence: `connections_that_are_closed_together_keep_the_responses_that_are_not_read_yet` (100 clients with a small receive buffer) fails on the parent with bodies of 64, 128 and 256 KiB, and passes now.

--- a/crates/mock-servers/src/http1.rs
+++ b/crates/mock-servers/src/http1.rs
@@ -412,11 +412,23 @@
 impl Caller {
     /// Opens a connection; `None` if connecting fails.
     pub fn connect(address: SocketAddr) -> Option<Self> {
-        let stream = TcpStream::connect(address).ok()?;
+        Some(Self::from_stream(TcpStream::connect(address).ok()?))
+    }
+
+    /// Opens a connection whose receive buffer in the kernel has about this size, so that most of a large response stays
+    /// in the peer's send buffer until the response is read.
+    pub fn connect_with_receive_buffer(address: SocketAddr, bytes: usize) -> Option<Self> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None).unwrap();
+        socket.set_recv_buffer_size(bytes).unwrap();
+        socket.connect(&address.into()).ok()?;
+        Some(Self::from_stream(socket.into()))
+    }
+
+    fn from_stream(stream: TcpStream) -> Self {
         stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
-        Some(Self {
+        Self {
             input: BufReader::new(stream),
-        })
+        }
     }
 
     /// Writes raw text.
--- a/crates/node/src/front/client_connection.rs
+++ b/crates/node/src/front/client_connection.rs
@@ -19,9 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, interval};
 use woadstall_control::configuration::Limits;
-use woadstall_inbound::{
-    ConnectionState, LingeringConnections, RequestGate, RequestStage, TrackedBody, lock,
-};
+use woadstall_inbound::{ConnectionState, RequestGate, RequestStage, TrackedBody, lock};
 use woadstall_socket_options::enable_dead_peer_detection;
 use woadstall_transport::SharedStream;
 
@@ -38,8 +36,6 @@
 const USER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Size of hyper's read buffer.
 const READ_BUFFER_BYTES: usize = 32 << 10;
-/// Maximum number of connections closed by this process that wait for the client's close.
-const MAX_LINGERING: usize = 64;
 
 /// The result of checking a connection's time-outs.
 enum Check {
@@ -59,39 +55,36 @@
 /// An accepted client connection and the state that it shares with other connections.
 pub(super) struct ClientConnection<'a> {
     front: &'a Arc<Front>,
-    lingering: &'a Arc<LingeringConnections>,
     current_request: Mutex<Option<CurrentRequest>>,
 }
 
 impl<'a> ClientConnection<'a> {
-    pub fn new(front: &'a Arc<Front>, lingering: &'a Arc<LingeringConnections>) -> Self {
+    pub fn new(front: &'a Arc<Front>) -> Self {
         Self {
             front,
-            lingering,
             current_request: Mutex::default(),
         }
     }
 
     /// Serves requests until the connection ends. When the process shuts down, the connection is
-    /// closed as soon as it is idle, or when the grace period ends.
+    /// closed as soon as it is idle, or when the grace period ends. Returns the socket if it must be
+    /// closed by lingering close.
     ///
     /// # Errors
     ///
     /// Fails if a response was truncated and the kernel does not allow the connection to be reset.
-    pub async fn serve(&self, stream: TcpStream) -> io::Result<()> {
+    pub async fn serve(&self, stream: TcpStream) -> io::Result<Option<SharedStream>> {
         enable_dead_peer_detection(&stream, USER_TIMEOUT);
         let stream = SharedStream::new(stream);
         let (gate, state) = RequestGate::new(stream.clone());
         match self.drive(gate, &state, &stream).await {
             // The reset tells the client that a truncated response is not complete.
-            ConnectionEnd::Truncated => stream.reset_on_close()?,
-            ConnectionEnd::Orderly if lock(&state).has_ended() => {}
-            ConnectionEnd::Orderly => {
-                self.lingering.close(stream);
-                self.lingering.keep_at_most(MAX_LINGERING);
+            ConnectionEnd::Truncated => {
+                stream.reset_on_close()?;
+                Ok(None)
             }
+            ConnectionEnd::Orderly => Ok((!lock(&state).has_ended()).then_some(stream)),
         }
-        Ok(())
     }
 
     async fn drive(
--- a/crates/node/src/front/clients.rs
+++ b/crates/node/src/front/clients.rs
@@ -10,12 +10,16 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 use woadstall_inbound::LingeringConnections;
+use woadstall_transport::SharedStream;
 
 /// Pause after a failed accept, for example when no file descriptors are left.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(5);
 /// Fraction of the process's file descriptors that client connections may use.
 const CLIENT_DESCRIPTOR_RATIO: f64 = 0.45;
 
+/// Number of connections that may linger in addition to the unused capacity.
+const RESERVED_LINGERING: usize = 64;
+
 /// State shared by all client connections.
 struct Clients {
     front: Arc<Front>,
@@ -23,18 +27,37 @@
     /// Notified whenever a connection ends.
     connection_ended: Notify,
     lingering: Arc<LingeringConnections>,
+    /// Maximum number of connections that are served or linger.
+    max_connections: usize,
+}
+
+impl Clients {
+    fn new(front: Arc<Front>) -> Self {
+        let max_connections = (front.settings.max_fds as f64 * CLIENT_DESCRIPTOR_RATIO) as usize;
+        Self {
+            front,
+            open_connections: AtomicUsize::new(0),
+            connection_ended: Notify::new(),
+            lingering: Arc::default(),
+            max_connections,
+        }
+    }
+
+    /// Closes a connection by lingering close. Lingering connections may use the descriptors that the
+    /// served connections leave, and some more.
+    fn linger(&self, stream: SharedStream) {
+        let open_connections = self.open_connections.load(Ordering::Relaxed);
+        let unused = self.max_connections.saturating_sub(open_connections);
+        self.lingering.close(stream);
+        self.lingering.keep_at_most(unused + RESERVED_LINGERING);
+    }
 }
 
 /// Serves clients until the shutdown ends the accepting of connections, then until all accepted
 /// requests are answered and all connections are closed.
 pub(super) async fn serve(front: Arc<Front>, listener: TcpListener) {
     let accept_ended = front.shutdown.reached(ShutdownPhase::NotAccepting);
-    let clients = Arc::new(Clients {
-        front,
-        open_connections: AtomicUsize::new(0),
-        connection_ended: Notify::new(),
-        lingering: Arc::default(),
-    });
+    let clients = Arc::new(Clients::new(front));
     tokio::select! {
         () = accept(&clients, &listener) => {}
         () = accept_ended => {}
@@ -47,8 +70,7 @@
 }
 
 async fn accept(clients: &Arc<Clients>, listener: &TcpListener) {
-    let max_connections =
-        (clients.front.settings.max_fds as f64 * CLIENT_DESCRIPTOR_RATIO) as usize;
+    let max_connections = clients.max_connections;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -68,10 +90,12 @@
 }
 
 async fn serve_connection(clients: Arc<Clients>, stream: TcpStream) {
-    let connection = ClientConnection::new(&clients.front, &clients.lingering);
-    if let Err(error) = connection.serve(stream).await {
-        log::debug!("client_connection_failed error={error}");
-    }
+    let end = ClientConnection::new(&clients.front).serve(stream).await;
     clients.open_connections.fetch_sub(1, Ordering::Relaxed);
+    match end {
+        Ok(Some(stream)) => clients.linger(stream),
+        Ok(None) => {}
+        Err(error) => log::debug!("client_connection_failed error={error}"),
+    }
     clients.connection_ended.notify_one();
 }
--- a/tests/front_connections.rs
+++ b/tests/front_connections.rs
@@ -16,8 +16,12 @@
 
 /// Time-out for receiving a request, in milliseconds.
 const HEADER_TIMEOUT_MS: u64 = 200;
-/// Size of a response body that fits into the kernel's buffers, but not into the client's receive window.
-const LARGE_BODY_BYTES: usize = 1 << 20;
+/// Size of a response body that fits into the front's send buffer, but not into the receive buffer of a slow client.
+const LARGE_BODY_BYTES: usize = 256 << 10;
+/// Size of the receive buffer of a slow client.
+const SMALL_RECEIVE_BUFFER: usize = 16 << 10;
+/// Number of connections that end together; more than a fixed small number of them may linger.
+const CONNECTIONS: usize = 100;
 /// Bytes that are no complete request head.
 const PARTIAL_HEAD: &str = "POST /stream/2 HTTP/1.1\r\n";
 
@@ -73,6 +77,16 @@
         Caller::connect(self.system.front(0)).expect("a connection")
     }
 
+    /// Requests a large response on a new connection, and returns after its beginning has arrived.
+    fn request_large_response(&self) -> Caller {
+        let address = self.system.front(0);
+        let caller = Caller::connect_with_receive_buffer(address, SMALL_RECEIVE_BUFFER);
+        let mut caller = caller.expect("a connection");
+        caller.write(&request("/stream/large", "r-1"));
+        caller.await_data();
+        caller
+    }
+
     /// Waits until a request has reached the upstream, and begins the response.
     fn begin_response(&self) -> Sender<String> {
         self.begin_response_to(&self.upstream.request())
@@ -225,15 +239,29 @@
     assert_eq!(answer.status(), 200);
 }
 
+fn assert_large_response(caller: &mut Caller) {
+    let response = caller.read_chunked_response().expect("a complete response");
+    assert_eq!(response.body.len(), LARGE_BODY_BYTES);
+}
+
 #[test]
 fn an_invalid_request_does_not_destroy_the_response_before_it() {
     let fixture = Fixture::start();
-    let mut caller = fixture.connect();
-    caller.write(&request("/stream/large", "r-1"));
-    caller.await_data();
+    let mut caller = fixture.request_large_response();
     caller.write("no request\r\n\r\n");
     fixture.wait_for_request_timeout();
-    let response = caller.read_chunked_response().expect("a complete response");
-    assert_eq!(response.body.len(), LARGE_BODY_BYTES);
+    assert_large_response(&mut caller);
     assert_eq!(caller.read_response().expect("a rejection").status(), 400);
 }
+
+#[test]
+fn connections_that_are_closed_together_keep_the_responses_that_are_not_read_yet() {
+    let fixture = Fixture::start();
+    let mut callers: Vec<Caller> = (0..CONNECTIONS)
+        .map(|_| fixture.request_large_response())
+        .collect();
+    fixture.terminate_until_idle_connections_close();
+    // The client sends more while the front closes the connection.
+    callers.iter_mut().for_each(|caller| caller.write("\r\n"));
+    callers.iter_mut().for_each(assert_large_response);
+}
