Front: the backlog is served when the front stops accepting connections

Callers saw: a reset without an answer, for connections that were in the listener's backlog 3 s after SIGTERM.

Cause: the front dropped its listener, and the kernel resets what it holds. The daemon took its backlog already; both now use one function of the inbound crate.

--- a/crates/inbound/src/lib.rs
+++ b/crates/inbound/src/lib.rs
@@ -12,7 +12,7 @@
 pub use body_memory::BodyMemory;
 pub use connection_state::{ConnectionState, RequestStage};
 pub use lingering::LingeringConnections;
-pub use listen::listen;
+pub use listen::{close_listener, listen};
 pub use request_gate::RequestGate;
 pub use request_head::MAX_HEAD_BYTES;
 pub use tracked_body::TrackedBody;
--- a/crates/inbound/src/listen.rs
+++ b/crates/inbound/src/listen.rs
@@ -3,7 +3,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io;
 use std::net::SocketAddr;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use woadstall_socket_options::{set_reuse_address, set_reuse_port};
 
 /// Maximum number of connections waiting to be accepted.
@@ -25,3 +25,24 @@
     socket.listen(BACKLOG)?;
     TcpListener::from_std(socket.into())
 }
+
+/// Closes a listener and returns the connections of its backlog. Clients consider these connections accepted, and closing
+/// the listener would reset them. The function does not await anything, so that hardly any connection can arrive between
+/// the last accept and the close.
+pub fn close_listener(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    let mut backlog = Vec::new();
+    while let Ok((stream, _)) = listener.accept() {
+        backlog.push(stream);
+    }
+    drop(listener);
+    backlog
+        .into_iter()
+        .filter_map(|stream| {
+            stream.set_nonblocking(true).ok()?;
+            TcpStream::from_std(stream).ok()
+        })
+        .collect()
+}
--- a/crates/node/src/front/clients.rs
+++ b/crates/node/src/front/clients.rs
@@ -9,7 +9,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::sleep;
-use woadstall_inbound::LingeringConnections;
+use woadstall_inbound::{LingeringConnections, close_listener};
 use woadstall_transport::SharedStream;
 
 /// Pause after a failed accept, for example when no file descriptors are left.
@@ -62,7 +62,9 @@
         () = accept(&clients, &listener) => {}
         () = accept_ended => {}
     }
-    drop(listener);
+    for stream in close_listener(listener) {
+        spawn_connection(&clients, stream);
+    }
     while clients.open_connections.load(Ordering::Relaxed) > 0 {
         clients.connection_ended.notified().await;
     }
@@ -70,17 +72,9 @@
 }
 
 async fn accept(clients: &Arc<Clients>, listener: &TcpListener) {
-    let max_connections = clients.max_connections;
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                if clients.open_connections.load(Ordering::Relaxed) >= max_connections {
-                    log::warn!("client_connection_rejected open_connections={max_connections}");
-                    continue;
-                }
-                clients.open_connections.fetch_add(1, Ordering::Relaxed);
-                tokio::spawn(serve_connection(clients.clone(), stream));
-            }
+            Ok((stream, _)) => spawn_connection(clients, stream),
             Err(error) => {
                 log::warn!("accept_failed error={error}");
                 sleep(ACCEPT_RETRY_INTERVAL).await;
@@ -89,6 +83,17 @@
     }
 }
 
+/// Serves a connection in a task of its own, unless too many are open.
+fn spawn_connection(clients: &Arc<Clients>, stream: TcpStream) {
+    let max_connections = clients.max_connections;
+    if clients.open_connections.load(Ordering::Relaxed) >= max_connections {
+        log::warn!("client_connection_rejected open_connections={max_connections}");
+        return;
+    }
+    clients.open_connections.fetch_add(1, Ordering::Relaxed);
+    tokio::spawn(serve_connection(clients.clone(), stream));
+}
+
 async fn serve_connection(clients: Arc<Clients>, stream: TcpStream) {
     let end = ClientConnection::new(&clients.front).serve(stream).await;
     clients.open_connections.fetch_sub(1, Ordering::Relaxed);
--- a/src/net/server/accept.rs
+++ b/src/net/server/accept.rs
@@ -57,32 +57,11 @@
         self.load_balancer.transport().close_all();
     }
 
-    /// Accepts all connections in the backlog and closes the listener. Callers consider these connections accepted, and
-    /// closing the listener would reset them. The function does not await anything, so that hardly any connection can
-    /// arrive between the last accept and the close.
-    pub(super) fn accept_backlog(
+    pub(super) fn serve_connection(
         self: &Arc<Self>,
-        listener: TcpListener,
+        tcp: TcpStream,
         closing: &watch::Receiver<bool>,
     ) {
-        let Ok(listener) = listener.into_std() else {
-            return;
-        };
-        let mut backlog = Vec::new();
-        while let Ok((tcp, _)) = listener.accept() {
-            backlog.push(tcp);
-        }
-        drop(listener);
-        for tcp in backlog {
-            if tcp.set_nonblocking(true).is_ok()
-                && let Ok(tcp) = TcpStream::from_std(tcp)
-            {
-                self.serve_connection(tcp, closing);
-            }
-        }
-    }
-
-    fn serve_connection(self: &Arc<Self>, tcp: TcpStream, closing: &watch::Receiver<bool>) {
         let stream = SharedStream::new(tcp);
         let is_full = self.connection_count() >= self.config.limits.caller_connections;
         let is_surplus = is_full && !self.close_idle();
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -20,7 +20,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
-use woadstall_inbound::LingeringConnections;
+use woadstall_inbound::{LingeringConnections, close_listener};
 use woadstall_runtime::LoadBalancer;
 use woadstall_transport::Http1;
 
@@ -100,7 +100,9 @@
             () = server.accept(&listener, &closing) => {}
             () = stopped => {}
         }
-        server.accept_backlog(listener, &closing);
+        for tcp in close_listener(listener) {
+            server.serve_connection(tcp, &closing);
+        }
         close.send_replace(true);
         let time_limit = server.longest_deadline() + SHUTDOWN_MARGIN;
         timeout(time_limit, server.all_closed()).await.ok();
--- a/tests/front_connections.rs
+++ b/tests/front_connections.rs
@@ -14,6 +14,8 @@
 };
 use woadstall_mock_servers::system::{LAST_CHUNK, System, chunk, response, stream_head};
 
+/// Number of fronts. The tests use the first one; the second one shows that time passes while the first one is stopped.
+const FRONTS: u8 = 2;
 /// Time-out for receiving a request, in milliseconds.
 const HEADER_TIMEOUT_MS: u64 = 200;
 /// Size of a response body that fits into the front's send buffer, but not into the receive buffer of a slow client.
@@ -25,7 +27,7 @@
 /// Bytes that are no complete request head.
 const PARTIAL_HEAD: &str = "POST /stream/2 HTTP/1.1\r\n";
 
-/// A system with one front and one upstream whose responses the test sends part by part.
+/// A system with one upstream whose responses the test sends part by part.
 struct Fixture {
     system: System,
     upstream: Upstream,
@@ -50,7 +52,7 @@
 
 impl Fixture {
     fn start() -> Self {
-        let system = System::start(&program_path(), 1);
+        let system = System::start(&program_path(), FRONTS);
         system.configure(0, 0, &configuration());
         let (response_sender, responses) = channel();
         let response_sender = Mutex::new(response_sender);
@@ -122,8 +124,12 @@
     /// the time-out for receiving a request. One is not enough, as each connection checks its time-outs at times of its
     /// own.
     fn wait_for_request_timeout(&self) {
+        self.wait_for_request_timeout_of(0);
+    }
+
+    fn wait_for_request_timeout_of(&self, front: u8) {
         for _ in 0..2 {
-            let mut witness = self.connect();
+            let mut witness = Caller::connect(self.system.front(front)).expect("a connection");
             witness.write(PARTIAL_HEAD);
             witness.wait_until_closed();
         }
@@ -265,3 +271,24 @@
     callers.iter_mut().for_each(|caller| caller.write("\r\n"));
     callers.iter_mut().for_each(assert_large_response);
 }
+
+#[test]
+fn connections_in_the_backlog_are_answered_when_the_front_stops_accepting() {
+    let fixture = Fixture::start();
+    fixture.terminate_until_idle_connections_close();
+    let front = fixture.system.front_process(0);
+    front.signal("STOP");
+    let mut callers: Vec<Caller> = (0..CONNECTIONS).map(|_| fixture.connect()).collect();
+    for caller in &mut callers {
+        caller.write(&request("/stream/now", "r-1"));
+    }
+    // The time for accepting connections ends while the first front is stopped.
+    fixture.wait_for_request_timeout_of(1);
+    front.signal("CONT");
+    for caller in &mut callers {
+        assert!(matches!(
+            caller.read_response().expect("an answer").status(),
+            200 | 503
+        ));
+    }
+}
