Front: a request sent after the front stops accepting is rejected, not cut off

Callers saw: a whole further request on an open connection, sent later than 3 s after SIGTERM, was passed on and ended with the grace period without an answer.

Cause: only new connections were refused from then on, not new requests on open ones.

The test of the backlog, whose requests are read at that moment, now asks for the same.

--- a/crates/node/src/front/forward.rs
+++ b/crates/node/src/front/forward.rs
@@ -7,6 +7,7 @@
 use super::prompt::prompt_of;
 use super::response::{ClientResponse, ResponseBody, service_unavailable, text_response};
 use super::retry::RetryState;
+use super::shutdown::ShutdownPhase;
 use super::state::Front;
 use super::stream;
 use bytes::{Bytes, BytesMut};
@@ -30,6 +31,9 @@
 /// `Retry-After` time in the response to a request whose body does not fit into the memory for
 /// bodies.
 const OVERLOAD_RETRY: Duration = Duration::from_millis(500);
+/// `Retry-After` time in responses of a front that accepts no requests any more. Other balancers serve the
+/// client at once.
+const SHUTDOWN_RETRY: Duration = Duration::from_millis(50);
 /// Request bodies may use the process's memory limit divided by this number.
 const BODY_MEMORY_DIVISOR: usize = 3;
 
@@ -90,6 +94,9 @@
         Err(error) => return error.into_response(),
     };
     lock(connection).request_completed();
+    if front.shutdown.has_reached(ShutdownPhase::NotAccepting) {
+        return service_unavailable(SHUTDOWN_RETRY);
+    }
     let prompt = if route.session_affinity {
         prompt_of(&head.headers)
     } else {
--- a/crates/node/src/front/shutdown.rs
+++ b/crates/node/src/front/shutdown.rs
@@ -27,7 +27,8 @@
     Draining,
     /// Idle connections are closed.
     ClosingIdle,
-    /// No connections are accepted.
+    /// No connections are accepted, and requests are rejected: the rest of the grace period is for the
+    /// requests that have been accepted.
     NotAccepting,
     /// All connections are closed.
     GracePeriodEnded,
--- a/tests/front_connections.rs
+++ b/tests/front_connections.rs
@@ -135,6 +135,14 @@
         }
     }
 
+    /// Waits until the front accepts no more connections.
+    fn wait_until_not_accepting(&self) {
+        while let Some(mut witness) = Caller::connect(self.system.front(0)) {
+            witness.write(PARTIAL_HEAD);
+            witness.wait_until_closed();
+        }
+    }
+
     /// Terminates the front and waits until it closes idle connections.
     fn terminate_until_idle_connections_close(&self) {
         let mut idle = self.connect();
@@ -286,9 +294,27 @@
     fixture.wait_for_request_timeout_of(1);
     front.signal("CONT");
     for caller in &mut callers {
-        assert!(matches!(
-            caller.read_response().expect("an answer").status(),
-            200 | 503
-        ));
+        assert_rejected(caller);
     }
 }
+
+/// Checks that the front has promised not to execute a request.
+fn assert_rejected(caller: &mut Caller) {
+    let response = caller.read_response().expect("an answer");
+    assert_eq!(response.status(), 503);
+    assert!(response.headers.contains_key("retry-after"));
+    assert_eq!(response.headers["connection"], "close");
+}
+
+#[test]
+fn a_request_sent_after_the_front_stops_accepting_is_rejected_instead_of_cut_off() {
+    let fixture = Fixture::start();
+    let (mut caller, response) = fixture.begin_stream();
+    fixture.terminate();
+    fixture.wait_until_not_accepting();
+    caller.write(&request("/stream/2", "r-2"));
+    complete(response);
+    assert_complete_stream(&mut caller);
+    assert_rejected(&mut caller);
+    assert_eq!(fixture.upstream.count_requests(), 0);
+}
