--- a/tests/coordination_soak.rs
+++ b/tests/coordination_soak.rs
@@ -1,11 +1,6 @@
 //! Soak test of the coordination service: real processes under seeded random faults. The history
 //! that the clients record is checked against the guarantees of the service.
-//!
-//! Environment variables:
-//! - `WOADSTALL_SOAK_SEEDS`: a range such as `7..20`, or a number `n` for `0..n`.
-//! - `WOADSTALL_SOAK_SECONDS`: seconds of fault injection per seed.
-//! - `WOADSTALL_SOAK_CLIENTS`: the number of clients.
-//! - `WOADSTALL_SOAK_LOGS`: a directory for the logs of the processes.
+//! Its options are described in `tests/common/soak_options.rs`.
 
 #[path = "coordination_soak/caller.rs"]
 mod caller;
@@ -21,6 +16,8 @@
 mod history_tests;
 #[path = "common/program.rs"]
 mod program;
+#[path = "common/soak_options.rs"]
+mod soak_options;
 
 use caller::{Caller, Request};
 use client::Client;
@@ -29,6 +26,7 @@
 use history::History;
 use program::program_path;
 use serde_json::json;
+use soak_options::{env_variable, log_directory, seeds};
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::path::PathBuf;
@@ -56,25 +54,6 @@
 /// Time limit, from the restart after the last fault, for reading back all acknowledged data.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(15);
 
-fn env_variable<T: std::str::FromStr>(name: &str) -> Option<T> {
-    std::env::var(name).ok()?.parse().ok()
-}
-
-fn seeds() -> Range<u64> {
-    let Ok(text) = std::env::var("WOADSTALL_SOAK_SEEDS") else {
-        return SEEDS;
-    };
-    let (first, last) = text.split_once("..").unwrap_or(("0", &text));
-    let parse = |text: &str| text.parse().expect("a seed is a number");
-    parse(first)..parse(last)
-}
-
-fn log_directory(seed: u64) -> Option<PathBuf> {
-    let directory = PathBuf::from(std::env::var_os("WOADSTALL_SOAK_LOGS")?).join(seed.to_string());
-    std::fs::create_dir_all(&directory).expect("the log directory can be created");
-    Some(directory)
-}
-
 /// Starts the system and waits until it executes calls.
 fn start(run: &Arc<Run>, log_directory: Option<PathBuf>) -> (System, Vec<SocketAddr>) {
     let system = System::start_layout(&program_path(), LAYOUT, log_directory);
@@ -150,5 +129,5 @@
 
 #[test]
 fn keeps_the_rules_under_faults() {
-    seeds().for_each(run_seed);
+    seeds(SEEDS).for_each(run_seed);
 }
