Inbound: the stage of a request in a file of its own; names of the soak and of its tests

Tests of the inbound crate, of the front's connections, of the daemon's time limit and of the docs pass.

--- a/crates/inbound/src/connection_state.rs
+++ b/crates/inbound/src/connection_state.rs
@@ -1,6 +1,7 @@
 //! The state of a client's connection, tracked by the request gate.
 
 use crate::request_head::{MAX_HEAD_BYTES, ParsedHead, RequestLength, parse_head};
+use crate::request_stage::RequestStage;
 use bytes::{Buf, BytesMut};
 use std::collections::VecDeque;
 use std::task::Waker;
@@ -45,34 +46,6 @@
     Truncated,
 }
 
-/// What a connection is doing, for logs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RequestStage {
-    /// No part of a request has been received.
-    Idle,
-    /// Part of a request head has been received.
-    ReceivingHead,
-    /// The rest of a request is awaited.
-    ReceivingBody,
-    /// A complete request has no response.
-    AwaitingResponse,
-    /// A response is being sent.
-    SendingResponse,
-}
-
-impl RequestStage {
-    /// The name of the stage in logs.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Idle => "idle",
-            Self::ReceivingHead => "receiving_head",
-            Self::ReceivingBody => "receiving_body",
-            Self::AwaitingResponse => "awaiting_response",
-            Self::SendingResponse => "sending_response",
-        }
-    }
-}
-
 /// The time of one or more reads from the socket.
 struct ReadTime {
     /// Total number of bytes received up to and including the reads.
--- a/tests/front_connections.rs
+++ b/tests/front_connections.rs
@@ -129,17 +129,18 @@
 
     fn wait_for_request_timeout_of(&self, front: u8) {
         for _ in 0..2 {
-            let mut witness = Caller::connect(self.system.front(front)).expect("a connection");
-            witness.write(PARTIAL_HEAD);
-            witness.wait_until_closed();
+            let mut stalled_client =
+                Caller::connect(self.system.front(front)).expect("a connection");
+            stalled_client.write(PARTIAL_HEAD);
+            stalled_client.wait_until_closed();
         }
     }
 
     /// Waits until the front accepts no more connections.
     fn wait_until_not_accepting(&self) {
-        while let Some(mut witness) = Caller::connect(self.system.front(0)) {
-            witness.write(PARTIAL_HEAD);
-            witness.wait_until_closed();
+        while let Some(mut stalled_client) = Caller::connect(self.system.front(0)) {
+            stalled_client.write(PARTIAL_HEAD);
+            stalled_client.wait_until_closed();
         }
     }
 
@@ -307,7 +308,7 @@
 }
 
 #[test]
-fn a_request_sent_after_the_front_stops_accepting_is_rejected_instead_of_cut_off() {
+fn a_request_sent_after_the_front_stops_accepting_is_rejected_instead_of_aborted() {
     let fixture = Fixture::start();
     let (mut caller, response) = fixture.begin_stream();
     fixture.terminate();
--- a/tests/front_soak/client.rs
+++ b/tests/front_soak/client.rs
@@ -14,14 +14,14 @@
 const DEADLINE: Duration = Duration::from_secs(8);
 /// Maximum number of requests on a connection.
 const MAX_REQUESTS: usize = 12;
-/// Pause after a connection that could not be opened.
-const CONNECT_PAUSE: Duration = Duration::from_millis(20);
+/// Delay after a connection that could not be opened.
+const RECONNECT_DELAY: Duration = Duration::from_millis(20);
 /// Maximum pause between two requests on a connection, in milliseconds.
-const MAX_THINK_MS: u64 = 400;
-/// Maximum pause between two pieces of a request, in milliseconds.
-const MAX_PIECE_PAUSE_MS: u64 = 30;
-/// Pause of a slow client after each chunk of a response.
-const SLOW_READ_PAUSE: Duration = Duration::from_millis(30);
+const MAX_THINK_TIME_MS: u64 = 400;
+/// Maximum delay between two parts of a request, in milliseconds.
+const MAX_WRITE_DELAY_MS: u64 = 30;
+/// Delay of a slow client after each chunk of a response.
+const SLOW_READ_DELAY: Duration = Duration::from_millis(30);
 
 /// What a client sends while it receives a response.
 #[derive(Clone, Copy, Debug)]
@@ -88,7 +88,7 @@
             let front = self.random.usize(0..self.run.fronts.len());
             match Connection::open(self.run.fronts[front]) {
                 Some(connection) => self.use_connection(connection, front),
-                None => self.run.pause(CONNECT_PAUSE),
+                None => self.run.pause(RECONNECT_DELAY),
             }
         }
         self.requests
@@ -124,7 +124,7 @@
 
     fn think(&mut self) {
         if self.random.bool() {
-            let pause = self.random.u64(0..MAX_THINK_MS);
+            let pause = self.random.u64(0..MAX_THINK_TIME_MS);
             self.run.pause(Duration::from_millis(pause));
         }
     }
@@ -145,7 +145,7 @@
                 return false;
             }
             bytes = others;
-            let pause = self.random.u64(0..MAX_PIECE_PAUSE_MS);
+            let pause = self.random.u64(0..MAX_WRITE_DELAY_MS);
             self.run.pause(Duration::from_millis(pause));
         }
         if !session.connection.write(bytes) {
@@ -169,7 +169,7 @@
             let is_slow = session.is_slow;
             let response = session.connection.read_body(&head, || {
                 if is_slow {
-                    run.pause(SLOW_READ_PAUSE);
+                    run.pause(SLOW_READ_DELAY);
                 }
             });
             let response = response.map_err(|end| (end, Some(head.status)))?;
--- a/tests/front_soak/faults.rs
+++ b/tests/front_soak/faults.rs
@@ -13,10 +13,10 @@
 use std::time::{Duration, Instant};
 use woadstall_mock_servers::system::{System, call};
 
-/// Maximum pause between two events, in milliseconds.
-const MAX_PAUSE_MS: u64 = 500;
-/// Maximum pause between two events of a burst, in milliseconds.
-const MAX_BURST_PAUSE_MS: u64 = 20;
+/// Maximum interval between two events, in milliseconds.
+const MAX_INTERVAL_MS: u64 = 500;
+/// Maximum interval between two events of a burst, in milliseconds.
+const MAX_BURST_INTERVAL_MS: u64 = 20;
 /// Interval at which ended fronts are restarted after the last event.
 const RESTART_INTERVAL: Duration = Duration::from_millis(50);
 /// Number of core machines, and thereby of zones.
@@ -96,12 +96,12 @@
         while Instant::now() < until {
             self.inject_one();
             let is_burst = self.random.u8(0..3) == 0;
-            let max_pause_ms = if is_burst {
-                MAX_BURST_PAUSE_MS
+            let max_interval_ms = if is_burst {
+                MAX_BURST_INTERVAL_MS
             } else {
-                MAX_PAUSE_MS
+                MAX_INTERVAL_MS
             };
-            let pause = self.random.u64(0..max_pause_ms);
+            let pause = self.random.u64(0..max_interval_ms);
             self.run.pause(Duration::from_millis(pause));
             self.restart_ended();
         }
--- a/tests/front_soak/history.rs
+++ b/tests/front_soak/history.rs
@@ -9,7 +9,7 @@
 /// A connection that ends without a response within this time after the last byte of a request counts as having crossed
 /// the request (`loss_slack_ms`).
 const LOSS_SLACK: Duration = Duration::from_millis(200);
-/// Requests that are sent later than this after SIGTERM must not be cut off by the end of the grace period.
+/// Requests that are sent later than this after SIGTERM must not be aborted by the end of the grace period.
 const LATE_REQUEST: Duration = Duration::from_secs(3);
 
 /// How a client's connection ended before a response was complete.
@@ -145,14 +145,14 @@
         let is_lost = was_forwarded || request.ended > request.sent + LOSS_SLACK;
         let is_excluded = end == ConnectionEnd::ByClient
             || request.ended >= request.sent + request.deadline
-            || self.was_cut_by_grace_period(request);
+            || self.was_ended_by_grace_period(request);
         (is_lost && !is_excluded)
             .then(|| violation(Rule::Lost, request, &self.arrivals_of(request)))
     }
 
     /// Whether the upstream was still at work in the second half of the grace period, on a request that was sent no later
     /// than [`LATE_REQUEST`] after SIGTERM.
-    fn was_cut_by_grace_period(&self, request: &Request) -> bool {
+    fn was_ended_by_grace_period(&self, request: &Request) -> bool {
         let is_at_work = |arrival: &Arrival| arrival.done > request.ended;
         let arrivals = self.arrivals_of(request);
         self.shutdowns.iter().any(|shutdown| {
--- a/tests/front_soak/history_tests.rs
+++ b/tests/front_soak/history_tests.rs
@@ -107,7 +107,7 @@
         front: 0,
         began: at(1_000),
     };
-    let cut = |sent: u32, ended: Duration, done: u32, front: u8| {
+    let aborted = |sent: u32, ended: Duration, done: u32, front: u8| {
         let mut request = request(reset());
         request.sent = at(sent);
         request.ended = ended;
@@ -115,15 +115,23 @@
         rules(request, vec![arrival(at(done))], vec![shutdown])
     };
     let end = shutdown.began + GRACE_PERIOD;
-    assert_eq!(cut(2_000, end, 20_000, 0), []);
-    assert_eq!(cut(2_000, at(4_999), 20_000, 0), [Rule::Lost], "first half");
-    assert_eq!(cut(4_001, end, 20_000, 0), [Rule::Lost], "sent late");
+    assert_eq!(aborted(2_000, end, 20_000, 0), []);
     assert_eq!(
-        cut(2_000, end, 8_000, 0),
+        aborted(2_000, at(4_999), 20_000, 0),
+        [Rule::Lost],
+        "first half"
+    );
+    assert_eq!(aborted(4_001, end, 20_000, 0), [Rule::Lost], "sent late");
+    assert_eq!(
+        aborted(2_000, end, 8_000, 0),
         [Rule::Lost],
         "the upstream was done"
     );
-    assert_eq!(cut(2_000, end, 20_000, 1), [Rule::Lost], "another front");
+    assert_eq!(
+        aborted(2_000, end, 20_000, 1),
+        [Rule::Lost],
+        "another front"
+    );
 }
 
 #[test]
--- a/tests/request_timeouts.rs
+++ b/tests/request_timeouts.rs
@@ -32,9 +32,9 @@
     send(&format!("{FIRST_CHUNK_BYTES:x}\r\n{first}\r\n"));
     caller.await_data();
     caller.write(PARTIAL_HEAD);
-    let mut witness = program.connect();
-    witness.write(PARTIAL_HEAD);
-    witness.wait_until_closed();
+    let mut stalled_client = program.connect();
+    stalled_client.write(PARTIAL_HEAD);
+    stalled_client.wait_until_closed();
     send("1\r\nb\r\n0\r\n\r\n");
     sender.lock().unwrap().take();
     let body = caller.read_chunked_body().expect("a complete stream");
