Soak of the fronts: a client's deadline runs from the end of the request's head

The front counts it from the head, the check counted it from the last byte.

The client now records when the end of the head was sent, and the check excludes from there on; a test shows that a request that ends a millisecond before its deadline is lost.

--- a/tests/front_soak/client.rs
+++ b/tests/front_soak/client.rs
@@ -45,10 +45,25 @@
     }
 }
 
-/// A request that is ready to be sent.
-struct Prepared {
+/// A request that has not been sent completely.
+struct UnsentRequest {
     request: Request,
+    /// The bytes that have not been sent.
     bytes: Vec<u8>,
+    /// Number of these bytes that belong to the head.
+    head_bytes: usize,
+}
+
+impl UnsentRequest {
+    /// Sends the next bytes; returns `false` if the connection has ended.
+    fn send(&mut self, bytes: usize, connection: &mut Connection, run: &Run) -> bool {
+        if (1..=bytes).contains(&self.head_bytes) {
+            self.request.head_sent = run.now();
+        }
+        self.head_bytes = self.head_bytes.saturating_sub(bytes);
+        let sent: Vec<u8> = self.bytes.drain(..bytes).collect();
+        connection.write(&sent)
+    }
 }
 
 /// A client of the fronts.
@@ -67,7 +82,7 @@
     is_slow: bool,
     has_half_closed: bool,
     outstanding: VecDeque<Request>,
-    partly_sent: Option<(Request, Vec<u8>)>,
+    partly_sent: Option<UnsentRequest>,
 }
 
 impl Client {
@@ -131,28 +146,21 @@
 
     /// Sends the next request, or the rest of one. Returns `false` if the connection has ended or may not be used.
     fn send_next(&mut self, session: &mut Session) -> bool {
-        let (mut request, rest) = match session.partly_sent.take() {
-            Some(partly_sent) => partly_sent,
-            None => {
-                let prepared = self.prepare(session.front);
-                (prepared.request, prepared.bytes)
-            }
+        let mut unsent = match session.partly_sent.take() {
+            Some(unsent) => unsent,
+            None => self.prepare(session.front),
         };
-        let mut bytes = rest.as_slice();
-        while self.random.u8(0..4) == 0 && bytes.len() > 1 {
-            let (piece, others) = bytes.split_at(self.random.usize(1..bytes.len()));
-            if !session.connection.write(piece) {
+        while self.random.u8(0..4) == 0 && unsent.bytes.len() > 1 {
+            let bytes = self.random.usize(1..unsent.bytes.len());
+            if !unsent.send(bytes, &mut session.connection, &self.run) {
                 return false;
             }
-            bytes = others;
-            let pause = self.random.u64(0..MAX_WRITE_DELAY_MS);
-            self.run.pause(Duration::from_millis(pause));
+            let delay = self.random.u64(0..MAX_WRITE_DELAY_MS);
+            self.run.pause(Duration::from_millis(delay));
         }
-        if !session.connection.write(bytes) {
+        if !self.send_rest(unsent, session) {
             return false;
         }
-        request.sent = self.run.now();
-        session.outstanding.push_back(request);
         if self.random.u8(0..40) == 0 {
             session.connection.half_close();
             session.has_half_closed = true;
@@ -160,6 +168,17 @@
         true
     }
 
+    /// Sends the rest of a request; returns `false` if the connection has ended.
+    fn send_rest(&self, mut unsent: UnsentRequest, session: &mut Session) -> bool {
+        let bytes = unsent.bytes.len();
+        if !unsent.send(bytes, &mut session.connection, &self.run) {
+            return false;
+        }
+        unsent.request.sent = self.run.now();
+        session.outstanding.push_back(unsent.request);
+        true
+    }
+
     /// Receives the responses to all requests that have been sent.
     fn receive_all(&mut self, session: &mut Session) -> Result<(), (ConnectionEnd, Option<u16>)> {
         while !session.outstanding.is_empty() {
@@ -200,18 +219,15 @@
             Interruption::None => {}
             Interruption::EmptyLine => drop(session.connection.write(b"\r\n")),
             Interruption::PartialRequest => {
-                let Prepared { request, bytes } = self.prepare(session.front);
-                let (beginning, rest) = bytes.split_at(self.random.usize(1..bytes.len()));
-                if session.connection.write(beginning) {
-                    session.partly_sent = Some((request, rest.to_vec()));
+                let mut unsent = self.prepare(session.front);
+                let bytes = self.random.usize(1..unsent.bytes.len());
+                if unsent.send(bytes, &mut session.connection, &self.run) {
+                    session.partly_sent = Some(unsent);
                 }
             }
             Interruption::Request => {
-                let Prepared { mut request, bytes } = self.prepare(session.front);
-                if session.connection.write(&bytes) {
-                    request.sent = self.run.now();
-                    session.outstanding.push_back(request);
-                }
+                let unsent = self.prepare(session.front);
+                self.send_rest(unsent, session);
             }
         }
     }
@@ -233,7 +249,7 @@
         }
     }
 
-    fn prepare(&mut self, front: u8) -> Prepared {
+    fn prepare(&mut self, front: u8) -> UnsentRequest {
         let id = format!("{}-{}", self.name, self.next_number);
         self.next_number += 1;
         let plan = StreamPlan::draw(&mut self.random);
@@ -244,18 +260,21 @@
             plan.header()
         );
         let body = "b".repeat(self.random.usize(1..3_000));
-        let bytes = if self.random.bool() {
-            format!("{head}Content-Length: {}\r\n\r\n{body}", body.len())
+        let length = body.len();
+        let (framing, body) = if self.random.bool() {
+            (format!("Content-Length: {length}"), body)
         } else {
-            let length = body.len();
-            format!("{head}Transfer-Encoding: chunked\r\n\r\n{length:x}\r\n{body}\r\n0\r\n\r\n")
+            let chunks = format!("{length:x}\r\n{body}\r\n0\r\n\r\n");
+            ("Transfer-Encoding: chunked".to_owned(), chunks)
         };
+        let head = format!("{head}{framing}\r\n\r\n");
         let request = Request {
             id,
             front,
             events: plan.events,
             is_resumable: path == "/resume/",
             deadline: DEADLINE,
+            head_sent: Duration::ZERO,
             sent: Duration::ZERO,
             ended: Duration::ZERO,
             outcome: Outcome::NoResponse {
@@ -263,9 +282,10 @@
                 status: None,
             },
         };
-        Prepared {
+        UnsentRequest {
             request,
-            bytes: bytes.into_bytes(),
+            head_bytes: head.len(),
+            bytes: [head, body].concat().into_bytes(),
         }
     }
 }
--- a/tests/front_soak/history.rs
+++ b/tests/front_soak/history.rs
@@ -59,8 +59,10 @@
     /// Number of events of the complete stream.
     pub events: u32,
     pub is_resumable: bool,
-    /// The client's deadline for the response.
+    /// The client's deadline for the response, from [`Request::head_sent`].
     pub deadline: Duration,
+    /// Time at which the end of the head was sent.
+    pub head_sent: Duration,
     /// Time at which the last byte was sent.
     pub sent: Duration,
     /// Time of the end of the response or of the connection.
@@ -144,7 +146,7 @@
         let was_forwarded = !self.arrivals_of(request).is_empty();
         let is_lost = was_forwarded || request.ended > request.sent + LOSS_SLACK;
         let is_excluded = end == ConnectionEnd::ByClient
-            || request.ended >= request.sent + request.deadline
+            || request.ended >= request.head_sent + request.deadline
             || self.was_ended_by_grace_period(request);
         (is_lost && !is_excluded)
             .then(|| violation(Rule::Lost, request, &self.arrivals_of(request)))
--- a/tests/front_soak/history_tests.rs
+++ b/tests/front_soak/history_tests.rs
@@ -41,6 +41,7 @@
         events: 2,
         is_resumable: false,
         deadline: at(60_000),
+        head_sent: at(900),
         sent: at(1_000),
         ended: at(1_100),
         outcome,
@@ -97,8 +98,10 @@
     });
     assert_eq!(rules(given_up, arrivals(), vec![]), []);
     let mut late = request(reset());
-    late.ended = late.sent + late.deadline;
-    assert_eq!(rules(late, arrivals(), vec![]), []);
+    late.ended = late.head_sent + late.deadline;
+    assert_eq!(rules(late.clone(), arrivals(), vec![]), []);
+    late.ended -= MILLISECOND;
+    assert_eq!(rules(late, arrivals(), vec![]), [Rule::Lost]);
 }
 
 #[test]
