Front: lingering connections give way to accepted ones

Lingering connections were limited only when one more began to linger. After many had been closed together, as many new ones could be accepted within the second that they linger, and both together could use nearly all descriptors of the process. The limit is now applied at each accept too, as the daemon does.

Found in reading, not by a run; no test forces the shortage. The tests of the front's connections and of the system pass.

--- a/crates/node/src/front/clients.rs
+++ b/crates/node/src/front/clients.rs
@@ -43,12 +43,17 @@
         }
     }
 
-    /// Closes a connection by lingering close. Lingering connections may use the descriptors that the
-    /// served connections leave, and some more.
+    /// Closes a connection by lingering close.
     fn linger(&self, stream: SharedStream) {
+        self.lingering.close(stream);
+        self.limit_lingering();
+    }
+
+    /// Limits lingering connections to the descriptors that the served connections leave, and some
+    /// more.
+    fn limit_lingering(&self) {
         let open_connections = self.open_connections.load(Ordering::Relaxed);
         let unused = self.max_connections.saturating_sub(open_connections);
-        self.lingering.close(stream);
         self.lingering.keep_at_most(unused + RESERVED_LINGERING);
     }
 }
@@ -91,6 +96,7 @@
         return;
     }
     clients.open_connections.fetch_add(1, Ordering::Relaxed);
+    clients.limit_lingering();
     tokio::spawn(serve_connection(clients.clone(), stream));
 }
 
