Review case 1: bodies nearer to the limit, and the same fault with a single upstream

With UPSTREAMS=1 all requests that ran are answered 503, which promises that they have not (rule REFUSED).

--- a/review/stand-ins/early_run.rs
+++ b/review/stand-ins/early_run.rs
@@ -11,15 +11,16 @@
 use std::time::{Duration, Instant};
 
 const LONG_REQUESTS: usize = 6;
-const LONG_BODY_BYTES: usize = 3_900_000;
+const LONG_BODY_BYTES: usize = 4_190_000;
 
 pub fn run(record: &PathBuf, has_trouble: bool) -> io::Result<bool> {
     let mut deployment = Deployment::new(&[("zone-a", "region-a"), ("zone-b", "region-b"), ("zone-c", "region-c")], 1)?;
     let shared = deployment.folder.join("shared.log");
     deployment.start_all()?;
     deployment.order("PUT", "/v1/config", "If-Match: 0\r\nContent-Type: application/json\r\n", CONFIGURATION)?;
+    let count: usize = std::env::var("UPSTREAMS").ok().and_then(|count| count.parse().ok()).unwrap_or(2);
     let mut upstreams = Vec::new();
-    for (number, ip) in [200, 201].into_iter().enumerate() {
+    for (number, ip) in (200..200 + count).enumerate() {
         let address = format!("{}:{}", deployment.ip(ip), deployment.front(0).port());
         let controls: Vec<String> = deployment.controls().iter().map(ToString::to_string).collect();
         let arguments = [
@@ -35,14 +36,13 @@
         Deployment::wait_listening(address.parse().map_err(io::Error::other)?)?;
     }
     deployment.wait_ready()?;
-    // Short requests until both upstreams are known to the front.
+    // Short requests until all upstreams are known to the front.
     let mut begin = Instant::now();
     let mut number = 0;
-    while !runs(&shared).values().any(|by| by.contains(&"i-1".to_owned()))
-        || !runs(&shared).values().any(|by| by.contains(&"i-2".to_owned()))
-    {
+    let has_run_at = |upstream: &str| runs(&shared).values().flatten().any(|by| by == upstream);
+    while !(1..=count).all(|number| has_run_at(&format!("i-{number}"))) {
         if begin.elapsed() > Duration::from_secs(20) {
-            return Err(io::Error::other("the front does not know both upstreams"));
+            return Err(io::Error::other("the front does not know all upstreams"));
         }
         number += 1;
         send_to(deployment.front(0), &shared, &format!("short-{number}"), 200);
