--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -8,6 +8,7 @@
 mod early_run;
 mod failback;
 mod http;
+mod late_extra;
 mod record;
 mod upstream;
 
@@ -21,6 +22,7 @@
     let result = match arguments.first().map(String::as_str) {
         Some("upstream") => upstream::run(&arguments[1..]).map(|()| true),
         Some("cut-stream") => cut_stream::run(&record, has_trouble),
+        Some("late-extra") => late_extra::run(&record, has_trouble),
         Some("early-run") => early_run::run(&record, has_trouble),
         Some("failback") => failback::run(&record, has_trouble),
         _ => {
--- a/review/stand-ins/upstream.rs
+++ b/review/stand-ins/upstream.rs
@@ -20,6 +20,8 @@
 /// read the rest.
 const LONG_BODY: usize = 64 << 10;
 
+/// A second answer, to no request: it has no `Request-Id`.
+const SURPLUS: &[u8] = b"HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 const WINDOW_BYTES: i32 = 32 << 10;
 
 pub struct Upstream {
@@ -39,8 +41,11 @@
     /// Requests a second that the upstream bears while it is cold. It falls over at half as many more.
     bears: f64,
     recent: Mutex<Vec<Instant>>,
+    /// One in so many answers is followed by bytes that belong to no request; 0: none.
+    extra_one_in: u64,
     controls: Vec<SocketAddr>,
     next_stamp: AtomicU64,
+    answers: AtomicU64,
 }
 
 /// Runs an upstream: `ID key=value...`.
@@ -69,8 +74,10 @@
         cold_until: Mutex::new(None),
         bears: text("bears").parse().unwrap_or(f64::INFINITY),
         recent: Mutex::default(),
+        extra_one_in: number("extra_one_in"),
         controls: text("controls").split(',').filter_map(|one| one.parse().ok()).collect(),
         next_stamp: AtomicU64::new(1),
+        answers: AtomicU64::new(0),
     });
     let beats = upstream.clone();
     thread::spawn(move || beats.send_heartbeats(address));
@@ -161,6 +168,7 @@
     fn serve(&self, stream: &TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut input = BufReader::new(stream);
+        let mut is_extra_due = false;
         while let Some(head) = Head::read(&mut input)? {
             let length = head.length();
             let id = head.header("request-id").to_owned();
@@ -174,6 +182,11 @@
             discard(&mut input, first)?;
             append(&self.shared, &format!("run {id} by {}", self.id));
             self.fall_over_if_overloaded();
+            if std::mem::take(&mut is_extra_due) {
+                // More after the whole answer before; it leaves late, when the next answer is due.
+                (&mut &*stream).write_all(SURPLUS)?;
+                append(&self.shared, &format!("{} sends late what belongs to no request", self.id));
+            }
             if self.stream_events > 0 {
                 self.stream(stream, &head, &id)?;
                 if self.is_unframed {
@@ -183,6 +196,8 @@
                 sleep(self.work);
                 self.answer(stream, &id, "200 OK", "", &format!("{id} done by {}\n", self.id))?;
                 append(&self.shared, &format!("answered {id} by {}", self.id));
+                let answers = self.answers.fetch_add(1, Ordering::Relaxed) + 1;
+                is_extra_due = self.extra_one_in > 0 && answers % self.extra_one_in == 0;
             }
             discard(&mut input, length - first)?;
         }
