--- a/review/stand-ins/early_run.rs
+++ b/review/stand-ins/early_run.rs
@@ -1,4 +1,5 @@
-//! Rule TWICE: an upstream that works on a long request before it has read it whole crashes.
+//! Rule TWICE: upstreams work on a long request before they have read it whole, and one of them is slow,
+//! or crashes (`VARIANT=crash`).
 
 use crate::deployment::{Deployment, start_upstream};
 use crate::http;
@@ -10,15 +11,17 @@
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
-const LONG_REQUESTS: usize = 6;
+const LONG_REQUESTS: usize = 14;
 const LONG_BODY_BYTES: usize = 4_190_000;
 
 pub fn run(record: &PathBuf, has_trouble: bool) -> io::Result<bool> {
     let mut deployment = Deployment::new(&[("zone-a", "region-a"), ("zone-b", "region-b"), ("zone-c", "region-c")], 1)?;
     let shared = deployment.folder.join("shared.log");
+    let slow_file = deployment.folder.join("slow");
+    let is_crash = std::env::var("VARIANT").is_ok_and(|variant| variant == "crash");
     deployment.start_all()?;
     deployment.order("PUT", "/v1/config", "If-Match: 0\r\nContent-Type: application/json\r\n", CONFIGURATION)?;
-    let count: usize = std::env::var("UPSTREAMS").ok().and_then(|count| count.parse().ok()).unwrap_or(2);
+    let count: usize = std::env::var("UPSTREAMS").ok().and_then(|count| count.parse().ok()).unwrap_or(7);
     let mut upstreams = Vec::new();
     for (number, ip) in (200..200 + count).enumerate() {
         let address = format!("{}:{}", deployment.ip(ip), deployment.front(0).port());
@@ -31,6 +34,7 @@
             format!("shared={}", shared.display()),
             format!("controls={}", controls.join(",")),
             "work_ms=600".to_owned(),
+            format!("slow_file={}", if number == 0 { slow_file.display().to_string() } else { String::new() }),
         ];
         upstreams.push(start_upstream(&deployment, &arguments)?);
         Deployment::wait_listening(address.parse().map_err(io::Error::other)?)?;
@@ -48,6 +52,10 @@
         send_to(deployment.front(0), &shared, &format!("short-{number}"), 200);
         sleep(Duration::from_millis(100));
     }
+    if has_trouble && !is_crash {
+        append(&shared, "upstream i-1 works four times as long from now on");
+        std::fs::write(&slow_file, "")?;
+    }
     let clients: Vec<_> = (1..=LONG_REQUESTS)
         .map(|number| {
             let (front, shared) = (deployment.front(0), shared.clone());
@@ -62,7 +70,7 @@
         sleep(Duration::from_millis(5));
     }
     sleep(Duration::from_millis(250));
-    if has_trouble {
+    if has_trouble && is_crash {
         append(&shared, "upstream i-1 crashes (SIGKILL)");
         upstreams[0].kill();
     }
--- a/review/stand-ins/upstream.rs
+++ b/review/stand-ins/upstream.rs
@@ -30,6 +30,8 @@
     zone: String,
     shared: PathBuf,
     work: Duration,
+    /// While this file is there, the upstream works four times as long.
+    slow_file: PathBuf,
     stream_events: u64,
     event_gap: Duration,
     /// Whether an event stream has no length and ends with its connection.
@@ -66,6 +68,7 @@
         zone: text("zone"),
         shared: text("shared").into(),
         work: Duration::from_millis(number("work_ms")),
+        slow_file: text("slow_file").into(),
         stream_events: number("events"),
         event_gap: Duration::from_millis(number("gap_ms")),
         is_unframed: number("unframed") == 1,
@@ -193,7 +196,7 @@
                     return Ok(());
                 }
             } else {
-                sleep(self.work);
+                sleep(if self.slow_file.exists() { 4 * self.work } else { self.work });
                 self.answer(stream, &id, "200 OK", "", &format!("{id} done by {}\n", self.id))?;
                 append(&self.shared, &format!("answered {id} by {}", self.id));
                 let answers = self.answers.fetch_add(1, Ordering::Relaxed) + 1;
