--- a/review/stand-ins/cut_stream.rs
+++ b/review/stand-ins/cut_stream.rs
@@ -12,14 +12,34 @@
 const STREAMS: usize = 6;
 
 pub fn run(record: &PathBuf, has_trouble: bool) -> io::Result<bool> {
-    let mut deployment = Deployment::new(&[("zone-a", "region-a"), ("zone-b", "region-b"), ("zone-c", "region-c")], 1)?;
+    let mut deployment = Deployment::new(
+        &[
+            ("zone-a", "region-a"),
+            ("zone-b", "region-b"),
+            ("zone-c", "region-c"),
+        ],
+        1,
+    )?;
     let shared = deployment.folder.join("shared.log");
     deployment.start_all()?;
-    deployment.order("PUT", "/v1/config", "If-Match: 0\r\nContent-Type: application/json\r\n", CONFIGURATION)?;
+    deployment.order(
+        "PUT",
+        "/v1/config",
+        "If-Match: 0\r\nContent-Type: application/json\r\n",
+        CONFIGURATION,
+    )?;
     let mut upstreams = Vec::new();
     for number in 1..=2 {
-        let address = format!("{}:{}", deployment.ip(199 + number), deployment.front(0).port());
-        let controls: Vec<String> = deployment.controls().iter().map(ToString::to_string).collect();
+        let address = format!(
+            "{}:{}",
+            deployment.ip(199 + number),
+            deployment.front(0).port()
+        );
+        let controls: Vec<String> = deployment
+            .controls()
+            .iter()
+            .map(ToString::to_string)
+            .collect();
         upstreams.push(start_upstream(
             &deployment,
             &[
@@ -68,21 +88,47 @@
     let mut result = Vec::new();
     let mut is_kept = true;
     for client in clients {
-        let (id, status, is_whole, text) = client.join().map_err(|_| io::Error::other("a client failed"))?;
-        let numbers: Vec<u64> = text.lines().filter_map(|line| line.strip_prefix("data: event ")?.split(' ').next()?.parse().ok()).collect();
+        let (id, status, is_whole, text) = client
+            .join()
+            .map_err(|_| io::Error::other("a client failed"))?;
+        let numbers: Vec<u64> = text
+            .lines()
+            .filter_map(|line| {
+                line.strip_prefix("data: event ")?
+                    .split(' ')
+                    .next()?
+                    .parse()
+                    .ok()
+            })
+            .collect();
         let is_ordered = numbers.windows(2).all(|pair| pair[1] == pair[0] + 1);
         if status == 200 && is_whole && (numbers.last() != Some(&EVENTS) || !is_ordered) {
             // Only a stream that ends in the middle of an event decides: no sound stream ends there.
             let is_cut_in_event = !text.ends_with("\n\n");
             is_kept &= !is_cut_in_event;
-            let place = if is_cut_in_event { "in the middle of an event" } else { "between two events" };
-            result.push(format!("ORDER: {id} ended as complete, {place}, with pieces {numbers:?} of {EVENTS}"));
+            let place = if is_cut_in_event {
+                "in the middle of an event"
+            } else {
+                "between two events"
+            };
+            result.push(format!(
+                "ORDER: {id} ended as complete, {place}, with pieces {numbers:?} of {EVENTS}"
+            ));
         }
         if !has_trouble && (status != 200 || !is_whole) {
-            return Err(io::Error::other(format!("{id} was not answered whole without trouble")));
+            return Err(io::Error::other(format!(
+                "{id} was not answered whole without trouble"
+            )));
         }
     }
-    result.push(if is_kept { "the rule held" } else { "the rule was broken" }.to_owned());
+    result.push(
+        if is_kept {
+            "the rule held"
+        } else {
+            "the rule was broken"
+        }
+        .to_owned(),
+    );
     finish(&shared, record, &result)?;
     Ok(is_kept)
 }
@@ -90,7 +136,8 @@
 /// Whether the first upstream has sent half of the fifth event of a stream.
 fn is_in_event(shared: &Path) -> bool {
     let text = std::fs::read_to_string(shared).unwrap_or_default();
-    text.lines().any(|line| line.contains(" half 5 of ") && line.ends_with(" by i-1"))
+    text.lines()
+        .any(|line| line.contains(" half 5 of ") && line.ends_with(" by i-1"))
 }
 
 const CONFIGURATION: &str = r#"{"generation":1,
--- a/review/stand-ins/deployment.rs
+++ b/review/stand-ins/deployment.rs
@@ -87,7 +87,9 @@
     }
 
     pub fn controls(&self) -> Vec<SocketAddr> {
-        (0..self.cores.len()).map(|core| self.control(core)).collect()
+        (0..self.cores.len())
+            .map(|core| self.control(core))
+            .collect()
     }
 
     pub fn front(&self, front: usize) -> SocketAddr {
@@ -102,7 +104,15 @@
         &self.places[place % self.places.len()].0
     }
 
-    fn settings(&self, name: &str, class: &str, ip: usize, place: usize, listen: &str, rest: &str) -> String {
+    fn settings(
+        &self,
+        name: &str,
+        class: &str,
+        ip: usize,
+        place: usize,
+        listen: &str,
+        rest: &str,
+    ) -> String {
         let (zone, region) = &self.places[place % self.places.len()];
         let zones: Vec<String> = self
             .places
@@ -166,7 +176,11 @@
 
     pub fn start_front(&mut self, front: usize, bootstrap: bool) -> io::Result<()> {
         let name = format!("front-{front}");
-        let listen = format!("\"front\":\"{}\",\"ready\":\"{}\"", self.front(front), self.ready(front));
+        let listen = format!(
+            "\"front\":\"{}\",\"ready\":\"{}\"",
+            self.front(front),
+            self.ready(front)
+        );
         let rest = format!(
             "\"serves\":[\"front\"],\"counts_for_quorum\":false,\"bootstrap\":{bootstrap},\"data_dir\":null"
         );
@@ -191,15 +205,30 @@
         let mut last = String::new();
         while begin.elapsed() < Duration::from_secs(20) {
             for control in self.controls() {
-                match http::call(control, method, path, headers, body.as_bytes(), Duration::from_secs(1)) {
+                match http::call(
+                    control,
+                    method,
+                    path,
+                    headers,
+                    body.as_bytes(),
+                    Duration::from_secs(1),
+                ) {
                     Ok(answer) if answer.status == 200 => return Ok(()),
-                    Ok(answer) => last = format!("{} {}", answer.status, String::from_utf8_lossy(&answer.body)),
+                    Ok(answer) => {
+                        last = format!(
+                            "{} {}",
+                            answer.status,
+                            String::from_utf8_lossy(&answer.body)
+                        )
+                    }
                     Err(error) => last = error.to_string(),
                 }
                 sleep(Duration::from_millis(100));
             }
         }
-        Err(io::Error::other(format!("{method} {path} was not acknowledged: {last}")))
+        Err(io::Error::other(format!(
+            "{method} {path} was not acknowledged: {last}"
+        )))
     }
 
     /// Waits until all fronts answer the platform that they are ready.
@@ -207,7 +236,14 @@
         let begin = Instant::now();
         for front in 0..self.fronts.len() {
             loop {
-                let answer = http::call(self.ready(front), "GET", "/v1/readiness", "", b"", Duration::from_secs(1));
+                let answer = http::call(
+                    self.ready(front),
+                    "GET",
+                    "/v1/readiness",
+                    "",
+                    b"",
+                    Duration::from_secs(1),
+                );
                 if answer.is_ok_and(|answer| answer.status == 200) {
                     break;
                 }
@@ -235,7 +271,10 @@
 
 impl Drop for Deployment {
     fn drop(&mut self) {
-        self.fronts.iter_mut().chain(&mut self.cores).for_each(Process::kill);
+        self.fronts
+            .iter_mut()
+            .chain(&mut self.cores)
+            .for_each(Process::kill);
         if std::env::var_os("KEEP").is_none() {
             fs::remove_dir_all(&self.folder).ok();
         }
--- a/review/stand-ins/failback.rs
+++ b/review/stand-ins/failback.rs
@@ -22,15 +22,35 @@
 
 pub fn run(record: &PathBuf, has_trouble: bool) -> io::Result<bool> {
     // Fronts 0 and 3 stand in zone-a.
-    let mut deployment = Deployment::new(&[("zone-a", "region-a"), ("zone-b", "region-b"), ("zone-c", "region-c")], 4)?;
+    let mut deployment = Deployment::new(
+        &[
+            ("zone-a", "region-a"),
+            ("zone-b", "region-b"),
+            ("zone-c", "region-c"),
+        ],
+        4,
+    )?;
     let shared = deployment.folder.join("shared.log");
     let cold_file = deployment.folder.join("cold");
     deployment.start_all()?;
-    deployment.order("PUT", "/v1/config", "If-Match: 0\r\nContent-Type: application/json\r\n", CONFIGURATION)?;
+    deployment.order(
+        "PUT",
+        "/v1/config",
+        "If-Match: 0\r\nContent-Type: application/json\r\n",
+        CONFIGURATION,
+    )?;
     let mut upstreams = Vec::new();
     for (number, place) in [0, 0, 1, 2].into_iter().enumerate() {
-        let address = format!("{}:{}", deployment.ip(200 + number), deployment.front(0).port());
-        let controls: Vec<String> = deployment.controls().iter().map(ToString::to_string).collect();
+        let address = format!(
+            "{}:{}",
+            deployment.ip(200 + number),
+            deployment.front(0).port()
+        );
+        let controls: Vec<String> = deployment
+            .controls()
+            .iter()
+            .map(ToString::to_string)
+            .collect();
         let mut arguments = vec![
             format!("i-{}-{number}", deployment.zone(place)),
             format!("address={address}"),
@@ -55,7 +75,12 @@
     sleep(Duration::from_secs(4));
     std::fs::write(&cold_file, "")?;
     let begin = Instant::now();
-    while std::fs::read_to_string(&shared).unwrap_or_default().matches(" turns cold").count() < 2 {
+    while std::fs::read_to_string(&shared)
+        .unwrap_or_default()
+        .matches(" turns cold")
+        .count()
+        < 2
+    {
         if begin.elapsed() > Duration::from_secs(5) {
             return Err(io::Error::other("the upstreams do not turn cold"));
         }
@@ -79,12 +104,25 @@
     let mut result = Vec::new();
     let mut is_kept = true;
     for (upstream, most) in most_in_a_second(&shared) {
-        result.push(format!("FAILBACK: cold {upstream} got {most} requests in one second; the bound is {bound}"));
+        result.push(format!(
+            "FAILBACK: cold {upstream} got {most} requests in one second; the bound is {bound}"
+        ));
         is_kept &= (most as f64) <= bound;
     }
     let text = std::fs::read_to_string(&shared).unwrap_or_default();
-    result.push(format!("upstreams that fell over: {}; answers 502: {}", text.matches(" falls over").count(), text.matches("client gets 502").count()));
-    result.push(if is_kept { "the rule held" } else { "the rule was broken" }.to_owned());
+    result.push(format!(
+        "upstreams that fell over: {}; answers 502: {}",
+        text.matches(" falls over").count(),
+        text.matches("client gets 502").count()
+    ));
+    result.push(
+        if is_kept {
+            "the rule held"
+        } else {
+            "the rule was broken"
+        }
+        .to_owned(),
+    );
     finish(&shared, record, &result)?;
     Ok(is_kept)
 }
@@ -103,7 +141,12 @@
         let begin = Instant::now();
         let threads = (0..workers)
             .map(|_| {
-                let (is_over, number, shared, fronts) = (is_over.clone(), number.clone(), shared.to_owned(), fronts.clone());
+                let (is_over, number, shared, fronts) = (
+                    is_over.clone(),
+                    number.clone(),
+                    shared.to_owned(),
+                    fronts.clone(),
+                );
                 thread::spawn(move || {
                     while !is_over.load(Ordering::Relaxed) {
                         let next = number.fetch_add(1, Ordering::Relaxed);
@@ -111,9 +154,23 @@
                         sleep(due.saturating_sub(begin.elapsed()));
                         let front = fronts[next as usize % fronts.len()];
                         let id = format!("r-{next}");
-                        let headers = format!("Host: llm.example\r\nRequest-Id: {id}\r\nDeadline: 2000\r\n");
-                        let answer = http::call(front, "POST", "/ask/1", &headers, b"x", Duration::from_secs(3));
-                        append(&shared, &format!("client gets {} to {id}", answer.map_or(0, |answer| answer.status)));
+                        let headers =
+                            format!("Host: llm.example\r\nRequest-Id: {id}\r\nDeadline: 2000\r\n");
+                        let answer = http::call(
+                            front,
+                            "POST",
+                            "/ask/1",
+                            &headers,
+                            b"x",
+                            Duration::from_secs(3),
+                        );
+                        append(
+                            &shared,
+                            &format!(
+                                "client gets {} to {id}",
+                                answer.map_or(0, |answer| answer.status)
+                            ),
+                        );
                     }
                 })
             })
@@ -149,10 +206,18 @@
         .map(|(upstream, cold)| {
             let mut times = runs.remove(&upstream).unwrap_or_default();
             times.sort_unstable();
-            let times: Vec<u128> = times.into_iter().filter(|time| *time >= cold && *time < cold + COLD_MS).collect();
+            let times: Vec<u128> = times
+                .into_iter()
+                .filter(|time| *time >= cold && *time < cold + COLD_MS)
+                .collect();
             let most = times
                 .iter()
-                .map(|begin| times.iter().filter(|time| *time >= begin && **time < begin + 1_000).count())
+                .map(|begin| {
+                    times
+                        .iter()
+                        .filter(|time| *time >= begin && **time < begin + 1_000)
+                        .count()
+                })
                 .max()
                 .unwrap_or(0);
             (upstream, most)
--- a/review/stand-ins/http.rs
+++ b/review/stand-ins/http.rs
@@ -19,7 +19,11 @@
         loop {
             let mut line = String::new();
             if input.read_line(&mut line)? == 0 {
-                return if head.first_line.is_empty() { Ok(None) } else { Err(ErrorKind::UnexpectedEof.into()) };
+                return if head.first_line.is_empty() {
+                    Ok(None)
+                } else {
+                    Err(ErrorKind::UnexpectedEof.into())
+                };
             }
             let line = line.trim_end();
             if line.is_empty() && !head.first_line.is_empty() {
@@ -28,7 +32,8 @@
             if head.first_line.is_empty() {
                 head.first_line = line.to_owned();
             } else if let Some((name, value)) = line.split_once(':') {
-                head.headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+                head.headers
+                    .insert(name.to_ascii_lowercase(), value.trim().to_owned());
             }
         }
     }
@@ -53,9 +58,17 @@
 /// Reads an answer to its end.
 pub fn read_answer(input: &mut impl BufRead) -> io::Result<Answer> {
     let head = Head::read(input)?.ok_or(ErrorKind::UnexpectedEof)?;
-    let status = head.first_line.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
+    let status = head
+        .first_line
+        .split(' ')
+        .nth(1)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0);
     let mut body = Vec::new();
-    let is_whole = if head.header("transfer-encoding").eq_ignore_ascii_case("chunked") {
+    let is_whole = if head
+        .header("transfer-encoding")
+        .eq_ignore_ascii_case("chunked")
+    {
         read_chunks(input, &mut body).is_ok()
     } else if head.headers.contains_key("content-length") {
         let length = head.length() as u64;
@@ -63,7 +76,11 @@
     } else {
         input.read_to_end(&mut body).is_ok()
     };
-    Ok(Answer { status, body, is_whole })
+    Ok(Answer {
+        status,
+        body,
+        is_whole,
+    })
 }
 
 fn read_chunks(input: &mut impl BufRead, body: &mut Vec<u8>) -> io::Result<()> {
@@ -93,13 +110,19 @@
     stream.set_read_timeout(Some(timeout))?;
     stream.set_write_timeout(Some(timeout))?;
     stream.set_nodelay(true)?;
-    let host = if headers.contains("Host:") { String::new() } else { format!("Host: {address}\r\n") };
+    let host = if headers.contains("Host:") {
+        String::new()
+    } else {
+        format!("Host: {address}\r\n")
+    };
     let head = format!(
         "{method} {path} HTTP/1.1\r\n{host}{headers}Content-Length: {}\r\n\r\n",
         body.len()
     );
     // An answer may come before the body is out; a failed write says nothing of it.
-    let written = stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(body));
+    let written = stream
+        .write_all(head.as_bytes())
+        .and_then(|()| stream.write_all(body));
     let answer = read_answer(&mut BufReader::new(stream));
     match (answer, written) {
         (Ok(answer), _) => Ok(answer),
--- a/review/stand-ins/late_extra.rs
+++ b/review/stand-ins/late_extra.rs
@@ -18,14 +18,34 @@
 const SPOILT_ONE_IN: u64 = 34;
 
 pub fn run(record: &PathBuf, has_trouble: bool) -> io::Result<bool> {
-    let mut deployment = Deployment::new(&[("zone-a", "region-a"), ("zone-b", "region-b"), ("zone-c", "region-c")], 1)?;
+    let mut deployment = Deployment::new(
+        &[
+            ("zone-a", "region-a"),
+            ("zone-b", "region-b"),
+            ("zone-c", "region-c"),
+        ],
+        1,
+    )?;
     let shared = deployment.folder.join("shared.log");
     deployment.start_all()?;
-    deployment.order("PUT", "/v1/config", "If-Match: 0\r\nContent-Type: application/json\r\n", CONFIGURATION)?;
+    deployment.order(
+        "PUT",
+        "/v1/config",
+        "If-Match: 0\r\nContent-Type: application/json\r\n",
+        CONFIGURATION,
+    )?;
     let mut upstreams = Vec::new();
     for number in 1..=2 {
-        let address = format!("{}:{}", deployment.ip(199 + number), deployment.front(0).port());
-        let controls: Vec<String> = deployment.controls().iter().map(ToString::to_string).collect();
+        let address = format!(
+            "{}:{}",
+            deployment.ip(199 + number),
+            deployment.front(0).port()
+        );
+        let controls: Vec<String> = deployment
+            .controls()
+            .iter()
+            .map(ToString::to_string)
+            .collect();
         let mut arguments = vec![
             format!("i-{number}"),
             format!("address={address}"),
@@ -59,8 +79,16 @@
                     sleep(due.saturating_sub(begin.elapsed()));
                     let id = format!("receipt-{number}");
                     append(&shared, &format!("client sends {id}, non_idempotent"));
-                    let headers = format!("Host: desk.example\r\nRequest-Id: {id}\r\nDeadline: 5000\r\n");
-                    let answer = http::call(front, "POST", "/order/1", &headers, b"x", Duration::from_secs(6));
+                    let headers =
+                        format!("Host: desk.example\r\nRequest-Id: {id}\r\nDeadline: 5000\r\n");
+                    let answer = http::call(
+                        front,
+                        "POST",
+                        "/order/1",
+                        &headers,
+                        b"x",
+                        Duration::from_secs(6),
+                    );
                     let status = answer.map_or(0, |answer| answer.status);
                     append(&shared, &format!("client gets {status} to {id}"));
                     answers.push((id, status));
@@ -70,7 +98,11 @@
         .collect();
     let mut answers: BTreeMap<String, u16> = BTreeMap::new();
     for client in clients {
-        answers.extend(client.join().map_err(|_| io::Error::other("a client failed"))?);
+        answers.extend(
+            client
+                .join()
+                .map_err(|_| io::Error::other("a client failed"))?,
+        );
     }
     sleep(Duration::from_millis(500));
     let runs = runs(&shared);
@@ -80,19 +112,36 @@
         let by = runs.get(id).cloned().unwrap_or_default();
         if by.len() > 1 {
             is_kept = false;
-            result.push(format!("TWICE: {id} ran at {} and was answered {status}", by.join(" and ")));
+            result.push(format!(
+                "TWICE: {id} ran at {} and was answered {status}",
+                by.join(" and ")
+            ));
         }
         if matches!(status, 408 | 421 | 429 | 503) && !by.is_empty() {
             is_kept = false;
-            result.push(format!("REFUSED: {id} was answered {status} and ran at {}", by.join(" and ")));
+            result.push(format!(
+                "REFUSED: {id} was answered {status} and ran at {}",
+                by.join(" and ")
+            ));
         }
     }
     let answered = answers.values().filter(|status| **status == 200).count();
     if !has_trouble && answered as u64 != REQUESTS {
-        return Err(io::Error::other(format!("only {answered} of {REQUESTS} requests are answered 200 without trouble")));
+        return Err(io::Error::other(format!(
+            "only {answered} of {REQUESTS} requests are answered 200 without trouble"
+        )));
     }
-    result.push(format!("{answered} of {REQUESTS} requests were answered 200"));
-    result.push(if is_kept { "the rule held" } else { "the rule was broken" }.to_owned());
+    result.push(format!(
+        "{answered} of {REQUESTS} requests were answered 200"
+    ));
+    result.push(
+        if is_kept {
+            "the rule held"
+        } else {
+            "the rule was broken"
+        }
+        .to_owned(),
+    );
     finish(&shared, record, &result)?;
     Ok(is_kept)
 }
@@ -103,7 +152,9 @@
     for line in std::fs::read_to_string(shared).unwrap_or_default().lines() {
         let words: Vec<&str> = line.split(' ').collect();
         if let [_, "run", id, "by", upstream] = words[..] {
-            runs.entry(id.to_owned()).or_default().push(upstream.to_owned());
+            runs.entry(id.to_owned())
+                .or_default()
+                .push(upstream.to_owned());
         }
     }
     runs
--- a/review/stand-ins/record.rs
+++ b/review/stand-ins/record.rs
@@ -6,13 +6,16 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 pub fn now_ms() -> u128 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis())
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |time| time.as_millis())
 }
 
 /// Appends one line to a file that several processes share.
 pub fn append(path: &Path, line: &str) {
     if let Ok(mut file) = OpenOptions::new().create(true).append(true).open(path) {
-        file.write_all(format!("{} {line}\n", now_ms()).as_bytes()).ok();
+        file.write_all(format!("{} {line}\n", now_ms()).as_bytes())
+            .ok();
     }
 }
 
--- a/review/stand-ins/upstream.rs
+++ b/review/stand-ins/upstream.rs
@@ -10,8 +10,8 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::path::PathBuf;
-use std::sync::{Arc, Mutex};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
@@ -78,7 +78,10 @@
         bears: text("bears").parse().unwrap_or(f64::INFINITY),
         recent: Mutex::default(),
         extra_one_in: number("extra_one_in"),
-        controls: text("controls").split(',').filter_map(|one| one.parse().ok()).collect(),
+        controls: text("controls")
+            .split(',')
+            .filter_map(|one| one.parse().ok())
+            .collect(),
         next_stamp: AtomicU64::new(1),
         answers: AtomicU64::new(0),
     });
@@ -99,8 +102,20 @@
     const SOL_SOCKET: i32 = 1;
     const SO_RCVBUF: i32 = 8;
     // SAFETY: the descriptor is open, and the option's value is an integer of the given size.
-    let result = unsafe { setsockopt(listener.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &WINDOW_BYTES, 4) };
-    if result == 0 { Ok(()) } else { Err(io::Error::last_os_error()) }
+    let result = unsafe {
+        setsockopt(
+            listener.as_raw_fd(),
+            SOL_SOCKET,
+            SO_RCVBUF,
+            &WINDOW_BYTES,
+            4,
+        )
+    };
+    if result == 0 {
+        Ok(())
+    } else {
+        Err(io::Error::last_os_error())
+    }
 }
 
 impl Upstream {
@@ -143,7 +158,11 @@
                 }
             }
             self.turn_cold_if_due();
-            sleep(HEARTBEAT.saturating_sub(begin.elapsed()).max(Duration::from_millis(100)));
+            sleep(
+                HEARTBEAT
+                    .saturating_sub(begin.elapsed())
+                    .max(Duration::from_millis(100)),
+            );
         }
     }
 
@@ -158,7 +177,11 @@
     /// Ends the process if it is cold and has got well above what it bears in the last second.
     fn fall_over_if_overloaded(&self) {
         let now = Instant::now();
-        let is_cold = self.cold_until.lock().expect("a lock").is_some_and(|until| now < until);
+        let is_cold = self
+            .cold_until
+            .lock()
+            .expect("a lock")
+            .is_some_and(|until| now < until);
         let mut recent = self.recent.lock().expect("a lock");
         recent.retain(|time| now.duration_since(*time) < Duration::from_secs(1));
         recent.push(now);
@@ -178,7 +201,13 @@
             let expected = head.header("expect-instance");
             if !expected.is_empty() && expected != self.id {
                 discard(&mut input, length)?;
-                self.answer(stream, &id, "421 Misdirected Request", "Not-Executed: 1\r\n", "")?;
+                self.answer(
+                    stream,
+                    &id,
+                    "421 Misdirected Request",
+                    "Not-Executed: 1\r\n",
+                    "",
+                )?;
                 continue;
             }
             let first = length.min(LONG_BODY);
@@ -188,7 +217,10 @@
             if std::mem::take(&mut is_extra_due) {
                 // More after the whole answer before; it leaves late, when the next answer is due.
                 (&mut &*stream).write_all(SURPLUS)?;
-                append(&self.shared, &format!("{} sends late what belongs to no request", self.id));
+                append(
+                    &self.shared,
+                    &format!("{} sends late what belongs to no request", self.id),
+                );
             }
             if self.stream_events > 0 {
                 self.stream(stream, &head, &id)?;
@@ -196,8 +228,18 @@
                     return Ok(());
                 }
             } else {
-                sleep(if self.slow_file.exists() { 4 * self.work } else { self.work });
-                self.answer(stream, &id, "200 OK", "", &format!("{id} done by {}\n", self.id))?;
+                sleep(if self.slow_file.exists() {
+                    4 * self.work
+                } else {
+                    self.work
+                });
+                self.answer(
+                    stream,
+                    &id,
+                    "200 OK",
+                    "",
+                    &format!("{id} done by {}\n", self.id),
+                )?;
                 append(&self.shared, &format!("answered {id} by {}", self.id));
                 let answers = self.answers.fetch_add(1, Ordering::Relaxed) + 1;
                 is_extra_due = self.extra_one_in > 0 && answers % self.extra_one_in == 0;
@@ -208,10 +250,21 @@
     }
 
     fn stamp(&self) -> String {
-        format!("{}.{}", self.id, self.next_stamp.fetch_add(1, Ordering::Relaxed))
+        format!(
+            "{}.{}",
+            self.id,
+            self.next_stamp.fetch_add(1, Ordering::Relaxed)
+        )
     }
 
-    fn answer(&self, mut stream: &TcpStream, id: &str, status: &str, headers: &str, body: &str) -> io::Result<()> {
+    fn answer(
+        &self,
+        mut stream: &TcpStream,
+        id: &str,
+        status: &str,
+        headers: &str,
+        body: &str,
+    ) -> io::Result<()> {
         let answer = format!(
             "HTTP/1.1 {status}\r\nRequest-Id: {id}\r\nResponse-Stamp: {}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
             self.stamp(),
@@ -223,7 +276,11 @@
     /// Sends an event stream: the events after `Last-Event-Id`, each `event N of M`.
     fn stream(&self, mut stream: &TcpStream, head: &Head, id: &str) -> io::Result<()> {
         let first = head.header("last-event-id").parse::<u64>().unwrap_or(0) + 1;
-        let framing = if self.is_unframed { "Connection: close\r\n" } else { "Transfer-Encoding: chunked\r\n" };
+        let framing = if self.is_unframed {
+            "Connection: close\r\n"
+        } else {
+            "Transfer-Encoding: chunked\r\n"
+        };
         let answer = format!(
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: {}\r\nContent-Type: text/event-stream\r\n{framing}\r\n",
             self.stamp()
@@ -231,12 +288,22 @@
         stream.write_all(answer.as_bytes())?;
         for number in first..=self.stream_events {
             // An event goes out in two parts, as a long one does on a network.
-            for part in [format!("id: {number}\n"), format!("data: event {number} of {}\n\n", self.stream_events)] {
+            for part in [
+                format!("id: {number}\n"),
+                format!("data: event {number} of {}\n\n", self.stream_events),
+            ] {
                 if part.starts_with("data") {
-                    append(&self.shared, &format!("half {number} of {id} by {}", self.id));
+                    append(
+                        &self.shared,
+                        &format!("half {number} of {id} by {}", self.id),
+                    );
                 }
                 sleep(self.event_gap / 2);
-                let part = if self.is_unframed { part } else { format!("{:x}\r\n{part}\r\n", part.len()) };
+                let part = if self.is_unframed {
+                    part
+                } else {
+                    format!("{:x}\r\n{part}\r\n", part.len())
+                };
                 stream.write_all(part.as_bytes())?;
             }
         }
