--- a/review/stand-ins/deployment.rs
+++ b/review/stand-ins/deployment.rs
@@ -20,6 +20,19 @@
 }
 
 impl Process {
+    /// Sends a signal, given by its name without SIG.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        let id = self.child.as_ref().map_or(0, Child::id).to_string();
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &id])
+            .status()?;
+        if status.success() {
+            Ok(())
+        } else {
+            Err(io::Error::other("the signal was not sent"))
+        }
+    }
+
     /// Sends SIGKILL and waits for the end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -7,6 +7,7 @@
 mod deployment;
 mod early_run;
 mod failback;
+mod frozen_front;
 mod http;
 mod late_extra;
 mod record;
@@ -24,6 +25,7 @@
         Some("cut-stream") => cut_stream::run(&record, has_trouble),
         Some("late-extra") => late_extra::run(&record, has_trouble),
         Some("early-run") => early_run::run(&record, has_trouble),
+        Some("frozen-front") => frozen_front::run(&record, has_trouble),
         Some("failback") => failback::run(&record, has_trouble),
         _ => {
             eprintln!("unknown command");
--- a/review/stand-ins/upstream.rs
+++ b/review/stand-ins/upstream.rs
@@ -29,6 +29,8 @@
     service: String,
     zone: String,
     shared: PathBuf,
+    /// Requests that it works on at once, as it registers them.
+    capacity: u64,
     work: Duration,
     /// While this file is there, the upstream works four times as long.
     slow_file: PathBuf,
@@ -68,6 +70,7 @@
         zone: text("zone"),
         shared: text("shared").into(),
         work: Duration::from_millis(number("work_ms")),
+        capacity: text("capacity").parse().unwrap_or(64),
         slow_file: text("slow_file").into(),
         stream_events: number("events"),
         event_gap: Duration::from_millis(number("gap_ms")),
@@ -134,8 +137,8 @@
                 });
                 let body = format!(
                     "{{\"service\":\"{}\",\"address\":\"{address}\",\"zone\":\"{}\",\"generation\":\"v1\",\
-                     \"capacity\":64,\"state\":\"ready\",\"cold_remaining_ms\":{cold},\"sequence\":{sequence}}}",
-                    self.service, self.zone
+                     \"capacity\":{},\"state\":\"ready\",\"cold_remaining_ms\":{cold},\"sequence\":{sequence}}}",
+                    self.service, self.zone, self.capacity
                 );
                 let answer = http::call(
                     named.unwrap_or(self.controls[control]),
