Second review: drop the two cases that an earlier one shows; order the rest

The surplus answer without an id (case 6 so far) is case 1 of the earlier review, the long body that runs twice after a crash (case 4 so far) its case 2 with VARIANT=crash. The others keep their text and move: bodies of running streams (Fault) from 5 to 4, the resumed stream of a client that left (GONE) from 7 to 6, fractions (CONFIG) from 8 to 7. Nothing else changed in them.

--- a/review/stand-ins-2/cases/mod.rs
+++ b/review/stand-ins-2/cases/mod.rs
@@ -1,8 +1,6 @@
 //! The cases. Each returns whether the rule was broken.
 
-pub mod answer_without_id;
 pub mod fractions;
-pub mod long_body;
 pub mod resume_after_leave;
 pub mod stream_memory;
 
--- a/review/stand-ins-2/deployment.rs
+++ b/review/stand-ins-2/deployment.rs
@@ -4,7 +4,6 @@
 use crate::http::{self, Message};
 use crate::record::Record;
 use std::fs;
-use std::io::Write;
 use std::net::{TcpListener, UdpSocket};
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
@@ -438,9 +437,3 @@
         services.join(",")
     )
 }
-
-/// Flushes standard output; a child's lines are read by its parent.
-pub fn say(line: &str) {
-    println!("{line}");
-    std::io::stdout().flush().ok();
-}
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,5 +1,5 @@
-//! The cases of the second review, one command for each: `case NUMBER FOLDER`. `case serve ...` is an upstream of its own
-//! process. Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+//! The cases of the second review, one command for each: `case NUMBER FOLDER`.
+//! Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod cases;
 mod deployment;
@@ -14,15 +14,12 @@
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let code = match words.as_slice() {
-        ["serve", ip, id] => upstream::serve_until_killed(ip, id),
         [number, folder] => {
             deployment::end_after(115);
             let outcome = match *number {
-                "4" => cases::long_body::run(folder, trouble),
-                "5" => cases::stream_memory::run(folder, trouble),
-                "6" => cases::answer_without_id::run(folder, trouble),
-                "7" => cases::resume_after_leave::run(folder, trouble),
-                "8" => cases::fractions::run(folder, trouble),
+                "4" => cases::stream_memory::run(folder, trouble),
+                "6" => cases::resume_after_leave::run(folder, trouble),
+                "7" => cases::fractions::run(folder, trouble),
                 _ => Err("no such case".to_owned()),
             };
             match outcome {
--- a/review/stand-ins-2/upstream.rs
+++ b/review/stand-ins-2/upstream.rs
@@ -1,7 +1,6 @@
 //! Stand-ins of upstreams. Each registers itself, sends heartbeats, turns requests for other instances away with 421, and
 //! hands all others to its behaviour.
 
-use crate::deployment::say;
 use crate::http::{self, Connection, Message};
 use std::io;
 use std::net::{TcpListener, TcpStream};
@@ -16,7 +15,6 @@
 }
 
 const SOL_SOCKET: i32 = 1;
-const SO_RCVBUF: i32 = 8;
 const SO_LINGER: i32 = 13;
 
 fn set_option(socket: &impl AsRawFd, name: i32, value: &[i32]) {
@@ -218,47 +216,3 @@
         }
     }
 }
-
-/// An upstream of its own process, which its parent kills. It says on standard output where it listens, and each request
-/// that it begins to work on. It works on a request as soon as it has read the head, answers after 400 ms and then reads
-/// the body, keeping the connection.
-pub fn serve_until_killed(ip: &str, id: &str) -> i32 {
-    let Ok(listener) = TcpListener::bind((ip, 0)) else {
-        return 2;
-    };
-    // A small receive buffer, which accepted connections inherit.
-    set_option(&listener, SO_RCVBUF, &[4_096]);
-    let Ok(address) = listener.local_addr() else {
-        return 2;
-    };
-    say(&format!("listens {address}"));
-    for stream in listener.incoming().flatten() {
-        let id = id.to_owned();
-        thread::spawn(move || {
-            let mut connection = Connection::new(stream);
-            while let Ok(head) = connection.read_head() {
-                let is_expected = head
-                    .header("expect-instance")
-                    .is_none_or(|other| other == id);
-                let served = if is_expected {
-                    serve_before_the_body(&head, &mut connection)
-                } else {
-                    turn_away(&head, &mut connection)
-                };
-                if served.is_err() {
-                    break;
-                }
-            }
-        });
-    }
-    0
-}
-
-fn serve_before_the_body(head: &Message, connection: &mut Connection) -> io::Result<()> {
-    let id = head.header("request-id").unwrap_or("");
-    say(&format!("runs {id}"));
-    thread::sleep(Duration::from_millis(400));
-    connection.send(&answer(head, "a receipt"))?;
-    say(&format!("answers {id}"));
-    connection.read_body(head).map(drop)
-}
