--- a/review/stand-ins-2/cases/mod.rs
+++ b/review/stand-ins-2/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases. Each returns whether the rule was broken.
 
 pub mod fractions;
+pub mod late_heartbeats;
 pub mod resume_after_leave;
 pub mod stream_memory;
 
--- a/review/stand-ins-2/deployment.rs
+++ b/review/stand-ins-2/deployment.rs
@@ -374,6 +374,12 @@
         Err("the directory names no front".to_owned())
     }
 
+    /// The log of a machine.
+    pub fn log(&self, machine: &Machine) -> String {
+        let path = self.folder.join(format!("{}.log", machine.name));
+        fs::read_to_string(path).unwrap_or_default()
+    }
+
     /// Writes the end of the machines' logs to a record.
     pub fn record_logs(&self, record: &Record, lines: usize) {
         for machine in self.fronts.iter().chain(&self.cores) {
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -18,6 +18,7 @@
             deployment::end_after(115);
             let outcome = match *number {
                 "4" => cases::stream_memory::run(folder, trouble),
+                "5" => cases::late_heartbeats::run(folder, trouble),
                 "6" => cases::resume_after_leave::run(folder, trouble),
                 "7" => cases::fractions::run(folder, trouble),
                 _ => Err("no such case".to_owned()),
--- a/review/stand-ins-2/upstream.rs
+++ b/review/stand-ins-2/upstream.rs
@@ -170,6 +170,30 @@
         Ok(())
     }
 
+    /// Sends the first heartbeat, then late ones at the given distances, each followed by one in time, and then one each
+    /// 1.2 s. `tell` gets the distance and whether the heartbeat was acknowledged.
+    pub fn keep_late(
+        self,
+        controls: Vec<String>,
+        late: Vec<Duration>,
+        tell: impl Fn(Duration, bool) + Send + 'static,
+    ) -> Result<(), String> {
+        let mut target = controls[0].clone();
+        if !(1..20).any(|sequence| self.beat(&mut target, &controls, sequence)) {
+            return Err(format!("{} can't register", self.id));
+        }
+        let usual = Duration::from_millis(1_200);
+        thread::spawn(move || {
+            let pauses = late.into_iter().flat_map(|late| [usual, late]);
+            let pauses = [usual; 4].into_iter().chain(pauses);
+            for (sequence, pause) in (100..).zip(pauses.chain(std::iter::repeat(usual))) {
+                thread::sleep(pause);
+                tell(pause, self.beat(&mut target, &controls, sequence));
+            }
+        });
+        Ok(())
+    }
+
     /// Sends a heartbeat. After a failure the next one goes to another core machine.
     fn beat(&self, target: &mut String, controls: &[String], sequence: u64) -> bool {
         let Self {
