Second review: make room for a graver case; places 4 to 7 become 5 to 8

Bodies of running streams (Fault) 5, late heartbeats (CONFIG) 6, the resumed stream of a client that left (GONE) 7, fractions (CONFIG) 8. Nothing else changed in them.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -17,10 +17,10 @@
         [number, folder] => {
             deployment::end_after(115);
             let outcome = match *number {
-                "4" => cases::stream_memory::run(folder, trouble),
-                "5" => cases::late_heartbeats::run(folder, trouble),
-                "6" => cases::resume_after_leave::run(folder, trouble),
-                "7" => cases::fractions::run(folder, trouble),
+                "5" => cases::stream_memory::run(folder, trouble),
+                "6" => cases::late_heartbeats::run(folder, trouble),
+                "7" => cases::resume_after_leave::run(folder, trouble),
+                "8" => cases::fractions::run(folder, trouble),
                 _ => Err("no such case".to_owned()),
             };
             match outcome {
