Front: a request body counts against the memory limit as long as anything holds it

Cause: the reservation of a body ended when handle_request returned, which for a stream is when its head has arrived. The stream kept the body until its end, also where no attempt can follow. The daemon ended its count in the same way, while a connection could still write the body or a detached attempt hold it.

Change: a reservation is attached to the bytes (Bytes::from_owner) and released with their last clone. Both programs read bodies by one function, inbound::read_body, in place of two. A stream that can't be resumed drops its body when its head has arrived. Bodies of resumable streams may fill half of the memory for bodies; beyond that a stream is served without resumption (stream_not_resumable; cause not-resumed in `woadstall why`). A reservation that fails reserves nothing any more.

Why it works: the count can't end before the memory does, and running streams can't take the memory of requests that have no response yet.

Golden files of the request reports: the new cause is an eighth one.

--- a/crates/inbound/src/lib.rs
+++ b/crates/inbound/src/lib.rs
@@ -6,15 +6,17 @@
 mod connection_state;
 mod lingering;
 mod listen;
+mod read_body;
 mod request_gate;
 mod request_head;
 mod request_stage;
 mod tracked_body;
 
-pub use body_memory::BodyMemory;
+pub use body_memory::{BodyBudget, BodyMemory};
 pub use connection_state::ConnectionState;
 pub use lingering::LingeringConnections;
 pub use listen::{close_listener, listen};
+pub use read_body::{BodyBuffer, ReadBodyError, read_body};
 pub use request_gate::RequestGate;
 pub use request_head::MAX_HEAD_BYTES;
 pub use request_stage::RequestStage;
--- a/crates/mock-servers/src/http1.rs
+++ b/crates/mock-servers/src/http1.rs
@@ -87,6 +87,8 @@
     RespondWithSurplus(String, String),
     /// Writes each of these texts as soon as the test sends it, and keeps the connection open.
     RespondInParts(ResponseParts),
+    /// Like `RespondInParts`, but closes the connection at the end of the parts.
+    RespondInPartsAndClose(ResponseParts),
     /// Writes no response.
     Stall,
 }
@@ -216,6 +218,10 @@
                 event_sender.send(UpstreamEvent::SurplusWritten).ok();
             }
             Reaction::RespondInParts(parts) => parts.write_to(&mut output),
+            Reaction::RespondInPartsAndClose(parts) => {
+                parts.write_to(&mut output);
+                break;
+            }
             Reaction::Stall => {}
         }
     }
@@ -404,6 +410,16 @@
     })
 }
 
+/// Reads a response whose body has a length or is chunked; `None` if it is missing or truncated.
+pub fn read_whole_response(input: &mut impl BufRead) -> Option<Message> {
+    let mut response = Message::read(input)?;
+    let coding = response.headers.get("transfer-encoding");
+    if coding.is_some_and(|coding| coding == "chunked") {
+        response.body = read_chunks(input)?;
+    }
+    Some(response)
+}
+
 /// A caller's connection.
 pub struct Caller {
     input: BufReader<TcpStream>,
@@ -460,6 +476,11 @@
             .expect("the beginning of a response");
     }
 
+    /// Reads a response whose body has a length or is chunked; `None` if it is missing or truncated.
+    pub fn read_whole_response(&mut self) -> Option<Message> {
+        read_whole_response(&mut self.input)
+    }
+
     /// Reads a response with chunked transfer coding; `None` if the response is truncated.
     pub fn read_chunked_response(&mut self) -> Option<Message> {
         let mut response = self.read_response()?;
--- a/crates/mock-servers/src/system.rs
+++ b/crates/mock-servers/src/system.rs
@@ -1,7 +1,7 @@
 //! The processes of the serving system on loopback addresses: core machines and fronts, with their settings files and
 //! logs, and an operator's calls.
 
-use crate::http1::{Message, TEST_TIMEOUT, read_chunks};
+use crate::http1::{Message, TEST_TIMEOUT, read_whole_response};
 use serde_json::{Map, Value, json};
 use std::fs::{File, OpenOptions};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -48,6 +48,9 @@
 /// [`System::register`] registers an upstream once and sends no heartbeats.
 const HEARTBEAT_MS: u64 = 60_000;
 
+/// Number of requests that an upstream processes concurrently unless a test sets another one.
+const DEFAULT_CAPACITY: u64 = 8;
+
 /// A process of the system.
 pub struct Process {
     /// Name of the process in its settings, such as `core-0`.
@@ -328,8 +331,21 @@
 
     /// Registers an upstream at a core machine, and waits until all fronts have applied the registration.
     pub fn register(&self, core: u8, id: &str, service: &str, address: SocketAddr, zone: u8) {
+        self.register_with_capacity(core, id, service, address, zone, DEFAULT_CAPACITY);
+    }
+
+    /// Registers an upstream that processes up to `capacity` requests concurrently.
+    pub fn register_with_capacity(
+        &self,
+        core: u8,
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        zone: u8,
+        capacity: u64,
+    ) {
         let body = json!({
-            "service": service, "address": address, "zone": format!("zone-{zone}"), "capacity": 8, "state": "ready",
+            "service": service, "address": address, "zone": format!("zone-{zone}"), "capacity": capacity, "state": "ready",
             "cold_remaining_ms": 0, "sequence": 1,
         });
         let path = format!("/v1/instances/{id}");
@@ -394,16 +410,7 @@
     );
     stream.write_all(head.as_bytes()).ok()?;
     stream.write_all(body).ok()?;
-    let mut input = BufReader::new(stream);
-    let mut response = Message::read(&mut input)?;
-    if response
-        .headers
-        .get("transfer-encoding")
-        .is_some_and(|coding| coding == "chunked")
-    {
-        response.body = read_chunks(&mut input)?;
-    }
-    Some(response)
+    read_whole_response(&mut BufReader::new(stream))
 }
 
 /// Returns the text of an upstream's complete response, with the request's id and a stamp derived from the id.
--- a/crates/node/src/front/attempt/result.rs
+++ b/crates/node/src/front/attempt/result.rs
@@ -4,6 +4,7 @@
 use super::in_flight::InFlight;
 use crate::front::pool::PooledConnection;
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
 
@@ -32,3 +33,20 @@
     /// Persistence of the connection after the response.
     pub keep_alive: KeepAlive,
 }
+
+impl StreamingResponse {
+    /// Returns the next data of the body; `None` at its end. Cancelling the future loses no data.
+    pub async fn next_data(&mut self) -> Option<hyper::Result<Bytes>> {
+        loop {
+            match self.body.frame().await? {
+                Err(error) => return Some(Err(error)),
+                // Trailers apply to the connection to the upstream only.
+                Ok(frame) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Some(Ok(data));
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/node/src/front/forward.rs
+++ b/crates/node/src/front/forward.rs
@@ -10,17 +10,14 @@
 use super::shutdown::ShutdownPhase;
 use super::state::Front;
 use super::stream;
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderMap};
 use hyper::{Request, Response, StatusCode};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use thiserror::Error;
 use tokio::time::Instant;
 use woadstall_control::configuration::{Configuration, Route, RouteType, Service};
-use woadstall_inbound::{BodyMemory, ConnectionState, lock};
+use woadstall_inbound::{ConnectionState, ReadBodyError, lock, read_body};
 use woadstall_request_reports::Cause;
 use woadstall_routing::Prompt;
 use woadstall_transport::remove_hop_by_hop_headers;
@@ -34,32 +31,15 @@
 /// `Retry-After` time in responses of a front that accepts no requests any more. Other balancers serve the
 /// client at once.
 const SHUTDOWN_RETRY: Duration = Duration::from_millis(50);
-/// Request bodies may use the process's memory limit divided by this number.
-const BODY_MEMORY_DIVISOR: usize = 3;
 
-/// Failure to receive a request body.
-#[derive(Debug, Error)]
-enum BodyError {
-    /// The body exceeds the configured size limit.
-    #[error("request body too large")]
-    TooLarge,
-    /// The client connection broke, or the framing of the body is invalid.
-    #[error("request body incomplete or malformed")]
-    Broken,
-    /// The bodies of all requests together exceed their memory limit.
-    #[error("memory for request bodies exhausted")]
-    OutOfMemory,
-}
-
-impl BodyError {
-    fn into_response(self) -> ClientResponse {
-        match self {
-            Self::TooLarge => {
-                text_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n")
-            }
-            Self::Broken => text_response(StatusCode::BAD_REQUEST, "the body is broken\n"),
-            Self::OutOfMemory => service_unavailable(OVERLOAD_RETRY),
+/// Returns the response to a request whose body could not be read.
+fn body_error_response(error: ReadBodyError) -> ClientResponse {
+    match error {
+        ReadBodyError::TooLarge => {
+            text_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n")
         }
+        ReadBodyError::Broken => text_response(StatusCode::BAD_REQUEST, "the body is broken\n"),
+        ReadBodyError::OutOfMemory => service_unavailable(OVERLOAD_RETRY),
     }
 }
 
@@ -83,15 +63,10 @@
     let route = Arc::new(route.clone());
     let timeout = request_timeout(request.headers(), &route);
     let (mut head, body) = request.into_parts();
-    // The reservation is released on drop, after the response is complete or its stream has begun.
-    let mut memory = BodyMemory::new(
-        &front.body_bytes,
-        front.settings.memory_bytes / BODY_MEMORY_DIVISOR,
-    );
     let max_bytes = configuration.limits.max_body_bytes;
-    let body = match read_body(body, &mut memory, max_bytes).await {
+    let body = match read_body(body, max_bytes, &front.memory.request_bodies).await {
         Ok(body) => body,
-        Err(error) => return error.into_response(),
+        Err(error) => return body_error_response(error),
     };
     lock(connection).request_completed();
     if front.shutdown.has_reached(ShutdownPhase::NotAccepting) {
@@ -221,29 +196,3 @@
     }
     None
 }
-
-/// Reads a complete request body, limited to `max_bytes` and to the memory reserved for bodies.
-async fn read_body(
-    mut body: Incoming,
-    memory: &mut BodyMemory<'_>,
-    max_bytes: usize,
-) -> Result<Bytes, BodyError> {
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(BodyError::TooLarge);
-    }
-    let mut received = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| BodyError::Broken)?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if received.len() + data.len() > max_bytes {
-            return Err(BodyError::TooLarge);
-        }
-        if !memory.reserve(data.len()) {
-            return Err(BodyError::OutOfMemory);
-        }
-        received.extend_from_slice(&data);
-    }
-    Ok(received.freeze())
-}
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -3,7 +3,7 @@
 //! Each request passes through these modules: [`clients`] accepts the connection,
 //! [`client_connection`] reads the request, [`forward`] finds the route and loops over attempts,
 //! [`retry`] decides on each further attempt, [`attempt`] sends the request over a connection of
-//! the [`pool`], and [`stream`] forwards a streamed response. The router (`woadstall-routing`)
+//! the [`pool`], and [`stream`] forwards a streamed response. [`memory`] limits what bodies occupy. The router (`woadstall-routing`)
 //! chooses the upstreams.
 //!
 //! [`feeds`] reads the change feeds of core machines and keeps the router up to date. [`heartbeat`]
@@ -21,11 +21,13 @@
 mod forward;
 mod heartbeat;
 mod load_reports;
+mod memory;
 mod pool;
 mod prompt;
 mod readiness;
 mod request_reports;
 mod response;
+mod resumption;
 mod retry;
 mod shutdown;
 mod state;
--- a/crates/node/src/front/request_reports.rs
+++ b/crates/node/src/front/request_reports.rs
@@ -103,6 +103,8 @@
     last_data: Option<Instant>,
     longest_gap: Duration,
     attempts: Vec<AttemptReport>,
+    /// Whether the route is resumable but this stream could not be resumed.
+    is_not_resumable: bool,
     has_ended: bool,
 }
 
@@ -120,6 +122,7 @@
             last_data: None,
             longest_gap: Duration::ZERO,
             attempts: Vec::new(),
+            is_not_resumable: false,
             has_ended: false,
         }
     }
@@ -163,6 +166,11 @@
         }
     }
 
+    /// Records that the stream could not be resumed if it broke.
+    pub fn record_not_resumable(&mut self) {
+        self.is_not_resumable = true;
+    }
+
     /// Ends the trace of a request that was answered completely. A report is written only if the
     /// request missed its latency targets or was retried.
     pub fn complete(mut self) {
@@ -181,6 +189,10 @@
 
     /// Ends the trace of a request that did not get a complete response and writes its report.
     pub fn fail(mut self, cause: Cause) {
+        let cause = match cause {
+            Cause::Failed if self.is_not_resumable => Cause::NotResumed,
+            cause => cause,
+        };
         self.report(cause);
     }
 
--- a/crates/node/src/front/retry.rs
+++ b/crates/node/src/front/retry.rs
@@ -162,6 +162,13 @@
         }
     }
 
+    /// Records in the request report that a resumable stream could not be resumed.
+    pub fn record_not_resumable(&mut self) {
+        if let Some(trace) = &mut self.trace {
+            trace.record_not_resumable();
+        }
+    }
+
     /// Finishes the request report after a complete response.
     pub fn complete(&mut self) {
         if let Some(trace) = self.trace.take() {
--- a/crates/node/src/front/state.rs
+++ b/crates/node/src/front/state.rs
@@ -1,5 +1,6 @@
 //! State shared by all tasks of a front process.
 
+use super::memory::MemoryBudgets;
 use super::pool::ConnectionPool;
 use super::request_reports::ReportLog;
 use super::shutdown::{Shutdown, ShutdownPhase};
@@ -7,7 +8,6 @@
 use crate::time::millis;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -38,8 +38,7 @@
     /// Notified when the readiness of this balancer changes, so that a heartbeat is sent at once.
     pub heartbeat_due: Notify,
     pub shutdown: Shutdown,
-    /// Total size of the request bodies that are held in memory, in bytes.
-    pub body_bytes: AtomicUsize,
+    pub memory: MemoryBudgets,
     /// Log of reports on requests that were late, rejected, failed or retried.
     pub reports: Arc<ReportLog>,
 }
@@ -69,7 +68,7 @@
             balancers: Mutex::default(),
             heartbeat_due: Notify::new(),
             shutdown: Shutdown::new(),
-            body_bytes: AtomicUsize::new(0),
+            memory: MemoryBudgets::new(settings.memory_bytes),
             reports: Arc::new(ReportLog::new(settings.zone.clone(), reports_per_second)),
             settings,
         }
--- a/crates/node/src/front/stream.rs
+++ b/crates/node/src/front/stream.rs
@@ -4,13 +4,12 @@
 use super::attempt::{
     AttemptResult, ForwardedRequest, StreamingResponse, attempt, release_connection,
 };
-use super::event_buffer::EventBuffer;
 use super::pool::PooledConnection;
 use super::response::ResponseBody;
+use super::resumption::{NotResumable, Resumption};
 use super::retry::RetryState;
 use super::state::Front;
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::header::{HeaderName, HeaderValue};
 use std::io::{self, ErrorKind};
 use std::ops::ControlFlow;
@@ -42,13 +41,14 @@
     response: StreamingResponse,
 ) -> ResponseBody {
     let (client, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
-    let stream = Stream {
+    let mut stream = Stream {
         front: front.clone(),
-        event_buffer: retries.route.resumable.then(EventBuffer::default),
+        resumption: None,
         retries,
         request,
         client,
     };
+    stream.prepare_resumption();
     tokio::spawn(stream.run(response));
     ResponseBody::Stream(receiver)
 }
@@ -58,12 +58,36 @@
     front: Arc<Front>,
     retries: RetryState,
     request: ForwardedRequest,
-    /// Present if the route is resumable. The client then receives complete events only.
-    event_buffer: Option<EventBuffer>,
+    /// Present if the stream can be resumed. The client then receives complete events only.
+    resumption: Option<Resumption>,
     client: mpsc::Sender<io::Result<Bytes>>,
 }
 
 impl Stream {
+    /// Keeps what a resumption needs if the route is resumable. Otherwise, the body of the request is needed no longer:
+    /// the connection keeps what it has not written yet.
+    fn prepare_resumption(&mut self) {
+        if !self.retries.route.resumable {
+            self.request.body = Bytes::new();
+            return;
+        }
+        match Resumption::new(&self.front.memory, &self.request.body) {
+            Ok(resumption) => self.resumption = Some(resumption),
+            Err(reason) => self.give_up_resumption(reason),
+        }
+    }
+
+    fn give_up_resumption(&mut self, reason: NotResumable) {
+        log::info!(
+            "stream_not_resumable route={} reason={reason} body_bytes={}",
+            self.retries.route.name,
+            self.request.body.len()
+        );
+        self.resumption = None;
+        self.request.body = Bytes::new();
+        self.retries.record_not_resumable();
+    }
+
     async fn run(mut self, mut response: StreamingResponse) {
         loop {
             let end = self.copy_body(&mut response).await;
@@ -87,26 +111,20 @@
     async fn copy_body(&mut self, response: &mut StreamingResponse) -> StreamEnd {
         let deadline = self.request.deadline;
         loop {
-            let frame = tokio::select! {
+            let next = tokio::select! {
                 biased;
                 () = self.client.closed() => return StreamEnd::ClientDisconnected,
-                frame = timeout_at(deadline, response.body.frame()) => frame,
+                next = timeout_at(deadline, response.next_data()) => next,
             };
-            let data = match frame {
+            let data = match next {
                 Err(_) => return StreamEnd::TimedOut,
                 Ok(None) => return StreamEnd::Complete,
                 Ok(Some(Err(_))) => return StreamEnd::Truncated,
-                Ok(Some(Ok(frame))) => match frame.into_data() {
-                    Ok(data) => data,
-                    Err(_) => continue,
-                },
+                Ok(Some(Ok(data))) => data,
             };
             response.in_flight.record_data();
             self.retries.record_data();
-            let data = match &mut self.event_buffer {
-                Some(buffer) => buffer.push(&data),
-                None => data,
-            };
+            let data = self.data_to_forward(data);
             if data.is_empty() {
                 continue;
             }
@@ -118,6 +136,14 @@
         }
     }
 
+    /// Returns what the client may receive now that `data` has arrived.
+    fn data_to_forward(&mut self, data: Bytes) -> Bytes {
+        let Some(resumption) = &mut self.resumption else {
+            return data;
+        };
+        resumption.events.push(&data)
+    }
+
     /// Records the outcome of an attempt. Returns the broken connection if the response was
     /// truncated, so that the stream may be resumed.
     async fn end_attempt(
@@ -149,8 +175,8 @@
     }
 
     async fn complete(&mut self, response: StreamingResponse) {
-        if let Some(buffer) = &mut self.event_buffer {
-            let incomplete = buffer.take_incomplete();
+        if let Some(resumption) = &mut self.resumption {
+            let incomplete = resumption.events.take_incomplete();
             if !incomplete.is_empty() {
                 self.client.send(Ok(incomplete)).await.ok();
             }
@@ -174,9 +200,9 @@
     /// Requests the events that follow the last complete event from another upstream. Returns
     /// `None` if no upstream can continue the stream.
     async fn resume(&mut self) -> Option<StreamingResponse> {
-        let buffer = self.event_buffer.as_mut()?;
-        buffer.take_incomplete();
-        if let Some(id) = buffer.last_id() {
+        let events = &mut self.resumption.as_mut()?.events;
+        events.take_incomplete();
+        if let Some(id) = events.last_id() {
             let id = HeaderValue::from_bytes(id).ok()?;
             self.request.head.headers.insert(LAST_EVENT_ID, id);
         }
--- a/crates/request-reports/src/outcome.rs
+++ b/crates/request-reports/src/outcome.rs
@@ -24,6 +24,8 @@
     ErrorResponse,
     /// The client disconnected before the end of the response.
     ClientDisconnected,
+    /// The response was truncated, and the balancer had not kept what it needs to resume the stream.
+    NotResumed,
 }
 
 /// The outcome of an attempt of a request at one upstream.
@@ -79,6 +81,7 @@
         (Self::TimedOut, "timed-out"),
         (Self::ErrorResponse, "error-answer"),
         (Self::ClientDisconnected, "client-left"),
+        (Self::NotResumed, "not-resumed"),
     ];
 }
 
--- a/crates/request-reports/tests/golden.rs
+++ b/crates/request-reports/tests/golden.rs
@@ -7,7 +7,7 @@
     AttemptOutcome, AttemptReport, Cause, LINE_PREFIX, RequestReport, Summary, render_svg,
 };
 
-const CAUSES: [Cause; 7] = [
+const CAUSES: [Cause; 8] = [
     Cause::TargetMissed,
     Cause::Retried,
     Cause::Rejected,
@@ -15,6 +15,7 @@
     Cause::TimedOut,
     Cause::ErrorResponse,
     Cause::ClientDisconnected,
+    Cause::NotResumed,
 ];
 
 const OUTCOMES: [AttemptOutcome; 8] = [
--- a/src/net/server/call.rs
+++ b/src/net/server/call.rs
@@ -2,7 +2,7 @@
 
 use super::Server;
 use super::connection::REJECTION_RETRY_AFTER;
-use super::request::{CallRequest, Rejection, TOO_LARGE, read_body};
+use super::request::{CallRequest, Rejection, TOO_LARGE};
 use super::response::{self, CallerResponse, ResponseBody};
 use crate::net::MAX_BODY_BYTES;
 use hyper::body::{Body, Incoming};
@@ -12,19 +12,18 @@
 use std::time::Duration;
 use tokio::time::Instant;
 use woadstall_engine::CallResult;
-use woadstall_inbound::{BodyMemory, ConnectionState, lock};
+use woadstall_inbound::{ConnectionState, ReadBodyError, lock, read_body};
 use woadstall_runtime::CallParameters;
 use woadstall_transport::{Http1Body, remove_hop_by_hop_headers};
 
 /// Path of the health check.
 const HEALTH_PATH: &str = "/healthz";
-/// Bodies of open requests may use the memory limit divided by this number.
-const BODY_MEMORY_DIVISOR: usize = 3;
 
 const BOTH_LENGTHS: Rejection = Rejection::new(
     StatusCode::BAD_REQUEST,
     "Content-Length beside Transfer-Encoding\n",
 );
+const BROKEN_BODY: Rejection = Rejection::new(StatusCode::BAD_REQUEST, "the body is broken\n");
 const CALL_ID_IN_USE: Rejection = Rejection::new(
     StatusCode::CONFLICT,
     "a request with this X-Call-Id is open\n",
@@ -67,11 +66,15 @@
         if request.body().size_hint().lower() > MAX_BODY_BYTES as u64 {
             return Err(TOO_LARGE);
         }
-        let memory_limit = self.config.limits.memory_bytes / BODY_MEMORY_DIVISOR;
-        let mut memory = BodyMemory::new(&self.body_bytes, memory_limit);
         let _call_id = CallIdGuard::reserve(&self.open_call_ids, call.call_id)?;
         let (mut head, body) = request.into_parts();
-        let body = read_body(body, &mut memory).await?;
+        // No time limit is needed here, since connections of overdue callers are aborted.
+        let body = match read_body(body, MAX_BODY_BYTES, &self.body_budget).await {
+            Err(ReadBodyError::TooLarge) => return Err(TOO_LARGE),
+            Err(ReadBodyError::Broken) => return Err(BROKEN_BODY),
+            Err(ReadBodyError::OutOfMemory) => None,
+            Ok(body) => Some(body),
+        };
         let deadline = lock(connection).request_completed() + call.budget;
         let Some(body) = body else {
             return Ok((response::rejection(REJECTION_RETRY_AFTER), deadline));
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -14,13 +14,13 @@
 use super::config::Config;
 use super::metrics::Metrics;
 use std::collections::{HashMap, HashSet};
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
-use woadstall_inbound::{LingeringConnections, close_listener};
+use woadstall_inbound::{BodyBudget, LingeringConnections, close_listener};
 use woadstall_runtime::LoadBalancer;
 use woadstall_transport::Http1;
 
@@ -31,6 +31,9 @@
 /// accepted.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(60);
 
+/// Bodies of requests may use the memory limit divided by this number.
+const BODY_MEMORY_DIVISOR: usize = 3;
+
 /// State shared by all connections.
 pub struct Server {
     config: Arc<Config>,
@@ -49,8 +52,8 @@
     connections: Mutex<HashMap<u64, Arc<CallerConnection>>>,
     /// `X-Call-Id` values of all open requests.
     open_call_ids: Mutex<HashSet<String>>,
-    /// Number of bytes reserved for bodies of open requests.
-    body_bytes: AtomicUsize,
+    /// Memory for the bodies of requests.
+    body_budget: Arc<BodyBudget>,
     /// Notified when a caller's connection has been removed.
     connection_closed: Notify,
     /// Connections in lingering close.
@@ -66,6 +69,7 @@
         settings: watch::Receiver<Arc<ServiceSettings>>,
         out_of_service: watch::Receiver<bool>,
     ) -> Self {
+        let body_budget = BodyBudget::new(config.limits.memory_bytes / BODY_MEMORY_DIVISOR);
         Self {
             config,
             ready: load_balancer.ready(),
@@ -77,7 +81,7 @@
             next_connection_number: AtomicU64::new(0),
             connections: Mutex::default(),
             open_call_ids: Mutex::default(),
-            body_bytes: AtomicUsize::new(0),
+            body_budget,
             connection_closed: Notify::new(),
             lingering: Arc::default(),
         }
--- a/src/net/server/request.rs
+++ b/src/net/server/request.rs
@@ -1,15 +1,11 @@
 //! Parses callers' requests and reads their bodies.
 
 use super::ServiceSettings;
-use crate::net::MAX_BODY_BYTES;
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Method, Request, StatusCode};
 use std::time::Duration;
 use woadstall_decisions::api::Effect;
-use woadstall_inbound::BodyMemory;
 
 /// Time after a change of settings during which callers may still use the previous definition of a class, since their
 /// copies of the settings may be updated later.
@@ -163,40 +159,6 @@
     headers.get(name)?.to_str().ok()
 }
 
-/// Reads a body to its end; `None` if the memory limit for bodies is exceeded. No time limit is needed here, since
-/// connections of overdue callers are aborted.
-pub async fn read_body(
-    mut body: Incoming,
-    memory: &mut BodyMemory<'_>,
-) -> Result<Option<Bytes>, Rejection> {
-    let mut received = BytesMut::new();
-    if let Some(size) = body.size_hint().exact() {
-        if !memory.reserve(size as usize) {
-            return Ok(None);
-        }
-        received.reserve(size as usize); // the system allocates physical memory only for written pages
-    }
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else {
-            return Err(Rejection::bad_request("the body is broken\n"));
-        };
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if received.len() + data.len() > MAX_BODY_BYTES {
-            return Err(TOO_LARGE);
-        }
-        let missing = (received.len() + data.len()).saturating_sub(memory.bytes());
-        // Reservations double like the capacity of the growing buffer; this also covers the copy while the buffer
-        // moves.
-        if missing > 0 && !memory.reserve(missing.max(memory.bytes())) {
-            return Ok(None);
-        }
-        received.extend_from_slice(&data);
-    }
-    Ok(Some(received.freeze()))
-}
-
 /// Rejection of a body larger than [`MAX_BODY_BYTES`].
 pub const TOO_LARGE: Rejection =
     Rejection::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MiB\n");
