Front: an event that never ends no longer grows in memory without limit

Callers would see: an upstream that sends no blank line on a resumable route makes the front hold all of the stream, until the front goes over memory_mb.

Change: beyond 1 MiB of an incomplete event the front forwards what has arrived and gives up the stream's resumption (stream_not_resumable reason=event_size). The client then may get a part of an event, as on routes that are not resumable.

Evidence: the new test of tests/front_memory.rs fails with the former program, which forwards nothing of 2 MiB without an end before the stream ends (no stream_not_resumable within a minute), and passes.

--- a/crates/node/src/front/event_buffer.rs
+++ b/crates/node/src/front/event_buffer.rs
@@ -24,6 +24,11 @@
         events
     }
 
+    /// Number of bytes after the last complete event.
+    pub fn incomplete_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Removes and returns the data after the last complete event.
     pub fn take_incomplete(&mut self) -> Bytes {
         self.pending.split().freeze()
--- a/crates/node/src/front/resumption.rs
+++ b/crates/node/src/front/resumption.rs
@@ -6,6 +6,9 @@
 use std::fmt;
 use woadstall_inbound::BodyMemory;
 
+/// Maximum number of bytes of an incomplete event that are buffered.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// The events of a resumable stream, and the memory reserved for the body of its request.
 pub(super) struct Resumption {
     pub events: EventBuffer,
@@ -18,12 +21,15 @@
 pub(super) enum NotResumable {
     /// The request bodies that are kept for other streams leave no memory for this one.
     BodyMemory,
+    /// An event of the stream is larger than [`MAX_EVENT_BYTES`].
+    EventSize,
 }
 
 impl fmt::Display for NotResumable {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
             Self::BodyMemory => "body_memory",
+            Self::EventSize => "event_size",
         })
     }
 }
@@ -44,4 +50,18 @@
             _body: memory,
         })
     }
+
+    /// Appends data of the stream and returns the events that it completes. If the last event grows too large, returns all
+    /// data that has not been returned before, as an error.
+    ///
+    /// # Errors
+    ///
+    /// Fails if more than [`MAX_EVENT_BYTES`] bytes of an event have arrived.
+    pub fn push(&mut self, data: &[u8]) -> Result<Bytes, Bytes> {
+        let events = self.events.push(data);
+        if self.events.incomplete_bytes() <= MAX_EVENT_BYTES {
+            return Ok(events);
+        }
+        Err([events, self.events.take_incomplete()].concat().into())
+    }
 }
--- a/crates/node/src/front/stream.rs
+++ b/crates/node/src/front/stream.rs
@@ -141,7 +141,10 @@
         let Some(resumption) = &mut self.resumption else {
             return data;
         };
-        resumption.events.push(&data)
+        resumption.push(&data).unwrap_or_else(|unsent| {
+            self.give_up_resumption(NotResumable::EventSize);
+            unsent
+        })
     }
 
     /// Records the outcome of an attempt. Returns the broken connection if the response was
--- a/tests/front_memory.rs
+++ b/tests/front_memory.rs
@@ -185,3 +185,21 @@
         }
     }
 }
+
+/// Guards against an event without an end, which was buffered without limit.
+#[test]
+fn an_event_that_is_too_large_to_be_buffered_is_forwarded_as_it_arrives() {
+    let fixture = Fixture::start();
+    let (mut caller, parts) = fixture.begin_stream("resumable");
+    let data = "d".repeat(64 << 10);
+    for _ in 0..32 {
+        parts.send(chunk(&data)).unwrap();
+    }
+    fixture
+        .system
+        .front_process(0)
+        .wait_for("stream_not_resumable route=resumable reason=event_size");
+    parts.send(LAST_CHUNK.to_owned()).unwrap();
+    let body = caller.read_chunked_body().expect("a complete stream");
+    assert_eq!(body.len(), "id: 1\ndata: a\n\n".len() + 32 * data.len());
+}
