Front: whole responses stay within a limit, and large ones are streamed

Callers would see: responses that are forwarded once they are complete (up to 8 MB each) had no limit on their sum; 45 clients that read nothing took a front to 331,944 KiB of 262,144. A response of more than 8 MB was answered 502 though the upstream had sent it.

Change: such responses may fill a third of the memory. One that does not fit, or is larger than 8 MB, is forwarded as it arrives: what has been received is sent first. An error response that does not fit still fails, as another upstream may answer.

--- a/crates/node/src/front/attempt/mod.rs
+++ b/crates/node/src/front/attempt/mod.rs
@@ -3,6 +3,7 @@
 
 mod headers;
 mod in_flight;
+mod receive_response;
 mod request;
 mod result;
 
@@ -13,22 +14,19 @@
 
 use super::pool::{PoolError, PooledConnection};
 use super::state::Front;
-use bytes::{Bytes, BytesMut};
 use headers::{is_rejection, is_valid_response, keep_alive, upstream_request};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
+use receive_response::receive_response;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use thiserror::Error;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::timeout_at;
 use woadstall_inbound::lock;
 use woadstall_routing::{Outcome, Target};
 use woadstall_transport::{RequestBody, remove_hop_by_hop_headers};
 
-/// Maximum body size of a buffered response, in bytes.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 << 20;
-
 /// Reason why an attempt has not received the head of a response.
 #[derive(Debug, Error)]
 enum SendError {
@@ -112,6 +110,7 @@
     remove_hop_by_hop_headers(&mut parts.headers);
     let response = StreamingResponse {
         parts,
+        received: VecDeque::new(),
         body,
         connection,
         in_flight,
@@ -120,7 +119,7 @@
     if request.response_mode == ResponseMode::Streaming && response.parts.status.is_success() {
         return AttemptResult::Streaming(Box::new(response));
     }
-    receive_body(front, request.deadline, response).await
+    receive_response(front, request.deadline, response).await
 }
 
 /// Sends a request over a connection and waits for the head of the response.
@@ -196,55 +195,6 @@
     AttemptResult::Rejected
 }
 
-async fn receive_body(
-    front: &Arc<Front>,
-    deadline: Instant,
-    response: StreamingResponse,
-) -> AttemptResult {
-    let StreamingResponse {
-        parts,
-        body,
-        connection,
-        in_flight,
-        keep_alive,
-    } = response;
-    match timeout_at(deadline, collect_body(body)).await {
-        Ok(Some(bytes)) => {
-            release_connection(front, connection, &in_flight, keep_alive);
-            in_flight.end(if parts.status.is_server_error() {
-                Outcome::UpstreamError
-            } else {
-                Outcome::Answered
-            });
-            AttemptResult::Complete(parts, bytes)
-        }
-        Ok(None) => {
-            in_flight.end(Outcome::ConnectionError);
-            AttemptResult::Failed
-        }
-        Err(_) => {
-            in_flight.end(Outcome::TimedOut);
-            AttemptResult::TimedOut
-        }
-    }
-}
-
-/// Reads a complete response body; `None` if the body is truncated or exceeds
-/// [`MAX_BUFFERED_RESPONSE_BYTES`].
-async fn collect_body(mut body: Incoming) -> Option<Bytes> {
-    let mut collected = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.ok()?.into_data() else {
-            continue;
-        };
-        if collected.len() + data.len() > MAX_BUFFERED_RESPONSE_BYTES {
-            return None;
-        }
-        collected.extend_from_slice(&data);
-    }
-    Some(collected.freeze())
-}
-
 /// Returns a connection to the pool after a complete response unless the upstream closes the
 /// connection or the request was not written completely.
 pub(super) fn release_connection(
--- a/crates/node/src/front/attempt/result.rs
+++ b/crates/node/src/front/attempt/result.rs
@@ -7,6 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
+use std::collections::VecDeque;
 
 /// Result of an attempt at one upstream.
 pub(in crate::front) enum AttemptResult {
@@ -27,6 +28,8 @@
 /// A response whose head has arrived, with the connection that delivers its body.
 pub(in crate::front) struct StreamingResponse {
     pub parts: Parts,
+    /// Data received before the response was streamed; empty once it has been taken.
+    pub received: VecDeque<Bytes>,
     pub body: Incoming,
     pub connection: PooledConnection,
     pub in_flight: InFlight,
@@ -37,6 +40,9 @@
 impl StreamingResponse {
     /// Returns the next data of the body; `None` at its end. Cancelling the future loses no data.
     pub async fn next_data(&mut self) -> Option<hyper::Result<Bytes>> {
+        if let Some(data) = self.received.pop_front() {
+            return Some(Ok(data));
+        }
         loop {
             match self.body.frame().await? {
                 Err(error) => return Some(Err(error)),
--- a/crates/node/src/front/memory.rs
+++ b/crates/node/src/front/memory.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use woadstall_inbound::BodyBudget;
 
-/// Request bodies may occupy the memory limit of the process divided by this number.
+/// Request bodies, and likewise response bodies, may occupy the memory limit of the process divided by this number.
 const BODY_MEMORY_DIVISOR: usize = 3;
 /// Of the memory for request bodies, the bodies of streams that have begun may occupy this fraction, as a divisor. The
 /// rest stays free for requests that have no response yet.
@@ -15,6 +15,8 @@
     pub request_bodies: Arc<BodyBudget>,
     /// The part of [`Self::request_bodies`] that streams which have begun keep for a resumption.
     pub resumable_streams: Arc<BodyBudget>,
+    /// Bodies of responses that are received completely before they are forwarded.
+    pub response_bodies: Arc<BodyBudget>,
 }
 
 impl MemoryBudgets {
@@ -24,6 +26,7 @@
         Self {
             request_bodies: BodyBudget::new(body_bytes),
             resumable_streams: BodyBudget::new(body_bytes / RESUMABLE_DIVISOR),
+            response_bodies: BodyBudget::new(body_bytes),
         }
     }
 }
