Core: large request bodies stay within a limit and are parsed one at a time

Callers would see: documents of up to 6 MB had no limit on their sum. 60 bodies of 5 MB that operators send at the same time took a core machine to 440,816 KiB of 262,144, and the platform would kill it.

Change: bodies of 64 KiB or more may fill an eighth of the memory; beyond that the answer is 503, which operators repeat elsewhere. Smaller bodies (heartbeats, small changes) don't count, so half-sent documents can't keep them out. One large body is parsed at a time, as a parsed document takes several times its size.

--- a/crates/mock-servers/src/system.rs
+++ b/crates/mock-servers/src/system.rs
@@ -78,6 +78,17 @@
         self.child.id()
     }
 
+    /// Most physical memory that the process has had so far, in KiB.
+    pub fn peak_memory_kib(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the process is running");
+        let line = status.lines().find(|line| line.starts_with("VmHWM"));
+        let value = line.and_then(|line| line.split_whitespace().nth(1));
+        value
+            .and_then(|value| value.parse().ok())
+            .expect("the status has a figure VmHWM")
+    }
+
     /// Sends the process a signal, given by its name without `SIG`.
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill")
--- a/crates/node/src/core/api_server.rs
+++ b/crates/node/src/core/api_server.rs
@@ -18,10 +18,11 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::oneshot;
+use tokio::sync::{Semaphore, oneshot};
 use tokio::task::spawn_blocking;
 use tokio::time::{sleep, timeout};
 use woadstall_coordination::command::Call;
+use woadstall_inbound::{BodyBudget, BodyMemory};
 use woadstall_socket_options::set_nodelay;
 
 /// Maximum time for which a request waits for its response. The machine's own time-out is slightly
@@ -38,6 +39,11 @@
 /// Minimum size of a body that is parsed on a separate thread, so that parsing does not delay the
 /// replicated logs.
 const LARGE_BODY_BYTES: usize = 64 << 10;
+/// Large request bodies may use the memory limit of the process divided by this number. Parsing a body takes several
+/// times its size.
+const BODY_MEMORY_DIVISOR: usize = 8;
+/// Number of large bodies that are parsed at the same time.
+const MAX_LARGE_PARSES: usize = 1;
 /// Fraction of the process's file descriptors that API clients may use.
 const CLIENT_DESCRIPTOR_RATIO: f64 = 0.7;
 
@@ -67,6 +73,8 @@
         queues,
         max_connections: (settings.max_fds as f64 * CLIENT_DESCRIPTOR_RATIO) as usize,
         connections: AtomicUsize::new(0),
+        large_bodies: BodyBudget::new(settings.memory_bytes / BODY_MEMORY_DIVISOR),
+        large_parses: Semaphore::new(MAX_LARGE_PARSES),
     });
     for address in std::iter::once(control_address).chain(directory_address) {
         let listener = TcpListener::bind(address)
@@ -121,6 +129,11 @@
     max_connections: usize,
     /// Number of open connections.
     connections: AtomicUsize,
+    /// Memory for request bodies of at least [`LARGE_BODY_BYTES`]. Smaller bodies, such as heartbeats, are limited by the
+    /// number of connections.
+    large_bodies: Arc<BodyBudget>,
+    /// Permits to parse large bodies.
+    large_parses: Semaphore,
 }
 
 impl ApiServer {
@@ -131,10 +144,13 @@
         client: IpAddr,
     ) -> Result<hyper::Response<Full<Bytes>>, hyper::Error> {
         let (head, body) = request.into_parts();
-        let response = match timeout(BODY_TIMEOUT, read_body(body)).await {
+        let response = match timeout(BODY_TIMEOUT, read_body(body, &self.large_bodies)).await {
             Ok(body) => match body? {
-                Some(body) => self.handle(HttpRequest::new(head, body, client)).await,
-                None => response::rejection(&request::RequestError::BodyTooLarge),
+                ReceivedBody::Complete(body) => {
+                    self.handle(HttpRequest::new(head, body, client)).await
+                }
+                ReceivedBody::TooLarge => response::rejection(&request::RequestError::BodyTooLarge),
+                ReceivedBody::OutOfMemory => response::unavailable(),
             },
             Err(_) => response::rejection(&request::RequestError::BodyTimeout),
         };
@@ -142,7 +158,7 @@
     }
 
     async fn handle(&self, request: HttpRequest) -> HttpResponse {
-        match parse(request).await {
+        match self.parse(request).await {
             Ok(ApiRequest::Coordination(request)) => {
                 self.handle_coordination_request(request).await
             }
@@ -152,6 +168,15 @@
         }
     }
 
+    async fn parse(&self, request: HttpRequest) -> Result<ApiRequest, request::RequestError> {
+        if request.body.len() < LARGE_BODY_BYTES {
+            return request::parse(&request);
+        }
+        let _permit = self.large_parses.acquire().await;
+        let parsed = spawn_blocking(move || request::parse(&request)).await;
+        parsed.unwrap_or(Err(request::RequestError::ParserEnded))
+    }
+
     async fn handle_control_request(&self, request: ApiRequest) -> HttpResponse {
         let (responder, response) = oneshot::channel();
         let event = Event::Api {
@@ -198,14 +223,6 @@
     }
 }
 
-async fn parse(request: HttpRequest) -> Result<ApiRequest, request::RequestError> {
-    if request.body.len() < LARGE_BODY_BYTES {
-        return request::parse(&request);
-    }
-    let parsed = spawn_blocking(move || request::parse(&request)).await;
-    parsed.unwrap_or(Err(request::RequestError::ParserEnded))
-}
-
 /// Waits for a response; `None` if the time-out passes or if the responder is dropped.
 async fn receive_response(
     response: oneshot::Receiver<ApiResponse>,
@@ -214,22 +231,52 @@
     timeout(time_limit, response).await.ok()?.ok()
 }
 
-/// Reads a request body; `None` if it exceeds [`request::MAX_BODY_BYTES`].
-async fn read_body(mut body: Incoming) -> Result<Option<Bytes>, hyper::Error> {
+/// Result of reading a request body.
+enum ReceivedBody {
+    Complete(Bytes),
+    /// The body exceeds [`request::MAX_BODY_BYTES`].
+    TooLarge,
+    /// The memory for large bodies is exhausted.
+    OutOfMemory,
+}
+
+/// Reads a request body. A body that cannot be kept is discarded, so that its sender receives the response.
+async fn read_body(
+    mut body: Incoming,
+    large_bodies: &Arc<BodyBudget>,
+) -> Result<ReceivedBody, hyper::Error> {
     let mut collected = Vec::new();
+    let mut memory = BodyMemory::new(large_bodies);
+    let mut is_out_of_memory = false;
     let mut size = 0;
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else {
             continue;
         };
         size += data.len();
-        if size <= request::MAX_BODY_BYTES {
-            collected.extend_from_slice(&data);
-        } else if size > MAX_DISCARDED_BYTES {
+        if size > MAX_DISCARDED_BYTES {
             break;
-        } else {
+        }
+        is_out_of_memory = is_out_of_memory || !reserve_large(&mut memory, size);
+        if size > request::MAX_BODY_BYTES || is_out_of_memory {
             collected = Vec::new();
+            memory.shrink_to(0);
+        } else {
+            collected.extend_from_slice(&data);
         }
     }
-    Ok((size <= request::MAX_BODY_BYTES).then(|| collected.into()))
+    Ok(if size > request::MAX_BODY_BYTES {
+        ReceivedBody::TooLarge
+    } else if is_out_of_memory {
+        ReceivedBody::OutOfMemory
+    } else {
+        ReceivedBody::Complete(memory.attach(collected.into()))
+    })
+}
+
+/// Reserves memory for a body of `size` bytes so far if the body is large. Returns whether there is enough.
+fn reserve_large(memory: &mut BodyMemory, size: usize) -> bool {
+    let missing = size.saturating_sub(memory.bytes());
+    // The reservation doubles like the capacity of the growing buffer.
+    size < LARGE_BODY_BYTES || missing == 0 || memory.reserve(missing.max(memory.bytes()))
 }
--- a/tests/front_memory.rs
+++ b/tests/front_memory.rs
@@ -123,15 +123,6 @@
         caller.write(&"b".repeat(LARGE_BODY_BYTES));
         caller
     }
-
-    /// Most memory that the front has had so far, in KiB.
-    fn peak_memory_kib(&self) -> u64 {
-        let id = self.system.front_process(0).id();
-        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
-        let line = status.lines().find(|line| line.starts_with("VmHWM"));
-        let value = line.expect("the status has a line VmHWM");
-        value.split_whitespace().nth(1).unwrap().parse().unwrap()
-    }
 }
 
 fn complete(parts: &Sender<String>) {
@@ -155,7 +146,7 @@
 fn bodies_of_running_streams_stay_within_the_memory_limit(#[case] route: &str) {
     let fixture = Fixture::start(0);
     let mut streams: Vec<_> = (0..STREAMS).map(|_| fixture.begin_stream(route)).collect();
-    let peak = fixture.peak_memory_kib();
+    let peak = fixture.system.front_process(0).peak_memory_kib();
     for (caller, parts) in &mut streams {
         complete(parts);
         assert_complete_stream(caller);
@@ -228,7 +219,7 @@
             caller
         })
         .collect();
-    let peak = fixture.peak_memory_kib();
+    let peak = fixture.system.front_process(0).peak_memory_kib();
     for caller in &mut callers {
         let response = caller.read_whole_response().expect("a complete response");
         assert_eq!(
