Core: late heartbeats no longer leave sound upstreams silent at some machines for good

Cause: the owner of a shard marks an upstream as timed out while another machine already holds its late heartbeat for the next batch. There the mark is older than the heartbeat and is dropped; at the owner the renewal is for an upstream that has timed out and is dropped, and so is each later one, as nothing changes any more at the machine that gets the heartbeats. A renewal assumes a common base, and nothing repaired a missing one.

Change: a renewal that is newer than a mark restores the upstream, so that the order doesn't matter. Each heartbeat is passed on in full once in 5 s. Registrations that no heartbeat repeats (gone, draining, timed out, overdue) are repeated in full each 5 s; expired tombstones are not learned again. A mark that is older than the newest heartbeat known elsewhere is confirmed or answered there. upstream_restored in the log.

Why it works: whatever was late, lost or doubled, the next full message brings the machines together.

The random scenarios check agreement at their end as well.

--- a/crates/control-simulation/src/cluster/actions.rs
+++ b/crates/control-simulation/src/cluster/actions.rs
@@ -80,6 +80,12 @@
         if !self.network.is_up(link) {
             return;
         }
+        for _ in 0..self.gossip_faults.copies(&packet, &mut self.random) {
+            self.transmit(link, packet.clone());
+        }
+    }
+
+    fn transmit(&mut self, link: Link, packet: Packet) {
         let conditions = self.network.conditions;
         let is_bandwidth_limited = conditions.bytes_per_ms > 0;
         let bytes = if is_bandwidth_limited {
--- a/crates/control-simulation/src/cluster/checks.rs
+++ b/crates/control-simulation/src/cluster/checks.rs
@@ -4,8 +4,9 @@
 use crate::NodeIndex;
 use crate::history::{Input, Output};
 use crate::invariants::{Violation, has_generation};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use woadstall_consensus::Member;
+use woadstall_control::machine::ControlMachine;
 use woadstall_control::registry::UpstreamStatus;
 
 impl Cluster {
@@ -36,15 +37,37 @@
         node.is_some_and(|node| has_generation(node.disk.durable(), generation))
     }
 
-    /// Checks that each process and balancer knows all acknowledged drainings, and that the history
-    /// of operations is linearizable. Call it only after the cluster has recovered from all faults.
+    /// Checks that each process and balancer knows all acknowledged drainings, that the processes
+    /// agree on the ready upstreams, and that the history of operations is linearizable. Call it
+    /// only after the cluster has recovered from all faults.
     pub fn check_all(&mut self) {
+        self.check_ready_upstreams();
         (0..self.len()).for_each(|node| self.check_acknowledged_draining(node));
         if let Err(not_linearizable) = self.history.check() {
             self.invariants.record_violation(not_linearizable.into());
         }
     }
 
+    fn check_ready_upstreams(&mut self) {
+        let ready: Vec<(NodeIndex, BTreeSet<String>)> = (0..self.len())
+            .filter_map(|node| Some((node, ready_upstreams(self.process(node)?))))
+            .collect();
+        for pair in ready.windows(2) {
+            let [(node, first), (other, second)] = pair else {
+                continue;
+            };
+            let upstreams: Vec<String> = first.symmetric_difference(second).cloned().collect();
+            if !upstreams.is_empty() {
+                self.invariants
+                    .record_violation(Violation::ReadyUpstreamsDiffer {
+                        node: *node,
+                        other: *other,
+                        upstreams,
+                    });
+            }
+        }
+    }
+
     fn check_acknowledged_draining(&mut self, node: NodeIndex) {
         let Some(process) = &self.nodes[node].process else {
             return;
@@ -79,3 +102,13 @@
         ))
     }
 }
+
+/// Ids of the upstreams that a process treats as ready.
+fn ready_upstreams(process: &ControlMachine) -> BTreeSet<String> {
+    process
+        .registrations()
+        .into_iter()
+        .filter(|registration| registration.status == UpstreamStatus::Ready)
+        .map(|registration| registration.id)
+        .collect()
+}
--- a/crates/control-simulation/src/cluster/mod.rs
+++ b/crates/control-simulation/src/cluster/mod.rs
@@ -13,6 +13,7 @@
 use crate::digest::EventDigest;
 use crate::disk::SimulatedDisk;
 use crate::event_queue::EventQueue;
+use crate::gossip_faults::GossipFaults;
 use crate::history::History;
 use crate::invariants::Invariants;
 use crate::network::{Network, NetworkConditions, STEADY};
@@ -78,6 +79,8 @@
     pub log: Vec<LogRecord>,
     /// Responses, by the token of the request.
     pub responses: BTreeMap<u64, CallResponse>,
+    /// Faults of the packets that pass on heartbeats and registrations; none at first.
+    pub gossip_faults: GossipFaults,
     /// Digest of all events; `None` if no digest is recorded.
     pub digest: Option<EventDigest>,
     topology: Topology,
@@ -113,6 +116,7 @@
             history: History::default(),
             log: Vec::new(),
             responses: BTreeMap::new(),
+            gossip_faults: GossipFaults::default(),
             digest: None,
             topology,
             nodes: initial_nodes(topology),
--- a/crates/control-simulation/src/invariants.rs
+++ b/crates/control-simulation/src/invariants.rs
@@ -77,6 +77,16 @@
         /// Id of the upstream.
         upstream: String,
     },
+    /// Two processes differ in the upstreams that are ready.
+    #[error("nodes {node} and {other} differ in the ready upstreams {upstreams:?}")]
+    ReadyUpstreamsDiffer {
+        /// One of the nodes.
+        node: NodeIndex,
+        /// The other node.
+        other: NodeIndex,
+        /// Ids of the upstreams that are ready at one of them only.
+        upstreams: Vec<String>,
+    },
     /// A balancer returned to an earlier configuration.
     #[error("balancer {subscriber} of node {node} returned from generation {before} to {after}")]
     GenerationDecreased {
--- a/crates/control-simulation/src/lib.rs
+++ b/crates/control-simulation/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod digest;
 pub mod disk;
 pub mod event_queue;
+pub mod gossip_faults;
 pub mod history;
 pub mod invariants;
 pub mod medium;
--- a/crates/control/src/machine/failure_detection.rs
+++ b/crates/control/src/machine/failure_detection.rs
@@ -13,11 +13,16 @@
 const FAILOVER_ALLOWANCE_MS: u64 = 1_500;
 
 impl ControlMachine {
+    /// Returns the time in milliseconds without a heartbeat after which an upstream is timed out.
+    pub(super) fn upstream_timeout_ms(&self) -> u64 {
+        self.settings.heartbeat_ms * MISSED_HEARTBEATS + FAILOVER_ALLOWANCE_MS
+    }
+
     /// Marks overdue upstreams in the shards owned by this machine as timed out. A machine that has
     /// been in contact with a quorum for less than the time-out waits, because it may have missed
     /// heartbeats itself.
     pub(super) fn time_out_upstreams(&mut self) {
-        let timeout_ms = self.settings.heartbeat_ms * MISSED_HEARTBEATS + FAILOVER_ALLOWANCE_MS;
+        let timeout_ms = self.upstream_timeout_ms();
         let quorum_since_ms = self.leadership.quorum_since_ms;
         if quorum_since_ms.is_none_or(|since| self.now_ms < since + timeout_ms) {
             return;
--- a/crates/control/src/machine/log_event.rs
+++ b/crates/control/src/machine/log_event.rs
@@ -61,6 +61,8 @@
     /// This machine has received a changed registration, a drain notice or a deregistration from an
     /// upstream.
     RegistrationChanged(Registration),
+    /// Another machine has received a heartbeat of an upstream that had timed out here.
+    UpstreamRestored(Registration),
     /// An upstream in a shard owned by this machine has stopped sending heartbeats.
     UpstreamTimedOut {
         /// The registration of the upstream.
@@ -117,6 +119,11 @@
                 "upstream_timed_out upstream={} service={} timeout_ms={timeout_ms}",
                 registration.id, registration.service
             ),
+            Self::UpstreamRestored(registration) => write!(
+                f,
+                "upstream_restored upstream={} service={} sequence={}",
+                registration.id, registration.service, registration.sequence
+            ),
         }
     }
 }
--- a/crates/control/src/machine/mod.rs
+++ b/crates/control/src/machine/mod.rs
@@ -197,6 +197,9 @@
             self.send_gossip();
             self.time_out_upstreams();
         }
+        if self.timers.repeat.fire(self.now_ms) {
+            self.repeat_registrations();
+        }
         if self.timers.status.fire(self.now_ms) {
             self.deliver_status();
         }
--- a/crates/control/src/machine/packets.rs
+++ b/crates/control/src/machine/packets.rs
@@ -2,7 +2,7 @@
 
 use super::{Action, ControlMachine};
 use crate::balancers::BalancerHeartbeat;
-use crate::wire::{Packet, Renewal};
+use crate::wire::Packet;
 
 impl ControlMachine {
     /// Handles a packet from the process with the internal address `from`.
@@ -72,13 +72,6 @@
         }
     }
 
-    fn on_renewals(&mut self, renewals: &[Renewal]) {
-        for renewal in renewals {
-            self.registry
-                .renew(self.now_ms, &renewal.id, renewal.sequence);
-        }
-    }
-
     fn on_gossiped_heartbeats(&mut self, heartbeats: Vec<BalancerHeartbeat>) {
         for heartbeat in heartbeats {
             self.balancers.merge(self.now_ms, heartbeat);
--- a/crates/control/src/machine/registrations.rs
+++ b/crates/control/src/machine/registrations.rs
@@ -5,8 +5,8 @@
 use super::{Action, CallResponse, ControlMachine, LogEvent};
 use crate::feed::FeedEvent;
 use crate::merge::MergeOutcome;
-use crate::registry::{Registration, UpstreamStatus};
-use crate::wire::{CallId, Packet, Renewal};
+use crate::registry::{OutdatedTimeOut, Registration, UpstreamStatus};
+use crate::wire::{CallId, Packet};
 use std::collections::BTreeSet;
 use woadstall_consensus::Member;
 
@@ -56,10 +56,10 @@
             self.replicate_and_respond(token, &id);
             return;
         }
-        if merged == MergeOutcome::Changed {
-            self.announce(&id);
-        } else {
-            self.gossip.renewals.push(Renewal { id, sequence });
+        match merged {
+            MergeOutcome::Changed => drop(self.announce(&id)),
+            MergeOutcome::Renewed => self.queue_renewal(id, sequence),
+            MergeOutcome::Stale => {}
         }
         self.respond(token, CallResponse::Acknowledged);
     }
@@ -78,6 +78,7 @@
     /// Returns the identity of the replication call, or `None` if the upstream is unknown.
     fn announce(&mut self, id: &str) -> Option<CallId> {
         let registration = self.registry.get(self.now_ms, id)?;
+        self.registry.take_refresh(self.now_ms, id);
         self.log(LogEvent::RegistrationChanged(registration.clone()));
         self.publish(FeedEvent::Registered(registration.clone()));
         let call = self.next_call();
@@ -188,7 +189,7 @@
         let must_persist = registrations
             .iter()
             .any(|registration| registration.status.is_terminating());
-        self.merge_registrations(registrations);
+        self.merge_registrations(from, registrations);
         let PersistProgress {
             requested,
             completed,
@@ -206,20 +207,65 @@
     }
 
     /// Merges registrations from another machine, and publishes those that changed the registry.
-    fn merge_registrations(&mut self, registrations: Vec<Registration>) {
+    /// Sends back the heartbeats that the other machine has missed.
+    fn merge_registrations(&mut self, from: &str, registrations: Vec<Registration>) {
         let mut must_persist = false;
+        let mut missed = Vec::new();
         for registration in registrations {
+            missed.extend(self.resolve_outdated_time_out(&registration));
             let id = registration.id.clone();
+            let status_before = self.registry.status(&id);
             if self.registry.merge(self.now_ms, registration) == MergeOutcome::Changed
                 && let Some(merged) = self.registry.get(self.now_ms, &id)
             {
                 must_persist |= merged.status.is_terminating();
-                self.publish(FeedEvent::Registered(merged));
+                self.publish_merged(status_before, merged);
             }
         }
         if must_persist {
             self.request_persist();
         }
+        if !missed.is_empty() {
+            let call = self.next_call();
+            self.send(
+                from,
+                Packet::Registrations {
+                    call,
+                    registrations: missed,
+                },
+            );
+        }
+    }
+
+    /// Publishes a registration that another machine has changed here.
+    pub(super) fn publish_merged(
+        &mut self,
+        status_before: Option<UpstreamStatus>,
+        merged: Registration,
+    ) {
+        let is_restored = status_before == Some(UpstreamStatus::TimedOut)
+            && merged.status == UpstreamStatus::Ready;
+        if is_restored {
+            self.log(LogEvent::UpstreamRestored(merged.clone()));
+        }
+        self.publish(FeedEvent::Registered(merged));
+    }
+
+    /// Takes over an outdated mark that an upstream has timed out if the newest heartbeat known here
+    /// is overdue too. Otherwise, returns the registration that the other machine has missed.
+    fn resolve_outdated_time_out(&mut self, mark: &Registration) -> Option<Registration> {
+        let timeout_ms = self.upstream_timeout_ms();
+        match self
+            .registry
+            .handle_outdated_time_out(self.now_ms, timeout_ms, mark)
+        {
+            OutdatedTimeOut::Irrelevant => None,
+            OutdatedTimeOut::Confirmed(registration) => {
+                self.publish(FeedEvent::Registered(registration));
+                None
+            }
+            OutdatedTimeOut::Contradicted(registration) => Some(registration),
+        }
     }
 
     /// Restores the registrations persisted by an earlier process of this machine. The restored
--- a/crates/control/src/machine/timers.rs
+++ b/crates/control/src/machine/timers.rs
@@ -1,5 +1,7 @@
 //! Timers for the periodic work of a control machine.
 
+use crate::merge::REFRESH_INTERVAL_MS;
+
 /// The interval in milliseconds at which machines send hello packets to each other.
 const HELLO_INTERVAL_MS: u64 = 1_000;
 /// The interval in milliseconds at which a non-voting machine asks to join the replica group.
@@ -9,6 +11,10 @@
 /// The interval in milliseconds at which feed subscribers are sent the status of the machine.
 const STATUS_INTERVAL_MS: u64 = 500;
 
+/// The interval in milliseconds at which registrations that no heartbeat repeats are sent to the
+/// other machines.
+const REPEAT_INTERVAL_MS: u64 = REFRESH_INTERVAL_MS;
+
 /// A timer that fires at most once per interval.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Timer {
@@ -33,6 +39,7 @@
     pub hello: Timer,
     pub join: Timer,
     pub gossip: Timer,
+    pub repeat: Timer,
     pub status: Timer,
 }
 
@@ -53,6 +60,10 @@
                 due_ms: now_ms,
                 interval_ms: GOSSIP_INTERVAL_MS,
             },
+            repeat: Timer {
+                due_ms: now_ms + REPEAT_INTERVAL_MS,
+                interval_ms: REPEAT_INTERVAL_MS,
+            },
             status: Timer {
                 due_ms: now_ms,
                 interval_ms: STATUS_INTERVAL_MS,
--- a/crates/control/src/merge.rs
+++ b/crates/control/src/merge.rs
@@ -1,4 +1,16 @@
-//! The outcome of merging an update into the records of a machine.
+//! Merging updates into the records of a machine: the outcome of an update, and the interval at
+//! which records are repeated to machines that may have missed an update.
+
+/// The interval in milliseconds at which a machine repeats to the others in full what it knows.
+/// In between it sends differences only. Machines in contact therefore agree again this long after
+/// a message was lost, whatever it held.
+pub const REFRESH_INTERVAL_MS: u64 = 5_000;
+
+/// Returns whether a record that was last sent in full at `sent_at_ms` has to be sent again; 0 if it
+/// was never sent.
+pub(crate) fn is_refresh_due(now_ms: u64, sent_at_ms: u64) -> bool {
+    sent_at_ms == 0 || now_ms >= sent_at_ms + REFRESH_INTERVAL_MS
+}
 
 /// The effect of an update on a record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/control/src/registry.rs
+++ b/crates/control/src/registry.rs
@@ -2,7 +2,9 @@
 //! changes does not depend on their order: a registration with a higher sequence number wins, and a
 //! deregistered incarnation stays deregistered.
 
-use crate::merge::MergeOutcome;
+#[cfg(doc)]
+use crate::merge::REFRESH_INTERVAL_MS;
+use crate::merge::{MergeOutcome, is_refresh_due};
 use nanoserde::{DeBin, SerBin};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -86,16 +88,21 @@
         }
     }
 
-    /// Returns whether this registration differs from another one in a way of which balancers must
-    /// be notified.
-    fn differs_from(&self, other: &Self) -> bool {
-        let has_restarted = self.slow_start_remaining_ms > other.slow_start_remaining_ms;
-        self.status != other.status
-            || self.address != other.address
-            || self.service != other.service
-            || self.zone != other.zone
-            || self.capacity != other.capacity
-            || has_restarted
+    /// Returns whether this registration differs from an earlier one in a way of which balancers must
+    /// be notified. `max_slow_start_remaining_ms` is the longest remaining warm-up of an upstream
+    /// that has not restarted since.
+    fn differs_from(&self, earlier: &Self, max_slow_start_remaining_ms: u64) -> bool {
+        self.status != earlier.status
+            || self.address != earlier.address
+            || self.service != earlier.service
+            || self.zone != earlier.zone
+            || self.capacity != earlier.capacity
+            || self.slow_start_remaining_ms > max_slow_start_remaining_ms
+    }
+
+    /// Returns whether machines that were told in time have forgotten this upstream.
+    fn has_expired(&self) -> bool {
+        self.status != UpstreamStatus::Ready && self.age_ms > TOMBSTONE_RETENTION_MS
     }
 
     /// Returns whether this registration replaces another one of the same incarnation.
@@ -108,6 +115,19 @@
     }
 }
 
+/// The result of comparing an outdated mark that an upstream has timed out with what is known here.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OutdatedTimeOut {
+    /// It is no such mark.
+    Irrelevant,
+    /// The newest heartbeat known here is overdue too. The upstream is marked as timed out here as
+    /// well, with the returned registration.
+    Confirmed(Registration),
+    /// The heartbeat of the returned registration, which the other machine does not know, is not
+    /// overdue.
+    Contradicted(Registration),
+}
+
 /// The record of a registration at one machine.
 #[derive(Clone, Debug)]
 struct RegistrationRecord {
@@ -116,6 +136,9 @@
     last_heartbeat_ms: u64,
     /// The time in milliseconds of the last change that was sent to balancers.
     changed_at_ms: u64,
+    /// The time in milliseconds at which this machine last sent a heartbeat of the upstream in full
+    /// to the other machines; 0 if it has not.
+    refreshed_at_ms: u64,
     slow_start_until_ms: u64,
 }
 
@@ -141,6 +164,7 @@
     pub fn merge(&mut self, now_ms: u64, registration: Registration) -> MergeOutcome {
         match self.records.get_mut(&registration.id) {
             Some(record) => record.merge(now_ms, registration),
+            None if registration.has_expired() => MergeOutcome::Stale,
             None => {
                 let id = registration.id.clone();
                 self.records
@@ -167,21 +191,38 @@
         let is_overdue = |record: &&mut RegistrationRecord| {
             let registration = &record.registration;
             let is_ready = registration.status == UpstreamStatus::Ready;
-            let has_missed_heartbeats = now_ms > record.last_heartbeat_ms + timeout_ms;
-            has_missed_heartbeats && is_ready && owns(&registration.service)
-        };
-        let time_out = |record: &mut RegistrationRecord| {
-            record.registration.status = UpstreamStatus::TimedOut;
-            record.changed_at_ms = now_ms;
-            record.registration.clone()
+            is_ready && record.is_overdue(now_ms, timeout_ms) && owns(&registration.service)
         };
         self.records
             .values_mut()
             .filter(is_overdue)
-            .map(time_out)
+            .map(|record| record.time_out(now_ms))
             .collect()
     }
 
+    /// Handles a mark of another machine that an upstream has timed out, if the mark is older than
+    /// the newest heartbeat known here. That heartbeat has not reached the other machine, or crosses
+    /// the mark.
+    pub fn handle_outdated_time_out(
+        &mut self,
+        now_ms: u64,
+        timeout_ms: u64,
+        mark: &Registration,
+    ) -> OutdatedTimeOut {
+        let Some(record) = self.records.get_mut(&mark.id) else {
+            return OutdatedTimeOut::Irrelevant;
+        };
+        let is_ready = record.registration.status == UpstreamStatus::Ready;
+        let is_outdated = mark.sequence < record.registration.sequence;
+        if mark.status != UpstreamStatus::TimedOut || !is_ready || !is_outdated {
+            OutdatedTimeOut::Irrelevant
+        } else if record.is_overdue(now_ms, timeout_ms) {
+            OutdatedTimeOut::Confirmed(record.time_out(now_ms))
+        } else {
+            OutdatedTimeOut::Contradicted(record.as_of(now_ms))
+        }
+    }
+
     /// Removes draining, timed-out and deregistered upstreams after the retention time.
     pub fn remove_expired(&mut self, now_ms: u64) {
         self.records
@@ -196,17 +237,62 @@
             });
     }
 
-    /// Applies a renewal: another machine has received an unchanged heartbeat with this sequence
-    /// number. Only a ready upstream is renewed.
-    pub fn renew(&mut self, now_ms: u64, id: &str, sequence: u64) {
+    /// Applies a renewal: another machine has received a heartbeat with this sequence number, which
+    /// changed nothing there. An upstream that has timed out here is ready again, because that
+    /// machine may never have known of the time-out. The renewal of an unknown or terminating
+    /// upstream is stale; the next heartbeat that is sent in full shows what has changed.
+    pub fn renew(&mut self, now_ms: u64, id: &str, sequence: u64) -> MergeOutcome {
         let Some(record) = self.records.get_mut(id) else {
-            return;
+            return MergeOutcome::Stale;
         };
         let registration = &mut record.registration;
-        if sequence > registration.sequence && registration.status == UpstreamStatus::Ready {
-            registration.sequence = sequence;
-            record.last_heartbeat_ms = now_ms;
+        let has_timed_out = registration.status == UpstreamStatus::TimedOut;
+        if sequence <= registration.sequence || registration.status.is_terminating() {
+            return MergeOutcome::Stale;
+        }
+        registration.sequence = sequence;
+        registration.status = UpstreamStatus::Ready;
+        record.last_heartbeat_ms = now_ms;
+        if has_timed_out {
+            record.changed_at_ms = now_ms;
+            MergeOutcome::Changed
+        } else {
+            MergeOutcome::Renewed
+        }
+    }
+
+    /// Returns whether a heartbeat of an upstream should be sent in full to the other machines,
+    /// although it changed nothing here: the last one was sent [`REFRESH_INTERVAL_MS`] ago or
+    /// earlier. If so, records that it is sent now.
+    pub fn take_refresh(&mut self, now_ms: u64, id: &str) -> bool {
+        let Some(record) = self.records.get_mut(id) else {
+            return false;
+        };
+        let is_due = is_refresh_due(now_ms, record.refreshed_at_ms);
+        if is_due {
+            record.refreshed_at_ms = now_ms;
         }
+        is_due
+    }
+
+    /// Returns the registrations that no heartbeat repeats to the other machines: those of upstreams
+    /// that are not ready, or whose newest heartbeat is older than `timeout_ms`. The owner of such
+    /// an upstream may not know of it.
+    pub fn without_heartbeats(&self, now_ms: u64, timeout_ms: u64) -> Vec<Registration> {
+        self.records
+            .values()
+            .filter(|record| {
+                record.registration.status != UpstreamStatus::Ready
+                    || record.is_overdue(now_ms, timeout_ms)
+            })
+            .map(|record| record.as_of(now_ms))
+            .collect()
+    }
+
+    /// Returns the status of an upstream; `None` if the upstream is unknown.
+    pub fn status(&self, id: &str) -> Option<UpstreamStatus> {
+        let record = self.records.get(id)?;
+        Some(record.registration.status)
     }
 
     /// Returns a registration, with its age and remaining warm-up as of `now_ms`.
@@ -243,6 +329,7 @@
         Self {
             last_heartbeat_ms: now_ms.saturating_sub(registration.age_ms),
             changed_at_ms: now_ms,
+            refreshed_at_ms: 0,
             slow_start_until_ms: now_ms + registration.slow_start_remaining_ms,
             registration,
         }
@@ -261,7 +348,10 @@
             let heartbeat_at = now_ms.saturating_sub(registration.age_ms);
             self.last_heartbeat_ms = self.last_heartbeat_ms.max(heartbeat_at);
         }
-        let has_changed = registration.differs_from(&self.expected(now_ms));
+        let max_slow_start_remaining_ms =
+            self.slow_start_until_ms.saturating_sub(now_ms) + SLOW_START_TOLERANCE_MS;
+        let has_changed =
+            registration.differs_from(&self.registration, max_slow_start_remaining_ms);
         if has_changed || registration.slow_start_remaining_ms == 0 {
             self.slow_start_until_ms = now_ms + registration.slow_start_remaining_ms;
         }
@@ -274,15 +364,15 @@
         }
     }
 
-    /// Returns the registration that an unchanged heartbeat would carry now, with the tolerance
-    /// added to the remaining warm-up.
-    fn expected(&self, now_ms: u64) -> Registration {
-        let remaining_ms = self.slow_start_until_ms.saturating_sub(now_ms);
-        let slow_start_remaining_ms = remaining_ms + SLOW_START_TOLERANCE_MS;
-        Registration {
-            slow_start_remaining_ms,
-            ..self.registration.clone()
-        }
+    fn is_overdue(&self, now_ms: u64, timeout_ms: u64) -> bool {
+        now_ms > self.last_heartbeat_ms + timeout_ms
+    }
+
+    /// Marks the upstream as timed out, and returns its registration.
+    fn time_out(&mut self, now_ms: u64) -> Registration {
+        self.registration.status = UpstreamStatus::TimedOut;
+        self.changed_at_ms = now_ms;
+        self.registration.clone()
     }
 
     fn as_of(&self, now_ms: u64) -> Registration {
--- a/crates/control/tests/log_events.rs
+++ b/crates/control/tests/log_events.rs
@@ -33,6 +33,10 @@
     LogEvent::RegistrationChanged(registration(4, UpstreamStatus::Deregistered)),
     "registration_changed upstream=i-1 service=s status=Gone slow_start_ms=0 sequence=4"
 )]
+#[case(
+    LogEvent::UpstreamRestored(registration(4, UpstreamStatus::Ready)),
+    "upstream_restored upstream=i-1 service=s sequence=4"
+)]
 #[case(LogEvent::UpstreamTimedOut { registration: registration(4, UpstreamStatus::TimedOut), timeout_ms: 5_100 }, "upstream_timed_out upstream=i-1 service=s timeout_ms=5100")]
 fn an_event_is_one_line_with_its_fields(#[case] event: LogEvent, #[case] line: &str) {
     assert_eq!(event.to_string(), line);
--- a/crates/control/tests/registry.rs
+++ b/crates/control/tests/registry.rs
@@ -5,8 +5,8 @@
 use proptest::prelude::*;
 use rstest::rstest;
 use support::registration;
-use woadstall_control::merge::MergeOutcome;
-use woadstall_control::registry::{Registration, Registry, UpstreamStatus};
+use woadstall_control::merge::{MergeOutcome, REFRESH_INTERVAL_MS};
+use woadstall_control::registry::{OutdatedTimeOut, Registration, Registry, UpstreamStatus};
 
 fn status_after(steps: &[(u64, UpstreamStatus)]) -> UpstreamStatus {
     let mut registry = Registry::default();
@@ -53,6 +53,140 @@
     }
 }
 
+/// A message about an upstream that was ready at first.
+#[derive(Clone, Copy, Debug)]
+enum Message {
+    Registration(u64, UpstreamStatus),
+    Renewal(u64),
+}
+
+fn any_message() -> impl Strategy<Value = Message> {
+    prop_oneof![
+        (0..6_u64).prop_map(|sequence| Message::Registration(sequence, UpstreamStatus::Ready)),
+        (0..6_u64).prop_map(|sequence| Message::Registration(sequence, UpstreamStatus::TimedOut)),
+        (0..6_u64).prop_map(Message::Renewal),
+    ]
+}
+
+fn status_after_messages(messages: &[Message]) -> UpstreamStatus {
+    let mut registry = Registry::default();
+    registry.merge(0, registration(0, UpstreamStatus::Ready));
+    for message in messages {
+        match *message {
+            Message::Registration(sequence, status) => {
+                registry.merge(0, registration(sequence, status));
+            }
+            Message::Renewal(sequence) => {
+                registry.renew(0, "i-1", sequence);
+            }
+        }
+    }
+    registry.get(0, "i-1").unwrap().status
+}
+
+proptest! {
+    /// Guards against the failure of `review/6`: a renewal that arrived after a mark of a time-out was ignored, and one that
+    /// arrived before it was not.
+    #[test]
+    fn renewals_and_time_outs_do_not_depend_on_the_order(
+        messages in prop::collection::vec(any_message(), 1..12),
+        order in any::<prop::sample::Index>(),
+    ) {
+        let mut rotated = messages.clone();
+        rotated.rotate_left(order.index(messages.len()));
+        prop_assert_eq!(status_after_messages(&messages), status_after_messages(&rotated));
+        rotated.reverse();
+        prop_assert_eq!(status_after_messages(&messages), status_after_messages(&rotated));
+    }
+}
+
+#[rstest]
+#[case::ready(UpstreamStatus::Ready, MergeOutcome::Renewed)]
+#[case::timed_out(UpstreamStatus::TimedOut, MergeOutcome::Changed)]
+#[case::draining(UpstreamStatus::Draining, MergeOutcome::Stale)]
+#[case::deregistered(UpstreamStatus::Deregistered, MergeOutcome::Stale)]
+fn a_renewal_restores_only_upstreams_that_have_timed_out(
+    #[case] status: UpstreamStatus,
+    #[case] expected: MergeOutcome,
+) {
+    let mut registry = Registry::default();
+    registry.merge(0, registration(3, status));
+    assert_eq!(registry.renew(0, "i-1", 3), MergeOutcome::Stale);
+    assert_eq!(registry.renew(0, "unknown", 4), MergeOutcome::Stale);
+    assert_eq!(registry.renew(0, "i-1", 4), expected);
+    let is_restored = status == UpstreamStatus::TimedOut;
+    let expected = if is_restored {
+        UpstreamStatus::Ready
+    } else {
+        status
+    };
+    assert_eq!(registry.get(0, "i-1").unwrap().status, expected);
+}
+
+#[test]
+fn a_heartbeat_is_sent_in_full_once_in_the_refresh_interval() {
+    let mut registry = Registry::default();
+    assert!(!registry.take_refresh(1_000, "i-1"), "unknown");
+    registry.merge(1_000, registration(1, UpstreamStatus::Ready));
+    assert!(registry.take_refresh(1_000, "i-1"));
+    assert!(!registry.take_refresh(999 + REFRESH_INTERVAL_MS, "i-1"));
+    assert!(registry.take_refresh(1_000 + REFRESH_INTERVAL_MS, "i-1"));
+}
+
+#[test]
+fn an_outdated_time_out_is_confirmed_or_contradicted() {
+    let mut registry = Registry::default();
+    registry.merge(0, registration(4, UpstreamStatus::Ready));
+    let mark = |sequence| registration(sequence, UpstreamStatus::TimedOut);
+    let mut resolve =
+        |now_ms, mark: &Registration| registry.handle_outdated_time_out(now_ms, 5_000, mark);
+    assert_eq!(
+        resolve(5_000, &mark(4)),
+        OutdatedTimeOut::Irrelevant,
+        "not outdated"
+    );
+    let ready = registration(3, UpstreamStatus::Ready);
+    assert_eq!(
+        resolve(5_000, &ready),
+        OutdatedTimeOut::Irrelevant,
+        "no time-out"
+    );
+    let OutdatedTimeOut::Contradicted(missed) = resolve(5_000, &mark(3)) else {
+        panic!("the heartbeat known here is not overdue");
+    };
+    assert_eq!((missed.sequence, missed.age_ms), (4, 5_000));
+    let OutdatedTimeOut::Confirmed(confirmed) = resolve(5_001, &mark(3)) else {
+        panic!("the heartbeat known here is overdue");
+    };
+    assert_eq!(
+        (confirmed.sequence, confirmed.status),
+        (4, UpstreamStatus::TimedOut)
+    );
+}
+
+#[test]
+fn registrations_that_no_heartbeat_repeats_are_those_not_ready_or_overdue() {
+    let mut registry = Registry::default();
+    registry.merge(0, registration(1, UpstreamStatus::Ready));
+    assert!(registry.without_heartbeats(5_000, 5_000).is_empty());
+    assert_eq!(registry.without_heartbeats(5_001, 5_000).len(), 1);
+    registry.merge(5_001, registration(2, UpstreamStatus::Draining));
+    assert_eq!(registry.without_heartbeats(5_001, 5_000).len(), 1);
+}
+
+/// Guards against tombstones that machines keep alive by repeating them to each other.
+#[test]
+fn an_expired_tombstone_is_not_learned_again() {
+    let mut registry = Registry::default();
+    let tombstone = |age_ms| Registration {
+        age_ms,
+        ..registration(3, UpstreamStatus::Deregistered)
+    };
+    assert_eq!(registry.merge(0, tombstone(120_001)), MergeOutcome::Stale);
+    assert!(registry.is_empty());
+    assert_eq!(registry.merge(0, tombstone(120_000)), MergeOutcome::Changed);
+}
+
 #[test]
 fn an_unchanged_heartbeat_is_only_a_renewal() {
     let mut registry = Registry::default();
