Core: a machine that restarts learns of all balancers, not only of those it monitors

Callers would see: the directory of a restarted core machine named only the balancers whose heartbeats come to it directly (a few machines each), and one whose change of readiness was lost stayed as it was.

Cause: a balancer's heartbeat that changes nothing goes on as a renewal, which is dropped where the balancer is not known.

--- a/crates/control-simulation/tests/agreement.rs
+++ b/crates/control-simulation/tests/agreement.rs
@@ -1,13 +1,14 @@
-//! Agreement of the machines on upstreams after heartbeats and the packets that pass them
+//! Agreement of the machines on upstreams and balancers after heartbeats and the packets that pass them
 //! on were late, lost or doubled. `WOADSTALL_SEEDS` sets the number of seeds.
 
 mod common;
 
 use common::{ClusterBuilder, FOUR, SIX, THREE, assert_invariants};
 use rstest::rstest;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
 use woadstall_control::balancers::BalancerHeartbeat;
+use woadstall_control::machine::ResolveRequest;
 use woadstall_control::merge::REFRESH_INTERVAL_MS;
 use woadstall_control::registry::{Registration, UpstreamStatus};
 use woadstall_control_simulation::cluster::{Cluster, Topology};
@@ -62,6 +63,18 @@
         .collect()
 }
 
+/// The balancers that a machine names to clients.
+fn named_balancers(cluster: &Cluster, node: usize) -> BTreeSet<String> {
+    let request = ResolveRequest {
+        client: "client".to_owned(),
+        host: "h".to_owned(),
+        zone: "zone-0".to_owned(),
+        region: "region-0".to_owned(),
+    };
+    let process = cluster.process(node).expect("the process runs");
+    process.resolve(&request).addresses.into_iter().collect()
+}
+
 /// Guards against the failure of `review/6`: a late heartbeat arrives at one machine while the owner of the upstream's
 /// shard times the upstream out. The upstream stayed timed out at the owner, and at the balancers that read its feed, for as
 /// long as it lived.
@@ -259,9 +272,16 @@
         while cluster.now_ms < calm_ends_ms {
             clients.step(&mut cluster, true);
         }
+        let balancers: BTreeSet<String> = clients
+            .balancers
+            .iter()
+            .filter(|balancer| balancer.ready)
+            .map(|balancer| balancer.address.clone())
+            .collect();
         for node in 0..cluster.len() {
             let case = format!("seed {seed}, node {node}");
             assert_eq!(ready_upstreams(&cluster, node), clients.ready(), "{case}");
+            assert_eq!(named_balancers(&cluster, node), balancers, "{case}");
         }
         assert_invariants(&mut cluster);
     }
--- a/crates/control/src/balancers.rs
+++ b/crates/control/src/balancers.rs
@@ -1,6 +1,8 @@
 //! The table of balancers, built from the heartbeats that each balancer sends to a few monitors.
 
-use crate::merge::MergeOutcome;
+#[cfg(doc)]
+use crate::merge::REFRESH_INTERVAL_MS;
+use crate::merge::{MergeOutcome, is_refresh_due};
 use crate::shards::short_hash;
 use nanoserde::{DeBin, SerBin};
 use std::collections::BTreeMap;
@@ -44,6 +46,9 @@
     /// The time in milliseconds of the newest ready heartbeat of this incarnation, if there has
     /// been one.
     last_ready_ms: Option<u64>,
+    /// The time in milliseconds at which this machine last sent a heartbeat of the balancer in full
+    /// to the other machines; 0 if it has not.
+    refreshed_at_ms: u64,
 }
 
 /// The balancers known to one control machine. All times are milliseconds of that machine's clock.
@@ -78,6 +83,7 @@
         } else {
             same_incarnation.and_then(|known| known.last_ready_ms)
         };
+        let refreshed_at_ms = known.map_or(0, |known| known.refreshed_at_ms);
         let name = heartbeat.name.clone();
         self.records.insert(
             name,
@@ -85,11 +91,33 @@
                 heartbeat,
                 last_heard_ms: now_ms,
                 last_ready_ms,
+                refreshed_at_ms,
             },
         );
         outcome
     }
 
+    /// Returns whether a heartbeat of a balancer should be sent in full to the other machines,
+    /// although it changed nothing here: the last one was sent [`REFRESH_INTERVAL_MS`] ago or
+    /// earlier. If so, records that it is sent now.
+    pub fn take_refresh(&mut self, now_ms: u64, name: &str) -> bool {
+        let Some(record) = self.records.get_mut(name) else {
+            return false;
+        };
+        let is_due = is_refresh_due(now_ms, record.refreshed_at_ms);
+        if is_due {
+            record.refreshed_at_ms = now_ms;
+        }
+        is_due
+    }
+
+    /// Returns the newest heartbeats of the balancers that have not missed any.
+    pub fn current(&self, now_ms: u64) -> Vec<BalancerHeartbeat> {
+        self.alive(now_ms, INCARNATION_TIMEOUT_MS)
+            .cloned()
+            .collect()
+    }
+
     /// Applies renewals received by another machine. A renewal counts only for the incarnation that
     /// is recorded here.
     pub fn renew(&mut self, now_ms: u64, renewals: &[BalancerRenewal]) {
--- a/crates/control/src/machine/balancer_heartbeats.rs
+++ b/crates/control/src/machine/balancer_heartbeats.rs
@@ -11,17 +11,20 @@
     pub fn receive_heartbeat(&mut self, now_ms: u64, heartbeat: BalancerHeartbeat) {
         self.advance_clock(now_ms);
         let name = heartbeat.name.clone();
-        match self.balancers.merge(self.now_ms, heartbeat.clone()) {
-            MergeOutcome::Stale => {}
-            MergeOutcome::Changed => drop(self.gossip.heartbeats.insert(name, heartbeat)),
-            MergeOutcome::Renewed => {
-                let renewal = BalancerRenewal {
-                    name: short_hash(&name),
-                    incarnation: heartbeat.incarnation,
-                    sequence: heartbeat.sequence,
-                };
-                self.gossip.balancer_renewals.insert(name, renewal);
-            }
+        let outcome = self.balancers.merge(self.now_ms, heartbeat.clone());
+        if outcome == MergeOutcome::Stale {
+            return;
+        }
+        let is_refresh = self.balancers.take_refresh(self.now_ms, &name);
+        if is_refresh || outcome == MergeOutcome::Changed {
+            self.gossip.heartbeats.insert(name, heartbeat);
+        } else {
+            let renewal = BalancerRenewal {
+                name: short_hash(&name),
+                incarnation: heartbeat.incarnation,
+                sequence: heartbeat.sequence,
+            };
+            self.gossip.balancer_renewals.insert(name, renewal);
         }
     }
 }
--- a/crates/control/src/machine/peers.rs
+++ b/crates/control/src/machine/peers.rs
@@ -27,8 +27,8 @@
     }
 
     /// Handles a newly established connection to a machine. Packets in flight on an earlier
-    /// connection may be lost, so all registrations are sent and calls to the machine are forwarded
-    /// again.
+    /// connection may be lost, so all registrations and balancers are sent and calls to the machine
+    /// are forwarded again.
     pub fn link_up(&mut self, now_ms: u64, address: &str) {
         self.advance_clock(now_ms);
         let hello = self.hello();
@@ -44,6 +44,10 @@
                 },
             );
         }
+        let balancers = self.balancers.current(self.now_ms);
+        if !balancers.is_empty() {
+            self.send(address, Packet::BalancerHeartbeats(balancers));
+        }
         self.resend_calls(address);
     }
 
--- a/crates/control/tests/balancers.rs
+++ b/crates/control/tests/balancers.rs
@@ -1,7 +1,7 @@
 //! Tests of the balancer table.
 
 use woadstall_control::balancers::{BalancerHeartbeat, BalancerRenewal, BalancerTable};
-use woadstall_control::merge::MergeOutcome;
+use woadstall_control::merge::{MergeOutcome, REFRESH_INTERVAL_MS};
 use woadstall_control::shards::short_hash;
 
 fn heartbeat(incarnation: u64, sequence: u64, ready: bool) -> BalancerHeartbeat {
@@ -69,3 +69,22 @@
     balancers.renew(900, &[renewal(10, 6)]);
     assert_eq!(balancers.alive(1_100, 1_000).count(), 1);
 }
+
+#[test]
+fn a_heartbeat_is_sent_in_full_once_in_the_refresh_interval() {
+    let mut balancers = BalancerTable::default();
+    assert!(!balancers.take_refresh(1_000, "front-1"), "unknown");
+    balancers.merge(1_000, heartbeat(10, 5, true));
+    assert!(balancers.take_refresh(1_000, "front-1"));
+    balancers.merge(2_000, heartbeat(10, 6, true));
+    assert!(!balancers.take_refresh(999 + REFRESH_INTERVAL_MS, "front-1"));
+    assert!(balancers.take_refresh(1_000 + REFRESH_INTERVAL_MS, "front-1"));
+}
+
+#[test]
+fn only_balancers_that_have_not_missed_heartbeats_are_current() {
+    let mut balancers = BalancerTable::default();
+    balancers.merge(0, heartbeat(10, 5, true));
+    assert_eq!(balancers.current(900).len(), 1);
+    assert!(balancers.current(901).is_empty());
+}
