--- a/crates/control/tests/documents.rs
+++ b/crates/control/tests/documents.rs
@@ -157,3 +157,14 @@
         Exact::parse(&document(2, &[], "1"))
     );
 }
+
+#[test]
+fn a_number_beyond_binary_fractions_is_refused() {
+    let mut state = ControlState::default();
+    let too_large = document(1, &[service("s", "1e400", "1")], "1");
+    let CommandOutcome::Invalid { findings } = state.apply(1, &put(0, &too_large)) else {
+        panic!("the number is accepted");
+    };
+    assert!(findings.contains("number out of range"), "{findings}");
+    assert_eq!(state.document(), "null");
+}
