Front: the data of streams that waits for slow clients stays within a limit

Callers would see: each stream queues up to 16 chunks of 16 KiB for a client that does not read, with no limit on the sum; at the 1,845 client connections that the sites' descriptors allow, that is 470 MB of 260.

Change: queued data counts among the response bodies. Once they fill their third of the memory, a queue holds one chunk, and the upstream is held up sooner. The queue is a type of its own (ClientQueue).

Evidence: client_queue/tests.rs; the former queue accepts all sixteen chunks whatever waits elsewhere.

--- a/crates/node/src/front/memory.rs
+++ b/crates/node/src/front/memory.rs
@@ -15,7 +15,8 @@
     pub request_bodies: Arc<BodyBudget>,
     /// The part of [`Self::request_bodies`] that streams which have begun keep for a resumption.
     pub resumable_streams: Arc<BodyBudget>,
-    /// Bodies of responses that are received completely before they are forwarded.
+    /// Bodies of responses that are received completely before they are forwarded, and data of streams that is queued
+    /// for clients.
     pub response_bodies: Arc<BodyBudget>,
 }
 
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -11,6 +11,7 @@
 
 mod attempt;
 mod client_connection;
+mod client_queue;
 mod clients;
 mod connection_end;
 mod datagrams;
--- a/crates/node/src/front/stream.rs
+++ b/crates/node/src/front/stream.rs
@@ -4,6 +4,7 @@
 use super::attempt::{
     AttemptResult, ForwardedRequest, StreamingResponse, attempt, release_connection,
 };
+use super::client_queue::{ClientDisconnected, ClientQueue};
 use super::pool::PooledConnection;
 use super::response::ResponseBody;
 use super::resumption::{NotResumable, Resumption};
@@ -11,18 +12,15 @@
 use super::state::Front;
 use bytes::Bytes;
 use hyper::header::{HeaderName, HeaderValue};
-use std::io::{self, ErrorKind};
+use std::io::ErrorKind;
 use std::ops::ControlFlow;
 use std::sync::Arc;
-use tokio::sync::mpsc;
 use tokio::time::timeout_at;
 use woadstall_request_reports::{AttemptOutcome, Cause};
 use woadstall_routing::Outcome;
 
 /// Request header with the id of the last event that the client has received (WHATWG HTML 9.2.4).
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
-/// Maximum number of chunks queued for a client.
-const MAX_QUEUED_CHUNKS: usize = 16;
 
 /// Reason why copying a response body has ended.
 enum StreamEnd {
@@ -40,7 +38,7 @@
     request: ForwardedRequest,
     response: StreamingResponse,
 ) -> ResponseBody {
-    let (client, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
+    let (client, receiver) = ClientQueue::new(&front.memory.response_bodies);
     let mut stream = Stream {
         front: front.clone(),
         resumption: None,
@@ -60,7 +58,7 @@
     request: ForwardedRequest,
     /// Present if the stream can be resumed. The client then receives complete events only.
     resumption: Option<Resumption>,
-    client: mpsc::Sender<io::Result<Bytes>>,
+    client: ClientQueue,
 }
 
 impl Stream {
@@ -128,9 +126,9 @@
             if data.is_empty() {
                 continue;
             }
-            match timeout_at(deadline, self.client.send(Ok(data))).await {
+            match timeout_at(deadline, self.client.send(data)).await {
                 Ok(Ok(())) => {}
-                Ok(Err(_)) => return StreamEnd::ClientDisconnected,
+                Ok(Err(ClientDisconnected)) => return StreamEnd::ClientDisconnected,
                 Err(_) => return StreamEnd::TimedOut,
             }
         }
@@ -181,7 +179,7 @@
         if let Some(resumption) = &mut self.resumption {
             let incomplete = resumption.events.take_incomplete();
             if !incomplete.is_empty() {
-                self.client.send(Ok(incomplete)).await.ok();
+                self.client.send(incomplete).await.ok();
             }
         }
         let StreamingResponse {
@@ -197,7 +195,7 @@
     }
 
     async fn send_error(&self, kind: ErrorKind) {
-        self.client.send(Err(kind.into())).await.ok();
+        self.client.fail(kind).await;
     }
 
     /// Requests the events that follow the last complete event from another upstream. Returns
